--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,125 @@
+// Package admission decides whether a request may run: its key, its team, the
+// adapter and version, and the team's budget.
+package admission
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/budget"
+	"github.com/pomelospring/pomelospring/configuration"
+	"github.com/pomelospring/pomelospring/lending"
+)
+
+// Hash gives the form in which the secret of a key is kept.
+func Hash(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// Identify finds the key and team of a secret.
+func Identify(state *configuration.State, secret string) (key pomelospring.Key, team pomelospring.Team, refusal *pomelospring.Refusal) {
+	if secret == "" {
+		return key, team, pomelospring.NewRefusal(pomelospring.CodeKeyMissing, time.Time{}, "a key is needed: Authorization: Bearer KEY")
+	}
+	id, known := state.KeysByHash[Hash(secret)]
+	if !known {
+		return key, team, pomelospring.NewRefusal(pomelospring.CodeKeyUnknown, time.Time{}, "the key is not valid")
+	}
+	key = state.Keys[id]
+	team, known = state.Teams[key.Team]
+	if !known {
+		return key, team, pomelospring.NewRefusal(pomelospring.CodeKeyUnknown, time.Time{}, "the key's team does not exist any more")
+	}
+	return key, team, nil
+}
+
+// Valid says whether a key still stands.
+func Valid(state *configuration.State, id string) bool {
+	key, known := state.Keys[id]
+	if !known {
+		return false
+	}
+	_, known = state.Teams[key.Team]
+	return known
+}
+
+// Authorize finds the adapter that a team asks for.
+func Authorize(state *configuration.State, team pomelospring.Team, model string) (name pomelospring.AdapterVersion, adapter pomelospring.Adapter, refusal *pomelospring.Refusal) {
+	name, err := pomelospring.ParseAdapterVersion(model)
+	if err != nil {
+		return name, adapter, pomelospring.NewRefusal(pomelospring.CodeBadRequest, time.Time{}, "%v", err)
+	}
+	if !team.Allows(name) {
+		return name, adapter, pomelospring.NewRefusal(pomelospring.CodeAdapterNotAllowed, time.Time{}, "team %s may not call %s", team.Name, name)
+	}
+	adapter, known := state.Adapters[name.Adapter]
+	if !known || !slices.Contains(adapter.Versions, name.Version) {
+		return name, adapter, pomelospring.NewRefusal(pomelospring.CodeAdapterUnknown, time.Time{}, "there is no %s", name)
+	}
+	return name, adapter, nil
+}
+
+// Lender gets tokens from other instances.
+type Lender interface {
+	// Borrow returns tokens that must be spent or deposited by the deadline.
+	Borrow(ctx context.Context, pool string, amount float64) (borrowed float64, deadline time.Time)
+}
+
+// Cashier charges requests to their teams' budgets.
+type Cashier struct {
+	Bank   *budget.Bank
+	Lender Lender
+	Clock  pomelospring.Clock
+}
+
+// Charge is what a request was charged.
+type Charge struct {
+	Pool        string
+	Reservation budget.Reservation
+}
+
+// Charge takes a cost from a team's budget before the request is sent on, or
+// refuses it with the time at which it would fit.
+func (c *Cashier) Charge(ctx context.Context, team pomelospring.Team, cost float64) (charge Charge, refusal *pomelospring.Refusal) {
+	now := c.Clock()
+	charge.Pool = lending.PoolOfTeam(team.Name)
+	c.Bank.Want(charge.Pool, cost, now)
+	reservation, spent := c.Bank.Spend(charge.Pool, cost, 0, now)
+	if spent {
+		charge.Reservation = reservation
+		return charge, nil
+	}
+	if cost > team.Burst {
+		return charge, pomelospring.NewRefusal(pomelospring.CodeLargerThanBurst, time.Time{}, "the request may cost %.0f tokens, more than team %s's burst of %.0f", cost, team.Name, team.Burst)
+	}
+	missing, _ := c.Bank.Missing(charge.Pool, cost, now)
+	borrowed, deadline := c.Lender.Borrow(ctx, charge.Pool, missing)
+	now = c.Clock()
+	if now.After(deadline) {
+		borrowed = 0
+	}
+	if reservation, spent = c.Bank.Spend(charge.Pool, cost, borrowed, now); spent {
+		charge.Reservation = reservation
+		return charge, nil
+	}
+	return charge, c.overRate(team, charge.Pool, cost, now)
+}
+
+func (c *Cashier) overRate(team pomelospring.Team, pool string, cost float64, now time.Time) *pomelospring.Refusal {
+	retryAt := now.Add(time.Minute)
+	if team.Rate > 0 {
+		missing, _ := c.Bank.Missing(pool, cost, now)
+		retryAt = now.Add(time.Duration(missing / team.Rate * float64(time.Second)))
+	}
+	return pomelospring.NewRefusal(pomelospring.CodeOverRate, retryAt, "team %s is over its rate of %.0f tokens a second", team.Name, team.Rate)
+}
+
+// Settle corrects a charge to the true cost.
+func (c *Cashier) Settle(charge Charge, used float64) {
+	c.Bank.Settle(charge.Pool, charge.Reservation, used, c.Clock())
+}
--- /dev/null
+++ b/budget/bank.go
@@ -0,0 +1,163 @@
+package budget
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// demandHalfLife is how fast the demand of a pool is forgotten.
+const demandHalfLife = 5 * time.Second
+
+// Bank holds an instance's buckets, one for each pool. It is safe for
+// concurrent use.
+type Bank struct {
+	mu       sync.RWMutex
+	accounts map[string]*account
+}
+
+type account struct {
+	mu     sync.Mutex
+	bucket *Bucket
+	// wanted is a decayed count of tokens asked for, served or refused.
+	wanted   float64
+	wantedAt time.Time
+	terms    Terms
+}
+
+// NewBank makes a bank without buckets.
+func NewBank() *Bank {
+	return &Bank{
+		accounts: map[string]*account{},
+	}
+}
+
+// SetTerms puts a pool's bucket under new terms.
+func (b *Bank) SetTerms(pool string, terms Terms, now time.Time) {
+	a := b.open(pool, now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.terms = terms
+	a.bucket.SetTerms(terms, now)
+}
+
+// Spend takes a cost from a pool, or nothing. borrowed is a part of the cost
+// that was lent by others and comes on top of the bucket.
+func (b *Bank) Spend(pool string, cost, borrowed float64, now time.Time) (reservation Reservation, spent bool) {
+	a := b.find(pool)
+	if a == nil {
+		return Reservation{}, false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	reservation, spent = a.bucket.Spend(max(0, cost-borrowed), now)
+	if !spent {
+		a.bucket.Deposit(borrowed, now)
+		return reservation, false
+	}
+	reservation.Charged = cost
+	return reservation, true
+}
+
+// Want counts tokens asked for, whether served or refused.
+func (b *Bank) Want(pool string, tokens float64, now time.Time) {
+	a := b.find(pool)
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.decay(now)
+	a.wanted += tokens
+}
+
+// Settle gives back what a reservation did not use.
+func (b *Bank) Settle(pool string, reservation Reservation, used float64, now time.Time) {
+	a := b.find(pool)
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bucket.Settle(reservation, used, now)
+	a.decay(now)
+	a.wanted = max(0, a.wanted-(reservation.Charged-used))
+}
+
+// Lend deducts up to an amount for another holder.
+func (b *Bank) Lend(pool string, amount float64, heldUntil, now time.Time) (lent, left float64) {
+	a := b.find(pool)
+	if a == nil {
+		return 0, 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	lent = a.bucket.Lend(amount, heldUntil, now)
+	return lent, a.bucket.Level(now)
+}
+
+// Missing is how much of a cost the bucket lacks, and Whole's burst for it.
+func (b *Bank) Missing(pool string, cost float64, now time.Time) (missing float64, terms Terms) {
+	a := b.find(pool)
+	if a == nil {
+		return cost, Terms{}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return max(0, cost-a.bucket.Level(now)), a.terms
+}
+
+// Wanted is the demand of every pool, in tokens a second.
+func (b *Bank) Wanted(now time.Time) map[string]float64 {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	wanted := make(map[string]float64, len(b.accounts))
+	for pool, a := range b.accounts {
+		a.mu.Lock()
+		a.decay(now)
+		wanted[pool] = math.Round(a.wanted * math.Ln2 / demandHalfLife.Seconds())
+		a.mu.Unlock()
+	}
+	return wanted
+}
+
+func (a *account) decay(now time.Time) {
+	if now.After(a.wantedAt) {
+		a.wanted *= math.Exp2(-now.Sub(a.wantedAt).Seconds() / demandHalfLife.Seconds())
+		a.wantedAt = now
+	}
+}
+
+func (b *Bank) find(pool string) *account {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.accounts[pool]
+}
+
+func (b *Bank) open(pool string, now time.Time) *account {
+	if a := b.find(pool); a != nil {
+		return a
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a, known := b.accounts[pool]
+	if !known {
+		a = &account{
+			bucket:   NewBucket(now),
+			wantedAt: now,
+		}
+		b.accounts[pool] = a
+	}
+	return a
+}
+
+// Deposit adds tokens lent by another holder, up to the cap.
+func (b *Bank) Deposit(pool string, amount float64, now time.Time) {
+	a := b.find(pool)
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bucket.Deposit(amount, now)
+}
--- /dev/null
+++ b/budget/bucket.go
@@ -0,0 +1,229 @@
+package budget
+
+import (
+	"sort"
+	"time"
+)
+
+// Terms are what a bucket fills and empties under.
+type Terms struct {
+	// Rate is the pool's whole rate, in tokens a second.
+	Rate float64
+	// Burst is the pool's whole burst, in tokens.
+	Burst float64
+	Share Share
+	// LeasedDeadline and StandingDeadline end the parts of Share.
+	LeasedDeadline   time.Time
+	StandingDeadline time.Time
+}
+
+// Bucket is one holder's token bucket of one pool. It starts empty. Every
+// spend checks the deadlines on the clock given, so that a process that was
+// paused finds its holding ended. It is not safe for concurrent use.
+type Bucket struct {
+	terms Terms
+	level float64
+	last  time.Time
+	// lent lowers the cap while tokens lent may still be spent elsewhere.
+	lent []loan
+	// room are lows of the cap's room over the level, oldest first and rising.
+	room      []low
+	operation int64
+	open      int
+}
+
+type loan struct {
+	amount   float64
+	deadline time.Time
+}
+
+type low struct {
+	operation int64
+	room      float64
+}
+
+// Reservation is a charge made ahead, to be settled at its true cost.
+type Reservation struct {
+	Charged   float64
+	operation int64
+}
+
+// NewBucket makes an empty bucket without any share.
+func NewBucket(now time.Time) *Bucket {
+	return &Bucket{
+		last: now,
+	}
+}
+
+// SetTerms fills up to now under the old terms and goes on under new ones.
+func (b *Bucket) SetTerms(terms Terms, now time.Time) {
+	b.fill(now)
+	b.terms = terms
+	b.fill(now)
+}
+
+// Level is what could be spent now.
+func (b *Bucket) Level(now time.Time) float64 {
+	b.fill(now)
+	return b.level
+}
+
+// Cap is the largest level under the terms that hold now.
+func (b *Bucket) Cap(now time.Time) float64 {
+	return max(0, b.burst(now)-b.outstanding(now))
+}
+
+// Spend takes the cost, or nothing and reports when it would fit.
+func (b *Bucket) Spend(cost float64, now time.Time) (reservation Reservation, spent bool) {
+	b.fill(now)
+	if cost > b.level {
+		return Reservation{}, false
+	}
+	b.level -= cost
+	b.open++
+	b.operation++
+	b.note(now)
+	return Reservation{
+		Charged:   cost,
+		operation: b.operation,
+	}, true
+}
+
+// Settle gives back what a reservation did not use. It credits exactly what
+// the level would be had the true cost been charged at first: tokens that
+// would have run over the cap since then stay lost.
+func (b *Bucket) Settle(reservation Reservation, used float64, now time.Time) {
+	b.fill(now)
+	back := reservation.Charged - used
+	if back > 0 {
+		back = min(back, b.lowestRoom(reservation.operation))
+	}
+	b.level += back
+	b.open--
+	if b.open <= 0 {
+		b.room = b.room[:0]
+	}
+	b.note(now)
+}
+
+// Lend deducts up to an amount for another holder to spend before a deadline
+// by its own clock. The cap stays lowered until heldUntil, so that the tokens
+// are never counted in two buckets.
+func (b *Bucket) Lend(amount float64, heldUntil, now time.Time) float64 {
+	b.fill(now)
+	lent := min(amount, b.level)
+	if lent <= 0 {
+		return 0
+	}
+	b.level -= lent
+	b.lent = append(b.lent, loan{
+		amount:   lent,
+		deadline: heldUntil,
+	})
+	b.note(now)
+	return lent
+}
+
+// Deposit adds tokens lent by another holder, up to the cap.
+func (b *Bucket) Deposit(amount float64, now time.Time) {
+	b.fill(now)
+	b.level = max(b.level, min(b.level+amount, b.Cap(now)))
+	b.note(now)
+}
+
+// Until is the earliest time at which a cost could be met by filling alone;
+// the zero time says never under these terms.
+func (b *Bucket) Until(cost float64, now time.Time) time.Time {
+	b.fill(now)
+	rate := b.rate(now)
+	if cost > b.burst(now) || rate <= 0 {
+		return time.Time{}
+	}
+	missing := max(0, cost-b.level)
+	return now.Add(time.Duration(missing / rate * float64(time.Second)))
+}
+
+func (b *Bucket) fill(now time.Time) {
+	if now.Before(b.last) {
+		return
+	}
+	b.level += b.filled(b.last, now)
+	b.last = now
+	limit := b.Cap(now)
+	if b.level > limit {
+		b.level = limit
+	}
+	b.note(now)
+}
+
+// filled adds up what each part brings until its own deadline.
+func (b *Bucket) filled(from, to time.Time) float64 {
+	leased := overlap(from, to, b.terms.LeasedDeadline) * float64(b.terms.Share.Leased)
+	standing := overlap(from, to, b.terms.StandingDeadline) * float64(b.terms.Share.Standing)
+	return b.terms.Rate * (leased + standing) / float64(Whole)
+}
+
+func overlap(from, to, deadline time.Time) float64 {
+	if deadline.Before(to) {
+		to = deadline
+	}
+	return max(0, to.Sub(from).Seconds())
+}
+
+func (b *Bucket) live(now time.Time) float64 {
+	var parts int64
+	if now.Before(b.terms.LeasedDeadline) {
+		parts += b.terms.Share.Leased
+	}
+	if now.Before(b.terms.StandingDeadline) {
+		parts += b.terms.Share.Standing
+	}
+	return float64(parts) / float64(Whole)
+}
+
+func (b *Bucket) rate(now time.Time) float64 {
+	return b.terms.Rate * b.live(now)
+}
+
+func (b *Bucket) burst(now time.Time) float64 {
+	return b.terms.Burst * b.live(now)
+}
+
+func (b *Bucket) outstanding(now time.Time) float64 {
+	var sum float64
+	kept := b.lent[:0]
+	for _, l := range b.lent {
+		if l.deadline.Before(now) {
+			continue
+		}
+		kept = append(kept, l)
+		sum += l.amount
+	}
+	b.lent = kept
+	return sum
+}
+
+// note keeps the lows of the room over the level while reservations are open.
+func (b *Bucket) note(now time.Time) {
+	if b.open == 0 {
+		return
+	}
+	room := max(0, b.Cap(now)-b.level)
+	for len(b.room) > 0 && b.room[len(b.room)-1].room >= room {
+		b.room = b.room[:len(b.room)-1]
+	}
+	b.room = append(b.room, low{
+		operation: b.operation,
+		room:      room,
+	})
+}
+
+func (b *Bucket) lowestRoom(since int64) float64 {
+	i := sort.Search(len(b.room), func(i int) bool {
+		return b.room[i].operation >= since
+	})
+	if i == len(b.room) {
+		return 0
+	}
+	return b.room[i].room
+}
--- /dev/null
+++ b/budget/targets.go
@@ -0,0 +1,58 @@
+package budget
+
+import (
+	"maps"
+	"slices"
+)
+
+// Split parametrizes how a holder asks for its parts.
+type Split struct {
+	// Standing is the part of every pool held with a long deadline, in parts
+	// per million; it is divided evenly.
+	Standing int64
+	// Floor is the least that each holder is offered of the leased part, as
+	// parts per million of the leased part.
+	Floor int64
+}
+
+// Targets gives what each holder should have of a pool, given what all want:
+// the standing part evenly, the leased part by demand over an even floor.
+// All that fold the same records compute the same targets.
+func Targets(holders []string, wanted map[string]float64, available Share, split Split) map[string]Share {
+	targets := make(map[string]Share, len(holders))
+	count := int64(len(holders))
+	if count == 0 {
+		return targets
+	}
+	var sum float64
+	for _, holder := range holders {
+		sum += wanted[holder]
+	}
+	floor := available.Leased * split.Floor / Whole / count
+	rest := available.Leased - floor*count
+	for _, holder := range holders {
+		part := rest / count
+		if sum > 0 {
+			part = int64(float64(rest) * wanted[holder] / sum)
+		}
+		targets[holder] = Share{
+			Leased:   floor + part,
+			Standing: available.Standing / count,
+		}
+	}
+	return targets
+}
+
+// Pools are the names of all pools that any holder has or wants, sorted.
+func (l Ledger) Pools() []string {
+	pools := map[string]bool{}
+	for _, held := range l {
+		for pool := range held.Shares {
+			pools[pool] = true
+		}
+		for pool := range held.Wanted {
+			pools[pool] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(pools))
+}
--- /dev/null
+++ b/cmd/pomelospringctl/main.go
@@ -0,0 +1,22 @@
+// Command pomelospringctl is the operators' command line.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	commander := subcommands.NewCommander(flag.CommandLine, "pomelospringctl")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	commander.Register(&runCommand{}, "")
+	commander.Register(&languageCommand{}, "")
+	commander.Register(&completionCommand{}, "")
+	commander.Register(&tokenCommand{}, "")
+	flag.Parse()
+	os.Exit(int(commander.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/pomelospringctl/run.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/operator"
+)
+
+// Exit codes of run, besides those of the subcommands library.
+const (
+	exitRefused      subcommands.ExitStatus = 3
+	exitNotInForce   subcommands.ExitStatus = 4
+	exitUnsettled    subcommands.ExitStatus = 5
+	exitUnauthorized subcommands.ExitStatus = 6
+)
+
+const (
+	// variableToken is the environment variable with the operator's token.
+	variableToken = "POMELOSPRING_TOKEN"
+	// variableAddress is the environment variable with the daemon's address.
+	variableAddress = "POMELOSPRING_ADDRESS"
+	// callSlack is what a call may take beyond its wait.
+	callSlack = 20 * time.Second
+)
+
+// runCommand sends one command of the language.
+type runCommand struct {
+	address     string
+	authority   string
+	format      string
+	dryRun      bool
+	wait        time.Duration
+	madeAgainst int64
+}
+
+// Name implements subcommands.Command.
+func (*runCommand) Name() string { return "run" }
+
+// Synopsis implements subcommands.Command.
+func (*runCommand) Synopsis() string { return "send a command or query to a daemon" }
+
+// Usage implements subcommands.Command.
+func (*runCommand) Usage() string {
+	return `run [-address URL] [-format table|json|csv] [-dryRun] [-wait TIME] COMMAND
+  Sends a command of the language; see the subcommand language.
+  The operator's token is taken from ` + variableToken + `.
+  Examples:
+    run 'set team utility rate 5000 burst 20000'
+    run -wait 6s 'create key web team utility'
+    run -format csv 'show usage by adapter since 30m'
+  Exit codes: 0 done, 1 failed, 2 bad command, 3 refused (another change won),
+  4 accepted but not in force everywhere yet, 5 not known whether it was
+  accepted, 6 no valid token.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (r *runCommand) SetFlags(flags *flag.FlagSet) {
+	address := os.Getenv(variableAddress)
+	if address == "" {
+		address = "http://127.0.0.1:8003"
+	}
+	flags.StringVar(&r.address, "address", address, "base URL of a daemon's operator listener, or "+variableAddress)
+	flags.StringVar(&r.authority, "authority", "", "PEM file of the authority that the daemon is checked against")
+	flags.StringVar(&r.format, "format", "table", "table, json or csv")
+	flags.BoolVar(&r.dryRun, "dryRun", false, "show what would change and change nothing")
+	flags.DurationVar(&r.wait, "wait", 0, "wait until the change is in force everywhere")
+	flags.Int64Var(&r.madeAgainst, "madeAgainst", 0, "offset of the configuration that the change was made against")
+}
+
+// Execute implements subcommands.Command.
+func (r *runCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...interface{}) subcommands.ExitStatus {
+	if r.format != "table" && r.format != "json" && r.format != "csv" {
+		fmt.Fprintf(os.Stderr, "format %q is not table, json or csv\n", r.format)
+		return subcommands.ExitUsageError
+	}
+	request := operator.Request{
+		Text:        strings.Join(flags.Args(), " "),
+		DryRun:      r.dryRun,
+		WaitSeconds: int(r.wait.Seconds()),
+		MadeAgainst: r.madeAgainst,
+	}
+	status, reply, err := r.call(ctx, request)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	if err := printReply(os.Stdout, r.format, reply); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	if reply.Error != "" {
+		fmt.Fprintln(os.Stderr, reply.Error)
+	}
+	return r.exitStatus(status, reply)
+}
+
+func (r *runCommand) exitStatus(status int, reply operator.Reply) subcommands.ExitStatus {
+	switch {
+	case reply.Unsettled:
+		return exitUnsettled
+	case status == http.StatusUnauthorized:
+		return exitUnauthorized
+	case status == http.StatusConflict:
+		return exitRefused
+	case status == http.StatusBadRequest:
+		return subcommands.ExitUsageError
+	case status != http.StatusOK:
+		return subcommands.ExitFailure
+	case r.wait > 0 && reply.Change != nil && !reply.Everywhere:
+		return exitNotInForce
+	}
+	return subcommands.ExitSuccess
+}
+
+func (r *runCommand) call(ctx context.Context, request operator.Request) (status int, reply operator.Reply, err error) {
+	defer pomelospring.Annotate(&err, "call the daemon at %s", r.address)
+	body, err := json.Marshal(request)
+	if err != nil {
+		return 0, reply, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.wait+callSlack)
+	defer cancel()
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, r.address+operator.PathCommands, bytes.NewReader(body))
+	if err != nil {
+		return 0, reply, err
+	}
+	call.Header.Set("Authorization", "Bearer "+os.Getenv(variableToken))
+	client, err := r.client()
+	if err != nil {
+		return 0, reply, err
+	}
+	response, err := client.Do(call)
+	if err != nil {
+		return 0, reply, err
+	}
+	defer response.Body.Close()
+	err = json.NewDecoder(io.LimitReader(response.Body, 64<<20)).Decode(&reply)
+	return response.StatusCode, reply, err
+}
+
+func (r *runCommand) client() (client *http.Client, err error) {
+	if r.authority == "" {
+		return http.DefaultClient, nil
+	}
+	text, err := os.ReadFile(r.authority)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, errors.New(r.authority + " has no certificate")
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			TLSClientConfig: &tls.Config{
+				RootCAs:    pool,
+				MinVersion: tls.VersionTLS12,
+			},
+		},
+	}, nil
+}
--- /dev/null
+++ b/cmd/pomelospringd/main.go
@@ -0,0 +1,22 @@
+// Command pomelospringd is the entry daemon.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	commander := subcommands.NewCommander(flag.CommandLine, "pomelospringd")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	commander.Register(&serveCommand{}, "")
+	commander.Register(&checkCommand{}, "")
+	commander.Register(&referenceCommand{}, "")
+	commander.Register(&eventsCommand{}, "")
+	flag.Parse()
+	os.Exit(int(commander.Execute(context.Background())))
+}
--- /dev/null
+++ b/configuration/validate.go
@@ -0,0 +1,140 @@
+package configuration
+
+import (
+	"fmt"
+	"net"
+	"regexp"
+
+	"github.com/pomelospring/pomelospring"
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
+// Validate says whether operations may be applied to a state, one by one.
+func Validate(state *State, operations []Operation) (err error) {
+	if len(operations) == 0 {
+		return fmt.Errorf("the change has no operations")
+	}
+	newTeams := map[string]bool{}
+	for _, operation := range operations {
+		if operation.SetTeam != nil {
+			newTeams[operation.SetTeam.Name] = true
+		}
+		if err = validateOne(state, operation, newTeams); err != nil {
+			return fmt.Errorf("%s: %w", operation.Object(), err)
+		}
+	}
+	return nil
+}
+
+func validateOne(state *State, operation Operation, newTeams map[string]bool) error {
+	switch {
+	case operation.SetTeam != nil:
+		return validateTeam(*operation.SetTeam)
+	case operation.SetKey != nil:
+		return validateKey(state, *operation.SetKey, newTeams)
+	case operation.SetAdapter != nil:
+		return validateAdapter(*operation.SetAdapter)
+	case operation.SetRoute != nil:
+		return validateRoute(*operation.SetRoute)
+	case operation.SetBackendServer != nil:
+		return validateBackendServer(*operation.SetBackendServer)
+	case operation.Object() == "":
+		return fmt.Errorf("the operation names nothing")
+	}
+	if !exists(state, operation) {
+		return fmt.Errorf("there is no such object to delete")
+	}
+	return nil
+}
+
+func exists(state *State, operation Operation) bool {
+	_, team := state.Teams[operation.DeleteTeam]
+	_, key := state.Keys[operation.DeleteKey]
+	_, adapter := state.Adapters[operation.DeleteAdapter]
+	_, route := state.Routes[operation.DeleteRoute]
+	_, server := state.BackendServers[operation.DeleteBackendServer]
+	return team || key || adapter || route || server
+}
+
+func validateTeam(team pomelospring.Team) error {
+	if !namePattern.MatchString(team.Name) {
+		return fmt.Errorf("bad name %q", team.Name)
+	}
+	if team.Rate < 0 || team.Burst < 0 {
+		return fmt.Errorf("rate %v and burst %v must not be below 0", team.Rate, team.Burst)
+	}
+	return nil
+}
+
+func validateKey(state *State, key pomelospring.Key, newTeams map[string]bool) error {
+	if !namePattern.MatchString(key.ID) {
+		return fmt.Errorf("bad key name %q", key.ID)
+	}
+	if _, known := state.Teams[key.Team]; !known && !newTeams[key.Team] {
+		return fmt.Errorf("team %q does not exist", key.Team)
+	}
+	if len(key.Hash) != 64 {
+		return fmt.Errorf("the hash has %d characters, 64 are needed", len(key.Hash))
+	}
+	if holder, taken := state.KeysByHash[key.Hash]; taken && holder != key.ID {
+		return fmt.Errorf("the secret already belongs to another key")
+	}
+	if _, taken := state.Keys[key.ID]; taken {
+		return fmt.Errorf("the key exists; withdraw it first")
+	}
+	return nil
+}
+
+func validateAdapter(adapter pomelospring.Adapter) error {
+	if !namePattern.MatchString(adapter.Name) {
+		return fmt.Errorf("bad name %q", adapter.Name)
+	}
+	if adapter.Base == "" {
+		return fmt.Errorf("no base model is named")
+	}
+	for _, version := range adapter.Versions {
+		if !namePattern.MatchString(version) {
+			return fmt.Errorf("bad version %q", version)
+		}
+	}
+	return nil
+}
+
+func validateRoute(route pomelospring.Route) error {
+	if !namePattern.MatchString(route.Path) {
+		return fmt.Errorf("bad path %q", route.Path)
+	}
+	if !namePattern.MatchString(route.Service) {
+		return fmt.Errorf("bad service %q", route.Service)
+	}
+	return nil
+}
+
+func validateBackendServer(server pomelospring.BackendServer) error {
+	if !namePattern.MatchString(server.Name) {
+		return fmt.Errorf("bad name %q", server.Name)
+	}
+	if _, _, err := net.SplitHostPort(server.Address); err != nil {
+		return fmt.Errorf("bad address %q: host:port is needed", server.Address)
+	}
+	if server.Domain == "" {
+		return fmt.Errorf("no failure domain is named")
+	}
+	if server.Running < 1 {
+		return fmt.Errorf("running %d must be 1 or more", server.Running)
+	}
+	switch server.Kind {
+	case pomelospring.ModelWorker:
+		if server.Base == "" || server.Slots < 1 {
+			return fmt.Errorf("a model worker needs a base model and 1 slot or more")
+		}
+	case pomelospring.ApplicationWorker:
+		if server.Service == "" {
+			return fmt.Errorf("an application worker needs a service")
+		}
+	default:
+		return fmt.Errorf("bad kind %q: model or application", server.Kind)
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,423 @@
+// Package daemon wires the parts of the entry daemon together. It is the only
+// place that does.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/admission"
+	"github.com/pomelospring/pomelospring/blackboard"
+	"github.com/pomelospring/pomelospring/caller"
+	"github.com/pomelospring/pomelospring/certificate"
+	"github.com/pomelospring/pomelospring/commit"
+	"github.com/pomelospring/pomelospring/controllers"
+	"github.com/pomelospring/pomelospring/engine"
+	"github.com/pomelospring/pomelospring/events"
+	"github.com/pomelospring/pomelospring/failuredomain"
+	"github.com/pomelospring/pomelospring/intent"
+	"github.com/pomelospring/pomelospring/lending"
+	"github.com/pomelospring/pomelospring/metrics"
+	"github.com/pomelospring/pomelospring/operator"
+	"github.com/pomelospring/pomelospring/ownership"
+	"github.com/pomelospring/pomelospring/peer"
+	"github.com/pomelospring/pomelospring/placement"
+	"github.com/pomelospring/pomelospring/platform"
+	"github.com/pomelospring/pomelospring/queue"
+	"github.com/pomelospring/pomelospring/retry"
+	"github.com/pomelospring/pomelospring/routing"
+	"github.com/pomelospring/pomelospring/serving"
+	"github.com/pomelospring/pomelospring/settings"
+
+	"github.com/pomelospring/pomelospring/budget"
+	"github.com/pomelospring/pomelospring/configuration"
+	"github.com/pomelospring/pomelospring/stream"
+)
+
+const (
+	// connectionsPerServer bounds the idle connections to one backend server.
+	connectionsPerServer = 256
+	// connectTimeout bounds a connection to a backend server or the platform.
+	connectTimeout = 2 * time.Second
+	// releaseTimeout bounds what a stop says to the platform.
+	releaseTimeout = 3 * time.Second
+)
+
+// Daemon is one entry instance.
+type Daemon struct {
+	settings *settings.Settings
+	logger   log.Interface
+	clock    pomelospring.Clock
+	board    *blackboard.Blackboard
+	common   *controllers.Common
+	metrics  *metrics.Metrics
+
+	membership *controllers.MembershipController
+	list       *controllers.InstanceListController
+	parts      []controllers.Controller
+	peers      *peer.Server
+	callers    *http.Server
+	operators  *http.Server
+	listeners  []net.Listener
+}
+
+// New makes a daemon that listens but does not serve yet.
+func New(config *settings.Settings, logger log.Interface) (d *Daemon, err error) {
+	defer pomelospring.Annotate(&err, "make the daemon")
+	self := pomelospring.Instance{
+		ID:            config.Instance.Domain + "-" + uuid.NewString()[:13],
+		Domain:        config.Instance.Domain,
+		CallerAddress: config.Instance.CallerAddress,
+		PeerAddress:   config.Instance.PeerAddress,
+	}
+	d = &Daemon{
+		settings: config,
+		logger:   logger.WithField("instance", self.ID),
+		clock:    time.Now,
+		board:    blackboard.New(self),
+		metrics:  metrics.New(),
+	}
+	if err = d.wire(); err != nil {
+		return nil, err
+	}
+	return d, d.listen()
+}
+
+// Board shows what the daemon knows, for tests.
+func (d *Daemon) Board() *blackboard.Blackboard { return d.board }
+
+func (d *Daemon) wire() (err error) {
+	transport, err := d.transports()
+	if err != nil {
+		return err
+	}
+	client := peer.NewClient(transport.peers)
+	borrower := lending.NewBorrower(d.board, client, d.clock)
+	loads := &lending.Loads{
+		Bank:     d.board.Bank,
+		Borrower: borrower,
+		Clock:    d.clock,
+	}
+	engineClient := &engine.Client{
+		HTTP:   transport.backend,
+		Scheme: transport.scheme,
+	}
+	scheduler := ownership.NewScheduler(queue.NewFair(), placement.StallSaving{})
+	owner := ownership.NewOwner(scheduler, engineClient, loads, d.logger, d.clock, d.settings.Membership.ClockBound)
+	d.common = &controllers.Common{
+		Settings: d.settings,
+		Board:    d.board,
+		List: &platform.InstanceList{
+			BaseURL: d.settings.Platform.InstanceListURL,
+			Client:  transport.platform,
+		},
+		Peers:  client,
+		Owner:  owner,
+		Logger: d.logger,
+		Clock:  d.clock,
+	}
+	d.follow(&platform.Log{
+		BaseURL: d.settings.Platform.LogURL,
+		Client:  transport.platform,
+	})
+	committer := commit.NewCommitter(d.board, d.common.Intents, d.clock, d.settings.Intents.KeptTime)
+	d.control(committer)
+	d.serveCallers(transport, client, owner, borrower, committer)
+	d.serveOperators(client)
+	return d.servePeers(owner, committer)
+}
+
+// transport are the clients towards the outside.
+type transport struct {
+	peers    *tls.Config
+	platform *http.Client
+	backend  *http.Client
+	// single opens a connection for each call.
+	single *http.Client
+	scheme string
+}
+
+func (d *Daemon) transports() (t transport, err error) {
+	if t.peers, err = certificate.Client(d.settings.TLS.Peers, d.logger); err != nil {
+		return t, err
+	}
+	platformTLS, err := certificate.Client(settings.Certificate{Authority: d.settings.TLS.PlatformAuthority}, d.logger)
+	if err != nil {
+		return t, err
+	}
+	backendTLS, err := certificate.Client(settings.Certificate{Authority: d.settings.TLS.BackendAuthority}, d.logger)
+	if err != nil {
+		return t, err
+	}
+	t.scheme = "http"
+	if backendTLS != nil {
+		t.scheme = "https"
+	}
+	t.platform = newHTTPClient(platformTLS, false)
+	t.backend = newHTTPClient(backendTLS, false)
+	t.single = newHTTPClient(backendTLS, true)
+	return t, nil
+}
+
+func newHTTPClient(config *tls.Config, single bool) *http.Client {
+	dialer := &net.Dialer{
+		Timeout: connectTimeout,
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			TLSClientConfig:     config,
+			MaxIdleConnsPerHost: connectionsPerServer,
+			IdleConnTimeout:     time.Minute,
+			DisableKeepAlives:   single,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// follow makes the followers that keep the blackboard's folds current.
+func (d *Daemon) follow(source pomelospring.Log) {
+	bound := d.settings.Membership.ClockBound
+	peers := &controllers.PeerRecords{
+		Board:  d.board,
+		Client: d.common.Peers,
+		Clock:  d.clock,
+	}
+	follower := func(name string, empty stream.Fold, publish func(stream.Fold, time.Time)) *stream.Follower {
+		return stream.NewFollower(source, peers, name, d.clock, empty, publish, func(err error) {
+			events.Log(d.logger, events.LogUnreachable, log.Fields{
+				"stream": name,
+				"error":  err.Error(),
+			})
+		})
+	}
+	d.common.Configuration = follower(configuration.Stream, stream.ConfigurationFold{State: configuration.NewState()}, func(fold stream.Fold, fresh time.Time) {
+		d.board.Configuration.Set(fold.(stream.ConfigurationFold).State, fresh)
+	})
+	d.common.Budget = follower(budget.Stream, stream.BudgetFold{State: budget.NewState(), ClockBound: bound}, func(fold stream.Fold, fresh time.Time) {
+		d.board.Budget.Set(fold.(stream.BudgetFold).State, fresh)
+	})
+	d.common.Domain = follower(failuredomain.Stream(d.board.Self.Domain), stream.DomainFold{State: failuredomain.NewState(), ClockBound: bound}, func(fold stream.Fold, fresh time.Time) {
+		d.board.Domain.Set(fold.(stream.DomainFold).State, fresh)
+	})
+	d.common.Intents = follower(intent.Stream(d.board.Self.Domain), stream.IntentFold{State: intent.NewState()}, func(fold stream.Fold, fresh time.Time) {
+		d.board.Intents.Set(fold.(stream.IntentFold).State, fresh)
+	})
+}
+
+func (d *Daemon) control(committer *commit.Committer) {
+	d.membership = controllers.NewMembershipController(d.common)
+	d.list = controllers.NewInstanceListController(d.common)
+	d.parts = []controllers.Controller{
+		d.common.Configuration,
+		d.common.Budget,
+		d.common.Domain,
+		d.common.Intents,
+		d.membership,
+		d.list,
+		controllers.NewBudgetController(d.common),
+		controllers.NewDirectoryController(d.common),
+		controllers.NewOwnershipController(d.common),
+		controllers.NewSnapshotController(d.common),
+		controllers.NewKeysController(d.common, caller.ErrKeyWithdrawn()),
+		committer,
+	}
+}
+
+func (d *Daemon) serveCallers(t transport, client *peer.Client, owner *ownership.Owner, borrower *lending.Borrower, committer *commit.Committer) {
+	retries := retry.NewBudget()
+	limits := d.settings.Callers
+	handler := &caller.Handler{
+		Board: d.board,
+		Cashier: &admission.Cashier{
+			Bank:   d.board.Bank,
+			Lender: borrower,
+			Clock:  d.clock,
+		},
+		Serving: &serving.Server{
+			Board: d.board,
+			Router: routing.Affinity{
+				Directory: d.board.Directory,
+			},
+			Owner:   owner,
+			Peers:   client,
+			Retries: retries,
+			Logger:  d.logger,
+			Clock:   d.clock,
+		},
+		Services: &caller.Services{
+			Board:  d.board,
+			Shared: t.backend,
+			Single: t.single,
+			Scheme: t.scheme,
+			Intents: &controllers.HomeIntents{
+				Board:     d.board,
+				Client:    client,
+				Committer: committer,
+				Clock:     d.clock,
+			},
+			IntentsKept: d.settings.Intents.KeptTime,
+			Retries:     retries,
+			Logger:      d.logger,
+			Clock:       d.clock,
+		},
+		Metrics:  d.metrics.Handler(),
+		Counters: d.metrics,
+		Limits: caller.Limits{
+			BodyBytes:     limits.BodyBytes,
+			BodyTime:      limits.BodyTime,
+			WriteTime:     limits.WriteTime,
+			StartTime:     limits.StartTime,
+			TotalTime:     limits.TotalTime,
+			MaxTokens:     limits.MaxTokens,
+			BytesPerToken: limits.BytesPerToken,
+			KeysTrusted:   limits.KeysTrusted,
+		},
+		Logger: d.logger,
+		Clock:  d.clock,
+	}
+	d.callers = d.httpServer(handler.Router())
+}
+
+func (d *Daemon) serveOperators(client *peer.Client) {
+	handler := &operator.Handler{
+		Board:    d.board,
+		Follower: d.common.Configuration,
+		Queries: &operator.Queries{
+			Board: d.board,
+			Peers: client,
+			Clock: d.clock,
+		},
+		Operators: d.settings.Operators,
+		Logger:    d.logger,
+	}
+	d.operators = d.httpServer(handler.Router())
+}
+
+func (d *Daemon) httpServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: d.settings.Callers.HeaderTime,
+		MaxHeaderBytes:    d.settings.Callers.HeaderBytes,
+		IdleTimeout:       d.settings.Callers.IdleTime,
+	}
+}
+
+func (d *Daemon) servePeers(owner *ownership.Owner, committer *commit.Committer) (err error) {
+	config, err := certificate.Server(d.settings.TLS.Peers, d.logger)
+	if err != nil {
+		return err
+	}
+	d.peers = &peer.Server{
+		Board:     d.board,
+		Owner:     owner,
+		Committer: committer,
+		Followers: map[string]*stream.Follower{
+			d.common.Configuration.Stream: d.common.Configuration,
+			d.common.Budget.Stream:        d.common.Budget,
+			d.common.Domain.Stream:        d.common.Domain,
+			d.common.Intents.Stream:       d.common.Intents,
+		},
+		Logger:     d.logger,
+		Clock:      d.clock,
+		ClockBound: d.settings.Membership.ClockBound,
+		TLS:        config,
+	}
+	return nil
+}
+
+func (d *Daemon) listen() (err error) {
+	instance := d.settings.Instance
+	for _, address := range []string{instance.CallerAddress, instance.PeerAddress, instance.OperatorAddress} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return fmt.Errorf("listen at %s: %w", address, err)
+		}
+		d.listeners = append(d.listeners, listener)
+	}
+	return nil
+}
+
+// Run serves until the context ends, then stops without cutting a request.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	defer pomelospring.Annotate(&err, "run the daemon")
+	var group run.Group
+	for _, part := range d.parts {
+		partCtx, cancel := context.WithCancel(context.Background())
+		group.Add(func() error { return part.Run(partCtx) }, func(error) { cancel() })
+	}
+	d.addListeners(&group)
+	metricsCtx, cancelMetrics := context.WithCancel(context.Background())
+	group.Add(func() error { return d.metrics.Run(metricsCtx, d.board, d.clock) }, func(error) { cancelMetrics() })
+	stopCtx, cancelStop := context.WithCancel(ctx)
+	group.Add(func() error {
+		<-stopCtx.Done()
+		d.stop()
+		return nil
+	}, func(error) { cancelStop() })
+	events.Log(d.logger, events.Started, log.Fields{
+		"domain":    d.board.Self.Domain,
+		"callers":   d.board.Self.CallerAddress,
+		"peers":     d.board.Self.PeerAddress,
+		"operators": d.settings.Instance.OperatorAddress,
+	})
+	if err = group.Run(); err != nil {
+		events.Log(d.logger, events.PartFailed, log.Fields{
+			"error": err.Error(),
+		})
+	}
+	events.Log(d.logger, events.Stopped, log.Fields{})
+	return err
+}
+
+func (d *Daemon) addListeners(group *run.Group) {
+	add := func(server *http.Server, listener net.Listener, files settings.Certificate) {
+		group.Add(func() error {
+			config, err := certificate.Server(files, d.logger)
+			if err != nil {
+				return err
+			}
+			if config != nil {
+				listener = tls.NewListener(listener, config)
+			}
+			return server.Serve(listener)
+		}, func(error) { _ = server.Close() })
+	}
+	add(d.callers, d.listeners[0], d.settings.TLS.Callers)
+	add(d.operators, d.listeners[2], d.settings.TLS.Operators)
+	peersCtx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return d.peers.Run(peersCtx, d.listeners[1]) }, func(error) { cancel() })
+}
+
+// stop leaves the list, then refuses what is new, drains, and gives back what
+// the instance holds.
+func (d *Daemon) stop() {
+	events.Log(d.logger, events.Stopping, log.Fields{
+		"running": d.board.Running.Len(),
+	})
+	d.board.Leave()
+	said, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	d.list.Leave(said)
+	d.membership.Renew(said)
+	cancel()
+	time.Sleep(d.settings.Membership.NoticeTime)
+	d.board.Close()
+	drain, cancel := context.WithTimeout(context.Background(), d.settings.Membership.DrainTime)
+	d.board.Running.Wait(drain)
+	_ = d.callers.Shutdown(drain)
+	cancel()
+	release, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	d.membership.Release(release)
+}
--- /dev/null
+++ b/failuredomain/owner.go
@@ -0,0 +1,52 @@
+package failuredomain
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pomelospring/pomelospring"
+)
+
+// Owner names the member that owns a backend server, by rendezvous hashing
+// over the members that are not leaving; empty without any.
+func (s *State) Owner(server string) string {
+	return highest(s.Candidates(), "owner/"+server)
+}
+
+// Writer names the member that writes the domain's claims and intents. Two
+// that think so at once are harmless; one spares the log.
+func (s *State) Writer(purpose string) string {
+	return highest(s.Candidates(), "writer/"+purpose)
+}
+
+// Candidates are the IDs of the members that are not leaving, sorted.
+func (s *State) Candidates() []string {
+	ids := make([]string, 0, len(s.Members))
+	for id, member := range s.Members {
+		if !member.Instance.Leaving {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Instances are all members, sorted by ID.
+func (s *State) Instances() []pomelospring.Instance {
+	instances := make([]pomelospring.Instance, 0, len(s.Members))
+	for _, id := range slices.Sorted(maps.Keys(s.Members)) {
+		instances = append(instances, s.Members[id].Instance)
+	}
+	return instances
+}
+
+func highest(ids []string, text string) (winner string) {
+	var best uint64
+	for _, id := range ids {
+		if weight := xxhash.Sum64String(id + "\x00" + text); winner == "" || weight > best {
+			winner, best = id, weight
+		}
+	}
+	return winner
+}
--- /dev/null
+++ b/lending/loads.go
@@ -0,0 +1,60 @@
+package lending
+
+import (
+	"context"
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/budget"
+)
+
+const (
+	// PoolLoads is the pool of the weight store's loads.
+	PoolLoads = "loads"
+	// loadCost is what one load costs; the pool counts in loads.
+	loadCost = 1.0
+	// refillPause is the pause between tries to get a load.
+	refillPause = 50 * time.Millisecond
+)
+
+// PoolOfTeam names the pool of a team's tokens.
+func PoolOfTeam(team string) string {
+	return "team/" + team
+}
+
+// Loads is the fleet-wide budget of loads from the weight store.
+type Loads struct {
+	Bank     *budget.Bank
+	Borrower *Borrower
+	Clock    pomelospring.Clock
+}
+
+// Take spends one load, or reports that there is none at hand.
+func (l *Loads) Take() bool {
+	now := l.Clock()
+	l.Bank.Want(PoolLoads, loadCost, now)
+	reservation, spent := l.Bank.Spend(PoolLoads, loadCost, 0, now)
+	if !spent {
+		l.Bank.Want(PoolLoads, -loadCost, now)
+		return false
+	}
+	l.Bank.Settle(PoolLoads, reservation, loadCost, now)
+	return true
+}
+
+// Refill borrows what one load lacks; what comes is deposited. Where a bucket
+// holds less than one load, the loan is what makes a load possible.
+func (l *Loads) Refill(ctx context.Context) {
+	missing, _ := l.Bank.Missing(PoolLoads, loadCost, l.Clock())
+	if missing > 0 {
+		borrowed, _ := l.Borrower.Borrow(ctx, PoolLoads, missing)
+		l.Bank.Deposit(PoolLoads, borrowed, l.Clock())
+	}
+	if missing, _ = l.Bank.Missing(PoolLoads, loadCost, l.Clock()); missing <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(refillPause):
+	}
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,86 @@
+// Package metrics counts what the daemon does, for Prometheus to fetch.
+package metrics
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/blackboard"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often counts reach the reporter.
+const reportInterval = time.Second
+
+// Metrics holds the root scope and its page.
+type Metrics struct {
+	scope    tally.Scope
+	reporter promreporter.Reporter
+	closer   func() error
+}
+
+// New makes metrics with a registry of their own.
+func New() *Metrics {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "pomelospring",
+		CachedReporter: reporter,
+		Separator:      promreporter.DefaultSeparator,
+	}, reportInterval)
+	return &Metrics{
+		scope:    scope,
+		reporter: reporter,
+		closer:   closer.Close,
+	}
+}
+
+// Close flushes and ends the reporting.
+func (m *Metrics) Close() error { return m.closer() }
+
+// Handler serves the page.
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Served counts a request and the time to its first piece.
+func (m *Metrics) Served(team string, first time.Duration) {
+	scope := m.scope.Tagged(map[string]string{
+		"team": team,
+	})
+	scope.Counter("requests_served").Inc(1)
+	scope.Timer("first_token").Record(first)
+}
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(team string, code pomelospring.Code) {
+	m.scope.Tagged(map[string]string{
+		"team": team,
+		"code": string(code),
+	}).Counter("requests_refused").Inc(1)
+}
+
+// Run shows the state of the blackboard until the context ends.
+func (m *Metrics) Run(ctx context.Context, board *blackboard.Blackboard, clock pomelospring.Clock) error {
+	for {
+		m.scope.Gauge("requests_running").Update(float64(board.Running.Len()))
+		m.scope.Gauge("configuration_offset").Update(float64(board.Configuration.Get().Next))
+		m.scope.Gauge("configuration_age_seconds").Update(clock().Sub(board.Configuration.Fresh()).Seconds())
+		m.scope.Gauge("instances_known").Update(float64(len(board.Peers.Get()) + 1))
+		for pool, wanted := range board.Bank.Wanted(clock()) {
+			m.scope.Tagged(map[string]string{
+				"pool": pool,
+			}).Gauge("tokens_wanted").Update(wanted)
+		}
+		select {
+		case <-ctx.Done():
+			return m.Close()
+		case <-time.After(reportInterval):
+		}
+	}
+}
--- /dev/null
+++ b/operator/query.go
@@ -0,0 +1,240 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/blackboard"
+	"github.com/pomelospring/pomelospring/peer"
+	"github.com/pomelospring/pomelospring/peer/peerpb"
+)
+
+const (
+	// statusTimeout bounds a question to one instance.
+	statusTimeout = 2 * time.Second
+	// usageSpan is the time span of usage where a query names none.
+	usageSpan = time.Hour
+)
+
+// Table is the answer to a query.
+type Table struct {
+	Columns []string   `json:"columns"`
+	Rows    [][]string `json:"rows"`
+}
+
+// Queries answers from the blackboard and from the other instances.
+type Queries struct {
+	Board *blackboard.Blackboard
+	Peers *peer.Client
+	Clock pomelospring.Clock
+}
+
+// instanceStatus is what one instance said of itself.
+type instanceStatus struct {
+	instance pomelospring.Instance
+	reply    *peerpb.StatusReply
+	err      error
+}
+
+// statuses asks every instance known, this one included.
+func (q *Queries) statuses(ctx context.Context) []instanceStatus {
+	instances := append(slices.Collect(maps.Values(q.Board.Peers.Get())), q.Board.Self)
+	slices.SortFunc(instances, func(a, b pomelospring.Instance) int {
+		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.ID, b.ID))
+	})
+	found := make([]instanceStatus, len(instances))
+	var group sync.WaitGroup
+	for i, instance := range instances {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+			defer cancel()
+			reply, err := q.Peers.At(ctx, instance.PeerAddress).Status(ctx, &peerpb.StatusRequest{})
+			found[i] = instanceStatus{
+				instance: instance,
+				reply:    reply,
+				err:      err,
+			}
+		})
+	}
+	group.Wait()
+	return found
+}
+
+// InForce says for each instance whether it has folded an offset.
+func (q *Queries) InForce(ctx context.Context, offset int64) (table Table, everywhere bool) {
+	table.Columns = []string{"domain", "instance", "offset", "inForce"}
+	everywhere = true
+	for _, status := range q.statuses(ctx) {
+		row := []string{status.instance.Domain, status.instance.ID, "?", "unreachable"}
+		if status.err == nil {
+			next := status.reply.GetConfigurationNext()
+			row[2] = strconv.FormatInt(next-1, 10)
+			row[3] = strconv.FormatBool(next > offset)
+		}
+		everywhere = everywhere && row[3] == "true"
+		table.Rows = append(table.Rows, row)
+	}
+	return table, everywhere
+}
+
+// Usage sums who used what since a time.
+func (q *Queries) Usage(ctx context.Context, show ShowUsage) (table Table, err error) {
+	defer pomelospring.Annotate(&err, "show usage")
+	span := usageSpan
+	if show.Since != "" {
+		if span, err = time.ParseDuration(show.Since); err != nil || span <= 0 {
+			return table, fmt.Errorf("since %q is not a time span such as 10m", show.Since)
+		}
+	}
+	by := cmp.Or(show.By, "team")
+	since := q.Clock().Add(-span).Truncate(time.Minute).Unix()
+	sums := map[string]*peerpb.UsageRow{}
+	for _, status := range q.statuses(ctx) {
+		for _, row := range status.reply.GetUsage() {
+			if row.GetMinute() >= since {
+				addUsage(sums, q.groupOf(by, status.instance.Domain, row), row)
+			}
+		}
+	}
+	table.Columns = []string{by, "requests", "promptTokens", "completionTokens", "refused"}
+	for _, group := range slices.Sorted(maps.Keys(sums)) {
+		sum := sums[group]
+		table.Rows = append(table.Rows, []string{
+			group,
+			strconv.FormatInt(sum.Requests, 10),
+			strconv.FormatInt(sum.PromptTokens, 10),
+			strconv.FormatInt(sum.CompletionTokens, 10),
+			strconv.FormatInt(sum.Refused, 10),
+		})
+	}
+	return table, nil
+}
+
+func addUsage(sums map[string]*peerpb.UsageRow, group string, row *peerpb.UsageRow) {
+	sum, known := sums[group]
+	if !known {
+		sum = &peerpb.UsageRow{}
+		sums[group] = sum
+	}
+	sum.Requests += row.GetRequests()
+	sum.PromptTokens += row.GetPromptTokens()
+	sum.CompletionTokens += row.GetCompletionTokens()
+	sum.Refused += row.GetRefused()
+}
+
+// groupOf names the row's group; a failure domain is that of the entry
+// instance that took the request.
+func (q *Queries) groupOf(by, domain string, row *peerpb.UsageRow) string {
+	switch by {
+	case "adapter":
+		return cmp.Or(row.GetAdapter(), "-")
+	case "server":
+		return cmp.Or(row.GetServer(), "-")
+	case "domain":
+		return domain
+	}
+	return row.GetTeam()
+}
+
+// Show lists the objects of one kind.
+func (q *Queries) Show(what string) Table {
+	state := q.Board.Configuration.Get()
+	switch what {
+	case "teams":
+		return listOf("team", state.Teams, teamText)
+	case "keys":
+		return listOf("key", state.Keys, keyText)
+	case "adapters":
+		return listOf("adapter", state.Adapters, adapterText)
+	case "routes":
+		return listOf("route", state.Routes, routeText)
+	case "servers":
+		return listOf("server", state.BackendServers, serverText)
+	case "placements":
+		return q.placements()
+	case "budget":
+		return q.budget()
+	}
+	return q.instances()
+}
+
+func listOf[T any](kind string, objects map[string]T, text func(T) string) Table {
+	table := Table{
+		Columns: []string{kind, "definition"},
+	}
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		table.Rows = append(table.Rows, []string{name, text(objects[name])})
+	}
+	return table
+}
+
+func (q *Queries) placements() Table {
+	table := Table{
+		Columns: []string{"server", "domain", "owner", "running", "resident"},
+	}
+	for _, entry := range q.Board.Directory.All() {
+		names := []string{}
+		for _, adapter := range entry.Resident {
+			names = append(names, adapter.String())
+		}
+		table.Rows = append(table.Rows, []string{
+			entry.Server,
+			entry.Domain,
+			entry.Owner,
+			fmt.Sprintf("%d/%d", entry.Running, entry.Limit),
+			strings.Join(names, " "),
+		})
+	}
+	return table
+}
+
+func (q *Queries) instances() Table {
+	table := Table{
+		Columns: []string{"instance", "domain", "callers", "peers", "leaving"},
+	}
+	instances := append(slices.Collect(maps.Values(q.Board.Peers.Get())), q.Board.Self)
+	slices.SortFunc(instances, func(a, b pomelospring.Instance) int {
+		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.ID, b.ID))
+	})
+	for _, instance := range instances {
+		table.Rows = append(table.Rows, []string{
+			instance.ID,
+			instance.Domain,
+			instance.CallerAddress,
+			instance.PeerAddress,
+			strconv.FormatBool(instance.Leaving),
+		})
+	}
+	return table
+}
+
+// budget shows each failure domain's part of each pool, in parts per million.
+func (q *Queries) budget() Table {
+	table := Table{
+		Columns: []string{"domain", "pool", "leased", "standing", "wanted", "leasedDeadline"},
+	}
+	ledger := q.Board.Budget.Get().Ledger
+	for _, domain := range slices.Sorted(maps.Keys(ledger)) {
+		held := ledger[domain]
+		for _, pool := range slices.Sorted(maps.Keys(held.Shares)) {
+			share := held.Shares[pool]
+			table.Rows = append(table.Rows, []string{
+				domain,
+				pool,
+				strconv.FormatInt(share.Leased, 10),
+				strconv.FormatInt(share.Standing, 10),
+				strconv.FormatFloat(held.Wanted[pool], 'f', 0, 64),
+				held.LeasedDeadline.UTC().Format(time.RFC3339),
+			})
+		}
+	}
+	return table
+}
--- /dev/null
+++ b/ownership/control.go
@@ -0,0 +1,97 @@
+package ownership
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/events"
+)
+
+var endOfTime = time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Gain takes over a model worker; see Scheduler.Gain.
+func (o *Owner) Gain(backend pomelospring.BackendServer, fence int64, evictAfter time.Time) {
+	o.mu.Lock()
+	o.scheduler.Gain(backend, fence, evictAfter)
+	o.mu.Unlock()
+	o.Changed()
+	o.Advance()
+}
+
+// Lose gives up a model worker and returns what still runs there.
+func (o *Owner) Lose(name string) map[pomelospring.AdapterVersion]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	busy := o.scheduler.Lose(name)
+	if len(o.scheduler.Owned()) > 0 {
+		return busy
+	}
+	for _, work := range o.scheduler.Queue.Expired(endOfTime) {
+		o.decide(work.ID, verdict{
+			refusal: pomelospring.NewRefusal(pomelospring.CodeNoBackendServer, o.Clock().Add(time.Second), "this instance owns no model worker any more"),
+		})
+	}
+	return busy
+}
+
+// Owned names the model workers owned, sorted.
+func (o *Owner) Owned() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]string{}, o.scheduler.Owned()...)
+}
+
+// Freeze forbids or allows orders; see Scheduler.Freeze.
+func (o *Owner) Freeze(frozen bool) {
+	o.mu.Lock()
+	o.scheduler.Freeze(frozen)
+	o.mu.Unlock()
+	o.Advance()
+}
+
+// HandedOver takes the former owner's word; see Scheduler.HandedOver.
+func (o *Owner) HandedOver(name string, fence int64, busy map[pomelospring.AdapterVersion]int) {
+	o.mu.Lock()
+	o.scheduler.HandedOver(name, fence, busy, o.Clock())
+	o.mu.Unlock()
+	o.Advance()
+}
+
+// Summaries tells what is owned here.
+func (o *Owner) Summaries() []Summary {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.scheduler.Summaries()
+}
+
+// Poll fetches a model worker's load report.
+func (o *Owner) Poll(ctx context.Context, backend pomelospring.BackendServer) {
+	asked := o.Clock()
+	report, err := o.Engine.Report(ctx, backend)
+	if err != nil {
+		if ctx.Err() == nil {
+			events.Log(o.Logger, events.ServerSilent, log.Fields{
+				"server": backend.Name,
+				"error":  err.Error(),
+			})
+			o.silent(backend.Name)
+		}
+		return
+	}
+	if !report.At.IsZero() && report.At.Add(-o.ClockBound).Before(asked) {
+		asked = report.At.Add(-o.ClockBound)
+	}
+	o.mu.Lock()
+	o.scheduler.Reported(backend.Name, report, asked)
+	o.mu.Unlock()
+	o.Changed()
+	o.Advance()
+}
+
+func (o *Owner) silent(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.scheduler.Broken(name, o.Clock().Add(brokenPause))
+}
--- /dev/null
+++ b/ownership/scheduler.go
@@ -0,0 +1,445 @@
+// Package ownership runs the model workers that an instance owns. The
+// scheduler is pure: it is told what happened and when, and answers with what
+// to do; the owner carries that out.
+package ownership
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+)
+
+const (
+	// rateHalfLife is how fast the rate of an adapter's requests is forgotten.
+	rateHalfLife = 60 * time.Second
+	// loadBackOff is how long a failed load keeps the adapter off the server.
+	loadBackOff = 5 * time.Second
+	// ratesKept bounds the adapters whose rate is remembered.
+	ratesKept = 16384
+)
+
+// Dispatch sends one work to a model worker.
+type Dispatch struct {
+	Work   *pomelospring.Work
+	Server pomelospring.BackendServer
+}
+
+// Load orders an adapter onto a model worker.
+type Load struct {
+	Placement pomelospring.Placement
+	Server    pomelospring.BackendServer
+	Fence     int64
+}
+
+// Actions are what the scheduler wants done.
+type Actions struct {
+	Dispatches []Dispatch
+	Loads      []Load
+	// Expired is work whose deadline passed before it could start.
+	Expired []*pomelospring.Work
+	// Starved says that a load would be ordered if the load budget allowed.
+	Starved bool
+}
+
+// Scheduler decides for the model workers of one owner. It is not safe for
+// concurrent use.
+type Scheduler struct {
+	Queue  pomelospring.Queue
+	Placer pomelospring.Placer
+
+	servers map[string]*server
+	names   []string
+	rates   map[pomelospring.AdapterVersion]*rate
+}
+
+type server struct {
+	backend pomelospring.BackendServer
+	fence   int64
+	running int
+	// reported says that the server itself said what is resident.
+	reported bool
+	resident map[pomelospring.AdapterVersion]*resident
+	// evictAfter is when a former owner can no longer send work.
+	evictAfter time.Time
+	// idleReport is set once a report after evictAfter was taken.
+	idleReport bool
+	// foreign counts work of the former owner that still runs.
+	foreign map[pomelospring.AdapterVersion]int
+	// foreignAt is when foreign was told; older reports don't change it.
+	foreignAt time.Time
+	// frozen forbids orders: the lease lapsed and no peer can confirm it.
+	frozen   bool
+	failures map[pomelospring.AdapterVersion]time.Time
+	// evicted says when an adapter was ordered out, so that an older report
+	// does not bring it back.
+	evicted map[pomelospring.AdapterVersion]time.Time
+	// brokenUntil keeps work away after the server failed.
+	brokenUntil time.Time
+}
+
+type resident struct {
+	busy     int
+	loading  bool
+	lastUsed time.Time
+	loadedAt time.Time
+	// lingering is when a request on it was given up that the server may
+	// still run; zero once a later report shows that it does not.
+	lingering time.Time
+}
+
+// rate is a decayed count of requests.
+type rate struct {
+	count float64
+	at    time.Time
+}
+
+// NewScheduler makes a scheduler without servers.
+func NewScheduler(queue pomelospring.Queue, placer pomelospring.Placer) *Scheduler {
+	return &Scheduler{
+		Queue:   queue,
+		Placer:  placer,
+		servers: map[string]*server{},
+		rates:   map[pomelospring.AdapterVersion]*rate{},
+	}
+}
+
+// Gain takes over a model worker. Nothing is evicted before evictAfter, unless
+// the former owner hands over.
+func (s *Scheduler) Gain(backend pomelospring.BackendServer, fence int64, evictAfter time.Time) {
+	if held, known := s.servers[backend.Name]; known {
+		held.backend = backend
+		held.fence = fence
+		return
+	}
+	s.servers[backend.Name] = &server{
+		backend:    backend,
+		fence:      fence,
+		resident:   map[pomelospring.AdapterVersion]*resident{},
+		evictAfter: evictAfter,
+		foreign:    map[pomelospring.AdapterVersion]int{},
+		failures:   map[pomelospring.AdapterVersion]time.Time{},
+		evicted:    map[pomelospring.AdapterVersion]time.Time{},
+	}
+	s.rename()
+}
+
+// Lose gives up a model worker and returns what still runs there.
+func (s *Scheduler) Lose(name string) map[pomelospring.AdapterVersion]int {
+	busy := s.Busy(name)
+	delete(s.servers, name)
+	s.rename()
+	return busy
+}
+
+// Busy counts what runs on a model worker by adapter.
+func (s *Scheduler) Busy(name string) map[pomelospring.AdapterVersion]int {
+	busy := map[pomelospring.AdapterVersion]int{}
+	held, known := s.servers[name]
+	if !known {
+		return busy
+	}
+	for adapter, r := range held.resident {
+		if r.busy > 0 {
+			busy[adapter] = r.busy
+		}
+	}
+	return busy
+}
+
+// Owned names the model workers owned, sorted.
+func (s *Scheduler) Owned() []string {
+	return s.names
+}
+
+func (s *Scheduler) rename() {
+	s.names = s.names[:0]
+	for name := range s.servers {
+		s.names = append(s.names, name)
+	}
+	slices.Sort(s.names)
+}
+
+// Freeze forbids or allows orders to all model workers owned.
+func (s *Scheduler) Freeze(frozen bool) {
+	for _, held := range s.servers {
+		held.frozen = frozen
+	}
+}
+
+// HandedOver takes the former owner's word on what still runs.
+func (s *Scheduler) HandedOver(name string, fence int64, busy map[pomelospring.AdapterVersion]int, now time.Time) {
+	held, known := s.servers[name]
+	if !known || fence < held.fence {
+		return
+	}
+	held.foreign = busy
+	held.foreignAt = now
+	held.evictAfter = time.Time{}
+	held.idleReport = true
+}
+
+// Reported takes a load report that was true at a time.
+func (s *Scheduler) Reported(name string, report pomelospring.LoadReport, at time.Time) {
+	held, known := s.servers[name]
+	if !known {
+		return
+	}
+	held.reconcile(report, at)
+	held.reported = true
+	if !held.idleReport && at.After(held.evictAfter) {
+		held.idleReport = true
+		held.foreign = foreignOf(held, report)
+		return
+	}
+	if held.idleReport && len(held.foreign) > 0 && at.After(held.foreignAt) {
+		held.foreign = foreignOf(held, report)
+	}
+}
+
+// reconcile believes the server where nothing was ordered since the report.
+func (held *server) reconcile(report pomelospring.LoadReport, at time.Time) {
+	said := map[pomelospring.AdapterVersion]bool{}
+	for _, text := range report.Resident {
+		adapter, err := pomelospring.ParseAdapterVersion(text)
+		if err != nil {
+			continue
+		}
+		said[adapter] = true
+		if held.resident[adapter] == nil && held.evicted[adapter].Before(at) {
+			held.resident[adapter] = &resident{
+				loadedAt: at,
+			}
+		}
+	}
+	for adapter, r := range held.resident {
+		if !said[adapter] && !r.loading && r.busy == 0 && r.loadedAt.Before(at) {
+			delete(held.resident, adapter)
+			continue
+		}
+		if r.lingering.Before(at) && report.Busy[adapter.String()] <= r.busy {
+			r.lingering = time.Time{}
+		}
+	}
+	for adapter, ordered := range held.evicted {
+		if ordered.Before(at) {
+			delete(held.evicted, adapter)
+		}
+	}
+}
+
+// foreignOf is what the server runs beyond what was sent from here.
+func foreignOf(held *server, report pomelospring.LoadReport) map[pomelospring.AdapterVersion]int {
+	foreign := map[pomelospring.AdapterVersion]int{}
+	for text, count := range report.Busy {
+		adapter, err := pomelospring.ParseAdapterVersion(text)
+		if err != nil {
+			continue
+		}
+		own := 0
+		if r := held.resident[adapter]; r != nil {
+			own = r.busy
+		}
+		if count > own {
+			foreign[adapter] = count - own
+		}
+	}
+	return foreign
+}
+
+// Submit queues work.
+func (s *Scheduler) Submit(work *pomelospring.Work, now time.Time) {
+	s.Queue.Push(work)
+	s.hit(work.Adapter, now)
+}
+
+// Cancel takes work out that was not dispatched.
+func (s *Scheduler) Cancel(id string) bool {
+	return s.Queue.Remove(id)
+}
+
+// Finished says that dispatched work left its model worker.
+func (s *Scheduler) Finished(work *pomelospring.Work, name string, used float64, now time.Time) {
+	s.Queue.Settle(work.Team, work.Weight, work.Cost-used)
+	held, known := s.servers[name]
+	if !known {
+		return
+	}
+	held.running--
+	if r := held.resident[work.Adapter]; r != nil {
+		r.busy--
+		r.lastUsed = now
+	}
+}
+
+// Abandoned says that dispatched work was given up while its model worker may
+// still run it: the adapter stays until a later report shows it idle.
+func (s *Scheduler) Abandoned(work *pomelospring.Work, name string, used float64, now time.Time) {
+	s.Finished(work, name, used, now)
+	held, known := s.servers[name]
+	if !known {
+		return
+	}
+	if r := held.resident[work.Adapter]; r != nil {
+		r.lingering = now
+	}
+}
+
+// Missing says that a model worker does not have an adapter after all.
+func (s *Scheduler) Missing(name string, adapter pomelospring.AdapterVersion) {
+	held, known := s.servers[name]
+	if !known {
+		return
+	}
+	if r := held.resident[adapter]; r != nil && r.busy == 0 {
+		delete(held.resident, adapter)
+	}
+}
+
+// Broken keeps work away from a model worker until a time.
+func (s *Scheduler) Broken(name string, until time.Time) {
+	if held, known := s.servers[name]; known {
+		held.brokenUntil = until
+	}
+}
+
+// Loaded says how a load ended.
+func (s *Scheduler) Loaded(name string, adapter pomelospring.AdapterVersion, failed bool, now time.Time) {
+	held, known := s.servers[name]
+	if !known {
+		return
+	}
+	if failed {
+		delete(held.resident, adapter)
+		held.failures[adapter] = now.Add(loadBackOff)
+		return
+	}
+	if r := held.resident[adapter]; r != nil {
+		r.loading = false
+		r.loadedAt = now
+		r.lastUsed = now
+	}
+	delete(held.failures, adapter)
+}
+
+// Next says what to do now. takeLoad spends one load of the load budget, or
+// reports that there is none to spend.
+func (s *Scheduler) Next(now time.Time, takeLoad func() bool) (actions Actions) {
+	actions.Expired = s.Queue.Expired(now)
+	actions.Dispatches = s.dispatch(now)
+	if s.Queue.Len() == 0 {
+		return actions
+	}
+	for {
+		placement, found := s.Placer.Place(s.view(now))
+		if !found {
+			return actions
+		}
+		if !takeLoad() {
+			actions.Starved = true
+			return actions
+		}
+		actions.Loads = append(actions.Loads, s.order(placement, now))
+	}
+}
+
+func (s *Scheduler) order(placement pomelospring.Placement, now time.Time) Load {
+	held := s.servers[placement.Server]
+	held.evicted[placement.Evict] = now
+	delete(held.resident, placement.Evict)
+	held.resident[placement.Adapter] = &resident{
+		loading: true,
+	}
+	return Load{
+		Placement: placement,
+		Server:    held.backend,
+		Fence:     held.fence,
+	}
+}
+
+// dispatch fills the model workers, the least loaded first.
+func (s *Scheduler) dispatch(now time.Time) (dispatches []Dispatch) {
+	for s.Queue.Len() > 0 {
+		sent := false
+		for _, held := range s.byLoad(now) {
+			work := s.Queue.Pop(held.backend.Name, ready(held))
+			if work == nil {
+				continue
+			}
+			held.running++
+			held.resident[work.Adapter].busy++
+			held.resident[work.Adapter].lastUsed = now
+			dispatches = append(dispatches, Dispatch{
+				Work:   work,
+				Server: held.backend,
+			})
+			sent = true
+			break
+		}
+		if !sent {
+			return dispatches
+		}
+	}
+	return dispatches
+}
+
+func (s *Scheduler) byLoad(now time.Time) []*server {
+	free := make([]*server, 0, len(s.names))
+	for _, name := range s.names {
+		held := s.servers[name]
+		if held.running < held.backend.Running && !held.backend.Draining && !now.Before(held.brokenUntil) {
+			free = append(free, held)
+		}
+	}
+	slices.SortStableFunc(free, func(a, b *server) int {
+		return a.running*b.backend.Running - b.running*a.backend.Running
+	})
+	return free
+}
+
+func ready(held *server) []pomelospring.AdapterVersion {
+	names := make([]pomelospring.AdapterVersion, 0, len(held.resident))
+	for adapter, r := range held.resident {
+		if !r.loading {
+			names = append(names, adapter)
+		}
+	}
+	return names
+}
+
+func (s *Scheduler) hit(adapter pomelospring.AdapterVersion, now time.Time) {
+	r, known := s.rates[adapter]
+	if !known {
+		if len(s.rates) >= ratesKept {
+			s.forgetRates(now)
+		}
+		r = &rate{
+			at: now,
+		}
+		s.rates[adapter] = r
+	}
+	r.count = r.decayed(now) + 1
+	r.at = now
+}
+
+func (s *Scheduler) forgetRates(now time.Time) {
+	for adapter, r := range s.rates {
+		if r.decayed(now) < 0.5 {
+			delete(s.rates, adapter)
+		}
+	}
+}
+
+func (r *rate) decayed(now time.Time) float64 {
+	return r.count * math.Exp2(-now.Sub(r.at).Seconds()/rateHalfLife.Seconds())
+}
+
+// perSecond is the rate of an adapter's requests.
+func (s *Scheduler) perSecond(adapter pomelospring.AdapterVersion, now time.Time) float64 {
+	r, known := s.rates[adapter]
+	if !known {
+		return 0
+	}
+	return r.decayed(now) * math.Ln2 / rateHalfLife.Seconds()
+}
--- /dev/null
+++ b/settings/read.go
@@ -0,0 +1,101 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/pomelospring/pomelospring"
+)
+
+// Read reads and checks a settings file.
+func Read(path string) (settings *Settings, err error) {
+	defer pomelospring.Annotate(&err, "settings %s", path)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(text)
+}
+
+// Parse reads and checks settings. An error names the line, the field and what
+// is allowed.
+func Parse(text []byte) (settings *Settings, err error) {
+	settings = Default()
+	decoder := yaml.NewDecoder(strings.NewReader(string(text)), yaml.DisallowUnknownField())
+	if err = decoder.Decode(settings); err != nil {
+		return nil, errors.New(strings.TrimSpace(yaml.FormatError(err, false, true)))
+	}
+	if err = check(settings, text); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+func check(settings *Settings, text []byte) error {
+	validate := validator.New(validator.WithRequiredStructEnabled())
+	validate.RegisterTagNameFunc(func(field reflect.StructField) string {
+		return field.Tag.Get("yaml")
+	})
+	err := validate.Struct(settings)
+	var invalid validator.ValidationErrors
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	file, parseErr := parser.ParseBytes(text, 0)
+	var problems []error
+	for _, field := range invalid {
+		path := strings.TrimPrefix(field.Namespace(), "Settings.")
+		where := "not in the file"
+		if parseErr == nil {
+			where = lineOf(file, path)
+		}
+		problems = append(problems, fmt.Errorf("%s: %s is %q: %s", where, path, fmt.Sprint(field.Value()), allowed(field)))
+	}
+	return errors.Join(problems...)
+}
+
+func lineOf(file *ast.File, path string) string {
+	query, err := yaml.PathString("$." + path)
+	if err != nil {
+		return "not in the file"
+	}
+	node, err := query.FilterFile(file)
+	if err != nil || node == nil {
+		return "not in the file"
+	}
+	return fmt.Sprintf("line %d", node.GetToken().Position.Line)
+}
+
+// allowed says in words what a rule allows.
+func allowed(field validator.FieldError) string {
+	switch field.Tag() {
+	case "required":
+		return "it must be set"
+	case "required_with":
+		return "it must be set together with " + strings.ToLower(field.Param())
+	case "min":
+		return "it must be " + field.Param() + " or more"
+	case "max":
+		return "it must be " + field.Param() + " or less"
+	case "len":
+		return "it must have " + field.Param() + " characters"
+	case "hostname_port":
+		return "it must be host:port"
+	case "url":
+		return "it must be a URL"
+	case "hexadecimal":
+		return "it must be hexadecimal"
+	case "file":
+		return "there is no such file"
+	case "oneof":
+		return "it must be one of " + field.Param()
+	}
+	return "it breaks the rule " + field.Tag()
+}
--- /dev/null
+++ b/settings/reference.go
@@ -0,0 +1,48 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+)
+
+// WriteReference writes the reference page.
+func WriteReference(out io.Writer) {
+	_, _ = fmt.Fprint(out, `# Settings
+
+Made by `+"`pomelospringd reference`"+` from the struct in settings/settings.go;
+a test keeps it in step. Unknown fields and values out of range are refused
+with line, field and what is allowed; `+"`pomelospringd check -settings FILE`"+`
+does so without starting anything.
+
+| field | default | allowed | meaning |
+| --- | --- | --- | --- |
+`)
+	writeStruct(out, "", reflect.ValueOf(*Default()))
+}
+
+func writeStruct(out io.Writer, prefix string, value reflect.Value) {
+	for i := range value.NumField() {
+		field := value.Type().Field(i)
+		name := prefix + field.Tag.Get("yaml")
+		if field.Type.Kind() == reflect.Struct {
+			_, _ = fmt.Fprintf(out, "| **%s** | | | %s |\n", name, field.Tag.Get("doc"))
+			writeStruct(out, name+".", value.Field(i))
+			continue
+		}
+		writeField(out, name, field, value.Field(i))
+		if field.Type.Kind() == reflect.Slice && field.Type.Elem().Kind() == reflect.Struct {
+			writeStruct(out, name+"[].", reflect.Zero(field.Type.Elem()))
+		}
+	}
+}
+
+func writeField(out io.Writer, name string, field reflect.StructField, value reflect.Value) {
+	standard := fmt.Sprint(value.Interface())
+	if value.IsZero() {
+		standard = ""
+	}
+	rule := strings.ReplaceAll(field.Tag.Get("validate"), ",", ", ")
+	_, _ = fmt.Fprintf(out, "| %s | %s | %s | %s |\n", name, standard, rule, field.Tag.Get("doc"))
+}
--- /dev/null
+++ b/standin/application_worker.go
@@ -0,0 +1,112 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/engine"
+)
+
+// ApplicationWorker is a stand-in of a plain service. It keeps a record of
+// everything that it ran.
+type ApplicationWorker struct {
+	Name string
+	// WorkTime is how long a call takes.
+	WorkTime time.Duration
+
+	faults  faultBox
+	mu      sync.Mutex
+	running int
+	records ApplicationWorkerRecords
+}
+
+// ApplicationWorkerRecords is what an application worker ran.
+type ApplicationWorkerRecords struct {
+	Ran      []RanCall `json:"ran"`
+	KeysSeen int       `json:"keysSeen"`
+}
+
+// RanCall is one call that was run.
+type RanCall struct {
+	RequestID string    `json:"requestId"`
+	Path      string    `json:"path"`
+	Body      string    `json:"body"`
+	At        time.Time `json:"at"`
+}
+
+// NewApplicationWorker makes a worker.
+func NewApplicationWorker(name string, workTime time.Duration) *ApplicationWorker {
+	return &ApplicationWorker{
+		Name:     name,
+		WorkTime: workTime,
+	}
+}
+
+// SetFaults replaces the faults in force.
+func (a *ApplicationWorker) SetFaults(faults Faults) {
+	a.faults.Set(faults)
+}
+
+// Records returns what the worker ran so far.
+func (a *ApplicationWorker) Records() ApplicationWorkerRecords {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	records := a.records
+	records.Ran = append([]RanCall{}, a.records.Ran...)
+	return records
+}
+
+// Handler serves the worker's HTTP API.
+func (a *ApplicationWorker) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/standin/faults", &a.faults).Methods(http.MethodPut)
+	router.HandleFunc("/standin/records", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, a.Records())
+	})
+	router.HandleFunc(engine.PathReport, a.faults.wrap(a.handleReport)).Methods(http.MethodGet)
+	router.PathPrefix("/").HandlerFunc(a.faults.wrap(a.handleCall))
+	return router
+}
+
+func (a *ApplicationWorker) handleReport(w http.ResponseWriter, _ *http.Request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	writeJSON(w, http.StatusOK, pomelospring.LoadReport{
+		At:       time.Now(),
+		Running:  a.running,
+		Resident: []string{},
+		Busy:     map[string]int{},
+	})
+}
+
+func (a *ApplicationWorker) handleCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	a.mu.Lock()
+	a.running++
+	a.records.Ran = append(a.records.Ran, RanCall{
+		RequestID: r.Header.Get(engine.HeaderRequestID),
+		Path:      r.URL.Path,
+		Body:      string(body),
+		At:        time.Now(),
+	})
+	if r.Header.Get("Authorization") != "" {
+		a.records.KeysSeen++
+	}
+	a.mu.Unlock()
+	time.Sleep(a.WorkTime)
+	a.mu.Lock()
+	a.running--
+	a.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]string{
+		"worker":    a.Name,
+		"requestId": r.Header.Get(engine.HeaderRequestID),
+		"echo":      string(body),
+	})
+}
--- /dev/null
+++ b/standin/weight_store.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pomelospring/pomelospring"
+)
+
+// fullSpeedLoads is how many fetches run at full speed at once.
+const fullSpeedLoads = 8
+
+// WeightStore hands out weights: a fetch takes FetchTime while no more than
+// eight are in flight, and proportionally longer beyond.
+type WeightStore struct {
+	FetchTime time.Duration
+
+	faults   faultBox
+	mu       sync.Mutex
+	inFlight int
+	fetched  int
+	most     int
+}
+
+var _ pomelospring.WeightStore = (*WeightStore)(nil)
+
+// NewWeightStore makes a store.
+func NewWeightStore(fetchTime time.Duration) *WeightStore {
+	return &WeightStore{
+		FetchTime: fetchTime,
+	}
+}
+
+// SetFaults replaces the faults in force.
+func (s *WeightStore) SetFaults(faults Faults) {
+	s.faults.Set(faults)
+}
+
+// Fetch implements pomelospring.WeightStore.
+func (s *WeightStore) Fetch(ctx context.Context, name pomelospring.AdapterVersion) (err error) {
+	defer pomelospring.Annotate(&err, "fetch weights of %s", name)
+	s.faults.delay(ctx)
+	if s.faults.Get().Down {
+		return errDown
+	}
+	s.mu.Lock()
+	s.inFlight++
+	s.fetched++
+	s.most = max(s.most, s.inFlight)
+	slowdown := max(1, float64(s.inFlight)/fullSpeedLoads)
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.inFlight--
+	}()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Duration(float64(s.FetchTime) * slowdown)):
+		return nil
+	}
+}
+
+// WeightStoreCounts says what a store was asked.
+type WeightStoreCounts struct {
+	Fetched int `json:"fetched"`
+	// Most is the largest number of fetches in flight at once.
+	Most int `json:"most"`
+}
+
+// Counts returns what the store was asked.
+func (s *WeightStore) Counts() WeightStoreCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return WeightStoreCounts{
+		Fetched: s.fetched,
+		Most:    s.most,
+	}
+}
+
+// Handler serves the store's HTTP API.
+func (s *WeightStore) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/standin/faults", &s.faults).Methods(http.MethodPut)
+	router.HandleFunc("/standin/records", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Counts())
+	})
+	router.HandleFunc("/v1/weights/{adapter}/{version}", s.faults.wrap(s.handleFetch)).Methods(http.MethodGet)
+	return router
+}
+
+func (s *WeightStore) handleFetch(w http.ResponseWriter, r *http.Request) {
+	name := pomelospring.AdapterVersion{
+		Adapter: mux.Vars(r)["adapter"],
+		Version: mux.Vars(r)["version"],
+	}
+	if err := s.Fetch(r.Context(), name); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
