--- a/budget/bank.go
+++ b/budget/bank.go
@@ -107,6 +107,17 @@
 	return max(0, cost-a.bucket.Level(now)), a.terms
 }
 
+// Lent is the part of a pool that covers what is lent out; see Bucket.Lent.
+func (b *Bank) Lent(pool string, now time.Time) int64 {
+	a := b.find(pool)
+	if a == nil {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.bucket.Lent(now)
+}
+
 // Wanted is the demand of every pool, in tokens a second.
 func (b *Bank) Wanted(now time.Time) map[string]float64 {
 	b.mu.RLock()
--- a/budget/bucket.go
+++ b/budget/bucket.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -108,10 +109,10 @@
 
 // Lend deducts up to an amount for another holder to spend before a deadline
 // by its own clock. The cap stays lowered until heldUntil, so that the tokens
-// are never counted in two buckets.
+// are never counted in two buckets; what ends before heldUntil is not lent.
 func (b *Bucket) Lend(amount float64, heldUntil, now time.Time) float64 {
 	b.fill(now)
-	lent := min(amount, b.level)
+	lent := min(amount, b.level, b.burst(heldUntil)-b.outstanding(now))
 	if lent <= 0 {
 		return 0
 	}
@@ -124,6 +125,16 @@
 	return lent
 }
 
+// Lent is the smallest part, in parts per million, that covers what is lent out
+// now: the holder must not claim less.
+func (b *Bucket) Lent(now time.Time) int64 {
+	lent := b.outstanding(now)
+	if lent <= 0 || b.terms.Burst <= 0 {
+		return 0
+	}
+	return int64(math.Ceil(lent / b.terms.Burst * float64(Whole)))
+}
+
 // Deposit adds tokens lent by another holder, up to the cap.
 func (b *Bucket) Deposit(amount float64, now time.Time) {
 	b.fill(now)
--- a/caller/service.go
+++ b/caller/service.go
@@ -217,6 +217,7 @@
 		refusal := pomelospring.NewUnknown(pomelospring.CodeIntentOpen, "another attempt with this idempotency key may be running")
 		refusal.RetryAt = s.Clock().Add(time.Second)
 		return answer, refusal
+	default:
 	}
 	return answer, pomelospring.NewUnknown(pomelospring.CodeBackendServerError, "an earlier attempt with this idempotency key may have run; its outcome is unknown")
 }
--- a/controllers/budget.go
+++ b/controllers/budget.go
@@ -86,7 +86,7 @@
 	if b.postedSequence == claim.Sequence && now.Before(b.postedAt.Add(repostPause)) {
 		return
 	}
-	if b.Board.Budget.Get().Ledger[b.Board.Self.Domain].Sequence >= claim.Sequence || !fits(state, claim, now.Add(-b.Settings.Membership.ClockBound)) {
+	if b.Board.Budget.Get().Ledger[b.Board.Self.Domain].Sequence >= claim.Sequence || !state.Fits(claim, now.Add(-b.Settings.Membership.ClockBound)) {
 		return
 	}
 	if b.report(b.Budget.Post(ctx, budget.KindClaim, claim)) {
@@ -95,16 +95,6 @@
 	}
 }
 
-func fits(state *failuredomain.State, claim budget.Claim, at time.Time) bool {
-	for pool := range state.Holding.Shares {
-		held := state.Ledger.Held(pool, "", at)
-		if held.Leased > claim.Shares[pool].Leased || held.Standing > claim.Shares[pool].Standing {
-			return false
-		}
-	}
-	return true
-}
-
 // announce enters the next claim in the domain stream.
 func (b *BudgetController) announce(ctx context.Context, state *failuredomain.State) {
 	now := b.Clock()
@@ -120,7 +110,7 @@
 		StandingDeadline: now.Add(b.Settings.Budget.StandingTime),
 	}
 	for pool := range b.pools() {
-		claim.Shares[pool] = b.target(pool, claim.Wanted[pool], now).AtLeast(b.stranded(state, pool))
+		claim.Shares[pool] = b.target(pool, claim.Wanted[pool], now).AtLeast(state.Stranded(pool, now.Add(-b.Settings.Membership.ClockBound)))
 	}
 	if b.report(b.Domain.Post(ctx, failuredomain.KindDomainClaim, failuredomain.DomainClaim{Claim: claim})) {
 		b.announcedAt = now
--- a/controllers/directory.go
+++ b/controllers/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -222,7 +223,7 @@
 }
 
 func (d *DirectoryController) silent(ctx context.Context, instance pomelospring.Instance, err error) {
-	if ctx.Err() != nil && context.Cause(ctx) == context.Canceled {
+	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
 		return
 	}
 	now := d.Clock()
--- a/controllers/intents.go
+++ b/controllers/intents.go
@@ -56,7 +56,7 @@
 		verdict, err := h.Committer.Claim(ctx, key, request, attempt)
 		return verdict.Standing, verdict.Answer, err
 	}
-	err = h.atHome(ctx, home, key, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+	err = h.atHome(ctx, home, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
 		reply, err := client.ClaimIntent(ctx, &peerpb.ClaimIntentRequest{
 			Key:     key,
 			Request: request,
@@ -85,7 +85,7 @@
 	if home == h.Board.Self.Domain {
 		return h.Committer.Settle(ctx, outcome)
 	}
-	return h.atHome(ctx, home, outcome.Key, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+	return h.atHome(ctx, home, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
 		_, err := client.SettleIntent(ctx, &peerpb.SettleIntentRequest{
 			Key:         outcome.Key,
 			Attempt:     outcome.Attempt,
@@ -102,9 +102,9 @@
 
 // atHome calls an instance of a failure domain. Both calls may be repeated:
 // an attempt's own claim is known by its attempt.
-func (h *HomeIntents) atHome(ctx context.Context, home, key string, call func(ctx context.Context, client peerpb.DRPCPeerClient) error) error {
+func (h *HomeIntents) atHome(ctx context.Context, home string, call func(ctx context.Context, client peerpb.DRPCPeerClient) error) error {
 	err := errors.New("no instance of failure domain " + home + " can be reached")
-	for _, instance := range h.instances(home, key) {
+	for _, instance := range h.instances(home) {
 		callCtx, cancel := context.WithTimeout(ctx, intentTimeout)
 		err = call(callCtx, h.Client.At(callCtx, instance.PeerAddress))
 		cancel()
@@ -117,7 +117,7 @@
 
 // instances are those of a domain to try, in an order that most callers share,
 // so that one of them gathers the claims.
-func (h *HomeIntents) instances(home, key string) []pomelospring.Instance {
+func (h *HomeIntents) instances(home string) []pomelospring.Instance {
 	var found []pomelospring.Instance
 	for _, instance := range h.Board.Peers.Get() {
 		if instance.Domain == home && !instance.Leaving && h.Board.Reachable(instance.ID, h.Clock()) {
--- a/controllers/membership.go
+++ b/controllers/membership.go
@@ -154,27 +154,18 @@
 	for pool := range m.pools() {
 		wants := wantsOf(state.Ledger, pool)
 		wants[m.Board.Self.ID] = wanted[pool]
-		available := usable.Shares[pool].Less(m.stranded(state, pool))
+		available := usable.Shares[pool].Less(state.Stranded(pool, m.Clock().Add(-m.Settings.Membership.ClockBound)))
 		targets := budget.Targets(holders, wants, available, m.split())
-		shares[pool] = targets[m.Board.Self.ID]
+		shares[pool] = m.coverLoans(pool, targets[m.Board.Self.ID])
 	}
 	return shares
 }
 
-// stranded is what holders that are not members any more still have of a pool:
-// a crashed instance's part, which nobody can shrink before its deadline.
-func (c *Common) stranded(state *failuredomain.State, pool string) budget.Share {
-	at := c.Clock().Add(-c.Settings.Membership.ClockBound)
-	var sum budget.Share
-	for holder, held := range state.Ledger {
-		if _, member := state.Members[holder]; member {
-			continue
-		}
-		share := held.At(pool, at)
-		sum.Leased += share.Leased
-		sum.Standing += share.Standing
-	}
-	return sum
+// coverLoans keeps a share from shrinking below what is lent out.
+func (m *MembershipController) coverLoans(pool string, share budget.Share) budget.Share {
+	lent := m.Board.Bank.Lent(pool, m.Clock())
+	share.Leased = max(share.Leased, lent-share.Standing)
+	return share
 }
 
 func wantsOf(ledger budget.Ledger, pool string) map[string]float64 {
--- a/controllers/snapshot.go
+++ b/controllers/snapshot.go
@@ -41,7 +41,7 @@
 		}
 		pause := time.Duration(rand.Int64N(int64(snapshotSpread)))
 		if s.Board.Domain.Get().Writer("snapshot") == s.Board.Self.ID {
-			pause = pause / 10
+			pause /= 10
 		}
 		select {
 		case <-ctx.Done():
--- a/failuredomain/fold.go
+++ b/failuredomain/fold.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pomelospring/pomelospring"
@@ -110,8 +111,7 @@
 	if announced.Claim.Sequence != state.LastSequence()+1 {
 		return
 	}
-	claims := append([]budget.Claim{}, state.Claims...)
-	state.Claims = append(claims, announced.Claim)
+	state.Claims = slices.Concat(state.Claims, []budget.Claim{announced.Claim})
 }
 
 func foldDomainGrant(state *State, record pomelospring.StoredRecord) {
--- a/operator/plan.go
+++ b/operator/plan.go
@@ -273,7 +273,7 @@
 }
 
 func teamText(team pomelospring.Team) string {
-	grants := []string{}
+	grants := make([]string, 0, len(team.Adapters))
 	for adapter, versions := range team.Adapters {
 		grants = append(grants, adapter+"@"+strings.Join(versions, ","))
 	}
--- a/operator/query.go
+++ b/operator/query.go
@@ -181,7 +181,7 @@
 		Columns: []string{"server", "domain", "owner", "running", "resident"},
 	}
 	for _, entry := range q.Board.Directory.All() {
-		names := []string{}
+		names := make([]string, 0, len(entry.Resident))
 		for _, adapter := range entry.Resident {
 			names = append(names, adapter.String())
 		}
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return end, s.unreached(ctx, target, err)
 	}
-	defer out.Close()
+	defer func() { _ = out.Close() }()
 	for {
 		chunk, err := out.Recv()
 		if err != nil {
--- a/standin/model_worker.go
+++ b/standin/model_worker.go
@@ -244,8 +244,9 @@
 
 // answerWords says who answers whom, so that a test can tell a crossed answer.
 func answerWords(request generation) []string {
-	words := []string{"answer ", "of ", request.Model, " to", ":"}
-	for _, word := range strings.Fields(request.prompt()) {
+	asked := strings.Fields(request.prompt())
+	words := append(make([]string, 0, len(asked)+5), "answer ", "of ", request.Model, " to", ":")
+	for _, word := range asked {
 		words = append(words, " "+strings.Trim(word, `"`))
 	}
 	limit := int64(len(words))
