--- a/budget/bank.go
+++ b/budget/bank.go
@@ -6,8 +6,12 @@
 	"time"
 )
 
-// demandHalfLife is how fast the demand of a pool is forgotten.
-const demandHalfLife = 5 * time.Second
+const (
+	// demandHalfLife is how fast the demand of a pool is forgotten.
+	demandHalfLife = 5 * time.Second
+	// lendHorizon is how much of its own demand a lender keeps tokens for.
+	lendHorizon = time.Second
+)
 
 // Bank holds an instance's buckets, one for each pool. It is safe for
 // concurrent use.
@@ -84,7 +88,10 @@
 	a.wanted = max(0, a.wanted-(reservation.Charged-used))
 }
 
-// Lend deducts up to an amount for another holder.
+// Lend deducts up to an amount for another holder, of what this holder's own
+// demand leaves over, and says how much more there would be. Where demand is
+// high everywhere nothing is lent: a loan keeps its room at the lender for as
+// long as it is out, and loans to and fro would eat up the refill.
 func (b *Bank) Lend(pool string, amount float64, heldUntil, now time.Time) (lent, left float64) {
 	a := b.find(pool)
 	if a == nil {
@@ -92,8 +99,15 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	lent = a.bucket.Lend(amount, heldUntil, now)
-	return lent, a.bucket.Level(now)
+	a.decay(now)
+	surplus := max(0, a.bucket.Level(now)-a.wantedRate()*lendHorizon.Seconds())
+	lent = a.bucket.Lend(min(amount, surplus), heldUntil, now)
+	return lent, surplus - lent
+}
+
+// wantedRate is the demand in tokens a second.
+func (a *account) wantedRate() float64 {
+	return a.wanted * math.Ln2 / demandHalfLife.Seconds()
 }
 
 // Missing is how much of a cost the bucket lacks, and Whole's burst for it.
@@ -126,7 +140,7 @@
 	for pool, a := range b.accounts {
 		a.mu.Lock()
 		a.decay(now)
-		wanted[pool] = math.Round(a.wanted * math.Ln2 / demandHalfLife.Seconds())
+		wanted[pool] = math.Round(a.wantedRate())
 		a.mu.Unlock()
 	}
 	return wanted
--- a/budget/bucket.go
+++ b/budget/bucket.go
@@ -12,6 +12,11 @@
 	Rate float64
 	// Burst is the pool's whole burst, in tokens.
 	Burst float64
+	// Unit is the least that a bucket with any part may hold, so that costs
+	// larger than a small part of the burst can be met. All holders together
+	// may then exceed the burst by a unit each, but not the rate. 0 for pools
+	// whose burst is a promise.
+	Unit  float64
 	Share Share
 	// LeasedDeadline and StandingDeadline end the parts of Share.
 	LeasedDeadline   time.Time
@@ -197,7 +202,11 @@
 }
 
 func (b *Bucket) burst(now time.Time) float64 {
-	return b.terms.Burst * b.live(now)
+	live := b.live(now)
+	if live <= 0 {
+		return 0
+	}
+	return max(b.terms.Unit, b.terms.Burst*live)
 }
 
 func (b *Bucket) outstanding(now time.Time) float64 {
--- a/budget/ledger_test.go
+++ b/budget/ledger_test.go
@@ -162,7 +162,7 @@
 		Name: "a",
 	}
 	usable := func() int64 { return h.Usable().Shares[pool].Leased }
-	var got []int64
+	got := make([]int64, 0, 7)
 
 	ledger := budget.Ledger{}
 	first := h.NewClaim(share(500_000), nil, at(10), at(10))
--- a/controllers/membership.go
+++ b/controllers/membership.go
@@ -75,6 +75,7 @@
 		m.Board.Bank.SetTerms(pool, budget.Terms{
 			Rate:             whole.rate,
 			Burst:            whole.burst,
+			Unit:             whole.unit,
 			Share:            usable.Shares[pool],
 			LeasedDeadline:   usable.LeasedDeadline,
 			StandingDeadline: usable.StandingDeadline,
@@ -85,6 +86,8 @@
 type wholePool struct {
 	rate  float64
 	burst float64
+	// unit is the least that a bucket may hold.
+	unit float64
 }
 
 // pools are the pools that the configuration and the settings make.
@@ -93,6 +96,7 @@
 		lending.PoolLoads: {
 			rate:  c.Settings.Loads.Rate,
 			burst: c.Settings.Loads.Burst,
+			unit:  lending.OneLoad,
 		},
 	}
 	for _, team := range c.Board.Configuration.Get().Teams {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -383,16 +384,13 @@
 
 func (d *Daemon) addListeners(group *run.Group) {
 	add := func(server *http.Server, listener net.Listener, files settings.Certificate) {
+		ended, end := context.WithCancel(context.Background())
 		group.Add(func() error {
-			config, err := certificate.Server(files, d.logger)
-			if err != nil {
-				return err
-			}
-			if config != nil {
-				listener = tls.NewListener(listener, config)
-			}
-			return server.Serve(listener)
-		}, func(error) { _ = server.Close() })
+			return d.serveHTTP(ended, server, listener, files)
+		}, func(error) {
+			end()
+			_ = server.Close()
+		})
 	}
 	add(d.callers, d.listeners[0], d.settings.TLS.Callers)
 	add(d.operators, d.listeners[2], d.settings.TLS.Operators)
@@ -400,6 +398,23 @@
 	group.Add(func() error { return d.peers.Run(peersCtx, d.listeners[1]) }, func(error) { cancel() })
 }
 
+// serveHTTP serves until the group ends. A server that a planned stop shut
+// down before that must not end the group: the stop still has things to do.
+func (d *Daemon) serveHTTP(ended context.Context, server *http.Server, listener net.Listener, files settings.Certificate) error {
+	config, err := certificate.Server(files, d.logger)
+	if err != nil {
+		return err
+	}
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	if err = server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-ended.Done()
+	return nil
+}
+
 // stop leaves the list, then refuses what is new, drains, and gives back what
 // the instance holds.
 func (d *Daemon) stop() {
--- a/lending/loads.go
+++ b/lending/loads.go
@@ -11,8 +11,8 @@
 const (
 	// PoolLoads is the pool of the weight store's loads.
 	PoolLoads = "loads"
-	// loadCost is what one load costs; the pool counts in loads.
-	loadCost = 1.0
+	// OneLoad is what one load costs; the pool counts in loads.
+	OneLoad = 1.0
 	// refillPause is the pause between tries to get a load.
 	refillPause = 50 * time.Millisecond
 )
@@ -32,25 +32,25 @@
 // Take spends one load, or reports that there is none at hand.
 func (l *Loads) Take() bool {
 	now := l.Clock()
-	l.Bank.Want(PoolLoads, loadCost, now)
-	reservation, spent := l.Bank.Spend(PoolLoads, loadCost, 0, now)
+	l.Bank.Want(PoolLoads, OneLoad, now)
+	reservation, spent := l.Bank.Spend(PoolLoads, OneLoad, 0, now)
 	if !spent {
-		l.Bank.Want(PoolLoads, -loadCost, now)
+		l.Bank.Want(PoolLoads, -OneLoad, now)
 		return false
 	}
-	l.Bank.Settle(PoolLoads, reservation, loadCost, now)
+	l.Bank.Settle(PoolLoads, reservation, OneLoad, now)
 	return true
 }
 
 // Refill borrows what one load lacks; what comes is deposited. Where a bucket
 // holds less than one load, the loan is what makes a load possible.
 func (l *Loads) Refill(ctx context.Context) {
-	missing, _ := l.Bank.Missing(PoolLoads, loadCost, l.Clock())
+	missing, _ := l.Bank.Missing(PoolLoads, OneLoad, l.Clock())
 	if missing > 0 {
 		borrowed, _ := l.Borrower.Borrow(ctx, PoolLoads, missing)
 		l.Bank.Deposit(PoolLoads, borrowed, l.Clock())
 	}
-	if missing, _ = l.Bank.Missing(PoolLoads, loadCost, l.Clock()); missing <= 0 {
+	if missing, _ = l.Bank.Missing(PoolLoads, OneLoad, l.Clock()); missing <= 0 {
 		return
 	}
 	select {
--- a/stream/append.go
+++ b/stream/append.go
@@ -10,6 +10,10 @@
 	"github.com/pomelospring/pomelospring"
 )
 
+// lostAnswerWait is how long a record is looked for after the log's answer was
+// lost; whoever waits for it is to be told soon.
+const lostAnswerWait = 500 * time.Millisecond
+
 // ErrUnsettled says that an append was neither read back nor ruled out in time.
 var ErrUnsettled = errors.New("the append was not read back in time")
 
@@ -26,6 +30,11 @@
 	settled := f.await(id)
 	defer f.forget(id)
 	_, appendErr := f.Log.Append(ctx, f.Stream, []pomelospring.Record{record})
+	if appendErr != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, lostAnswerWait)
+		defer cancel()
+	}
 	select {
 	case offset = <-settled:
 		return id, offset, nil
