Measure load stalls against baselines; a holder that lacks tokens lends none

Cause: the first run of the new measurement ordered 0 loads in most cases: nine owners in need of a load lent their parts of one to each other each 50 ms, and every loan lowered its lender's cap for 450 ms.

Change: a holder that could not meet a cost of late lends nothing for 1 s.

--- a/budget/bank.go
+++ b/budget/bank.go
@@ -11,6 +11,8 @@
 	demandHalfLife = 5 * time.Second
 	// lendHorizon is how much of its own demand a lender keeps tokens for.
 	lendHorizon = time.Second
+	// lackPause is how long a holder that lacked tokens itself lends none.
+	lackPause = time.Second
 )
 
 // Bank holds an instance's buckets, one for each pool. It is safe for
@@ -27,6 +29,8 @@
 	wanted   float64
 	wantedAt time.Time
 	terms    Terms
+	// lendsAfter is when the holder may lend again.
+	lendsAfter time.Time
 }
 
 // NewBank makes a bank without buckets.
@@ -56,6 +60,7 @@
 	defer a.mu.Unlock()
 	reservation, spent = a.bucket.Spend(max(0, cost-borrowed), now)
 	if !spent {
+		a.lendsAfter = now.Add(lackPause)
 		a.bucket.Deposit(borrowed, now)
 		return reservation, false
 	}
@@ -89,8 +94,8 @@
 }
 
 // Lend deducts up to an amount for another holder, of what this holder's own
-// demand leaves over, and says how much more there would be. Where demand is
-// high everywhere nothing is lent: a loan keeps its room at the lender for as
+// demand leaves over, and says how much more there would be. A holder that
+// lacked tokens of late lends none: a loan keeps its room at the lender for as
 // long as it is out, and loans to and fro would eat up the refill.
 func (b *Bank) Lend(pool string, amount float64, heldUntil, now time.Time) (lent, left float64) {
 	a := b.find(pool)
@@ -99,6 +104,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if now.Before(a.lendsAfter) {
+		return 0, 0
+	}
 	a.decay(now)
 	surplus := max(0, a.bucket.Level(now)-a.wantedRate()*lendHorizon.Seconds())
 	lent = a.bucket.Lend(min(amount, surplus), heldUntil, now)
--- /dev/null
+++ b/cmd/measure/tables.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pomelospring/pomelospring/measure"
+)
+
+// stallsCommand compares time lost to load stalls.
+type stallsCommand struct {
+	seeds  int
+	length time.Duration
+}
+
+// Name implements subcommands.Command.
+func (*stallsCommand) Name() string { return "stalls" }
+
+// Synopsis implements subcommands.Command.
+func (*stallsCommand) Synopsis() string { return "time lost to load stalls, and batch efficiency" }
+
+// Usage implements subcommands.Command.
+func (*stallsCommand) Usage() string { return "stalls [-seeds N] [-length TIME]\n" }
+
+// SetFlags implements subcommands.Command.
+func (s *stallsCommand) SetFlags(flags *flag.FlagSet) {
+	flags.IntVar(&s.seeds, "seeds", 5, "how many seeds, from 1")
+	flags.DurationVar(&s.length, "length", 5*time.Minute, "virtual time measured")
+}
+
+// Execute implements subcommands.Command.
+func (s *stallsCommand) Execute(context.Context, *flag.FlagSet, ...interface{}) subcommands.ExitStatus {
+	fmt.Println("| case | policy | stall s/request | p99 stall s | not started | loads | tokens/busy s | stall ratio (spread) | p99 ratio | efficiency ratio |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, c := range measure.StallCases(s.length) {
+		s.print(c)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (s *stallsCommand) print(c measure.Case) {
+	policies := append(measure.Baselines(), measure.Current())
+	results := runAll(c, policies, s.seeds)
+	current := results[len(results)-1]
+	best := bestOf(results[:len(results)-1])
+	for p, policy := range policies {
+		line := fmt.Sprintf("| %s | %s | %.3f | %.2f | %.1f%% | %.0f | %.1f |", c.Name, policy.Name,
+			median(results[p], measure.Result.StallTime), median(results[p], p99), 100*median(results[p], expiredPart), median(results[p], loads), median(results[p], measure.Result.Efficiency))
+		if p < len(policies)-1 {
+			fmt.Println(line + " | | |")
+			continue
+		}
+		ratios := ratiosOf(current, best, measure.Result.StallTime)
+		fmt.Printf("%s %.2f (%.2f to %.2f) | %.2f | %.2f |\n", line, ratios[len(ratios)/2], ratios[0], ratios[len(ratios)-1],
+			middle(ratiosOf(current, best, p99)), middle(ratiosOf(current, best, measure.Result.Efficiency)))
+	}
+}
+
+// runAll runs every policy with every seed, a few at once.
+func runAll(c measure.Case, policies []measure.Policy, seeds int) [][]measure.Result {
+	results := make([][]measure.Result, len(policies))
+	var group sync.WaitGroup
+	slots := make(chan struct{}, 6)
+	for p, policy := range policies {
+		results[p] = make([]measure.Result, seeds)
+		for seed := range seeds {
+			group.Go(func() {
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				results[p][seed] = measure.Run(c, policy, uint64(seed+1))
+			})
+		}
+	}
+	group.Wait()
+	return results
+}
+
+// bestOf takes the baseline with the least stall time.
+func bestOf(baselines [][]measure.Result) []measure.Result {
+	return slices.MinFunc(baselines, func(a, b []measure.Result) int {
+		if median(a, measure.Result.StallTime) < median(b, measure.Result.StallTime) {
+			return -1
+		}
+		return 1
+	})
+}
+
+func p99(r measure.Result) float64 { return r.StallQuantile(0.99) }
+
+func expiredPart(r measure.Result) float64 { return float64(r.Expired) / float64(max(1, r.Requests)) }
+
+func loads(r measure.Result) float64 { return float64(r.Loads) }
+
+func median(results []measure.Result, value func(measure.Result) float64) float64 {
+	values := make([]float64, 0, len(results))
+	for _, result := range results {
+		values = append(values, value(result))
+	}
+	slices.Sort(values)
+	return middle(values)
+}
+
+func middle(sorted []float64) float64 { return sorted[len(sorted)/2] }
+
+// ratiosOf compares seed by seed, sorted.
+func ratiosOf(current, best []measure.Result, value func(measure.Result) float64) []float64 {
+	ratios := make([]float64, 0, len(current))
+	for seed := range current {
+		ratios = append(ratios, value(current[seed])/max(1e-9, value(best[seed])))
+	}
+	slices.Sort(ratios)
+	return ratios
+}
+
+// floodCommand compares the worst-served team with and without a flood.
+type floodCommand struct {
+	seeds  int
+	length time.Duration
+}
+
+// Name implements subcommands.Command.
+func (*floodCommand) Name() string { return "flood" }
+
+// Synopsis implements subcommands.Command.
+func (*floodCommand) Synopsis() string {
+	return "the worst-served team while another sends five times its rate"
+}
+
+// Usage implements subcommands.Command.
+func (*floodCommand) Usage() string { return "flood [-seeds N] [-length TIME]\n" }
+
+// SetFlags implements subcommands.Command.
+func (f *floodCommand) SetFlags(flags *flag.FlagSet) {
+	flags.IntVar(&f.seeds, "seeds", 5, "how many seeds, from 1")
+	flags.DurationVar(&f.length, "length", 5*time.Minute, "virtual time measured")
+}
+
+// Execute implements subcommands.Command.
+func (f *floodCommand) Execute(context.Context, *flag.FlagSet, ...interface{}) subcommands.ExitStatus {
+	fmt.Println("| deployment | policy | p95 first token s, no flood | with flood | ratio (spread) |")
+	fmt.Println("| --- | --- | --- | --- | --- |")
+	for _, deployment := range []measure.Deployment{measure.Utility, measure.Consortium} {
+		policies := append(measure.Baselines(), measure.Current())
+		quiet := runAll(measure.FloodCase(deployment, 1, f.length), policies, f.seeds)
+		flooded := runAll(measure.FloodCase(deployment, 5, f.length), policies, f.seeds)
+		for p, policy := range policies {
+			ratios := ratiosOf(flooded[p], quiet[p], worstOthers)
+			fmt.Printf("| %s | %s | %.2f | %.2f | %.2f (%.2f to %.2f) |\n", deployment.Name, policy.Name,
+				median(quiet[p], worstOthers), median(flooded[p], worstOthers), middle(ratios), ratios[0], ratios[len(ratios)-1])
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+// worstOthers looks at the teams that do not flood.
+func worstOthers(r measure.Result) float64 { return r.WorstFirst([]int{1, 2, 3, 4}) }
--- /dev/null
+++ b/measure/policies.go
@@ -0,0 +1,40 @@
+package measure
+
+import (
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/placement"
+	"github.com/pomelospring/pomelospring/queue"
+	"github.com/pomelospring/pomelospring/routing"
+)
+
+// Current is what the daemon runs.
+func Current() Policy {
+	return Policy{
+		Name:   "current",
+		Router: func(d *routing.Directory) pomelospring.Router { return routing.Affinity{Directory: d} },
+		Placer: placement.StallSaving{},
+		Queue:  func() pomelospring.Queue { return queue.NewFair() },
+		Lends:  true,
+		Admits: true,
+	}
+}
+
+// Baselines are the simple policies that Current is compared with.
+func Baselines() []Policy {
+	return []Policy{
+		{
+			Name:   "least loaded, LRU, first come",
+			Router: func(d *routing.Directory) pomelospring.Router { return routing.LeastLoaded{Directory: d} },
+			Placer: placement.LeastLoaded{},
+			Queue:  func() pomelospring.Queue { return queue.NewFirstCome() },
+			Admits: true,
+		},
+		{
+			Name:   "rendezvous, LRU, first come",
+			Router: func(d *routing.Directory) pomelospring.Router { return routing.Rendezvous{Directory: d} },
+			Placer: placement.LeastLoaded{},
+			Queue:  func() pomelospring.Queue { return queue.NewFirstCome() },
+			Admits: true,
+		},
+	}
+}
--- /dev/null
+++ b/measure/world.go
@@ -0,0 +1,503 @@
+package measure
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/budget"
+	"github.com/pomelospring/pomelospring/failuredomain"
+	"github.com/pomelospring/pomelospring/lending"
+	"github.com/pomelospring/pomelospring/ownership"
+	"github.com/pomelospring/pomelospring/routing"
+)
+
+const (
+	// tokenTime is the time of a token with one request running, and
+	// crowding what each further request adds to it.
+	tokenTime = 25 * time.Millisecond
+	crowding  = 0.02
+	// mixing is what each further adapter in a batch adds to a token's time.
+	mixing = 0.03
+	// prefillTime is the time for a prompt token.
+	prefillTime = 200 * time.Microsecond
+	// fetchTime is the time of a load while the store is not crowded.
+	fetchTime = 250 * time.Millisecond
+	// crowdedLoads is how many loads run at full speed.
+	crowdedLoads = 8
+	// startTime is how long a request may wait.
+	startTime = 20 * time.Second
+	// lendTime is how long a loan keeps room at its lender.
+	lendTime = 450 * time.Millisecond
+	// retryLoads is the time until an owner without loads looks again.
+	retryLoads = 50 * time.Millisecond
+)
+
+// Policy is the decision code under measure.
+type Policy struct {
+	Name   string
+	Router func(directory *routing.Directory) pomelospring.Router
+	Placer pomelospring.Placer
+	Queue  func() pomelospring.Queue
+	// Lends says whether holders lend each other loads and tokens.
+	Lends bool
+	// Admits says whether teams are held to their rates.
+	Admits bool
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// world is one run.
+type world struct {
+	c         Case
+	policy    Policy
+	random    *rand.Rand
+	now       time.Duration
+	events    events
+	order     int
+	directory *routing.Directory
+	router    pomelospring.Router
+	owners    []*owner
+	workers   map[string]*worker
+	names     []string
+	loading   int
+	version   int64
+	lost      int
+	result    Result
+}
+
+type owner struct {
+	id        string
+	index     int
+	domain    string
+	scheduler *ownership.Scheduler
+	bank      *budget.Bank
+	waiting   map[string]*running
+	retrying  bool
+}
+
+type worker struct {
+	backend  pomelospring.BackendServer
+	owner    *owner
+	running  map[string]*running
+	busyFrom time.Duration
+	busy     time.Duration
+	tokens   float64
+	summary  string
+}
+
+type running struct {
+	request  request
+	id       string
+	work     *pomelospring.Work
+	started  time.Duration
+	stalled  bool
+	resident bool
+	worker   *worker
+}
+
+// event is something that happens at a time; ties keep their order.
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type events []event
+
+// Len implements heap.Interface.
+func (e events) Len() int { return len(e) }
+
+// Less implements heap.Interface.
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].order < e[j].order
+}
+
+// Swap implements heap.Interface.
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (w *world) after(wait time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.events, event{
+		at:    w.now + wait,
+		order: w.order,
+		run:   run,
+	})
+}
+
+func (w *world) clock() time.Time { return epoch.Add(w.now) }
+
+// Run measures one policy on one case.
+func Run(c Case, policy Policy, seed uint64) Result {
+	w := newWorld(c, policy, seed)
+	for i, r := range workload(c, seed) {
+		w.after(r.at, func() { w.arrive(r, fmt.Sprintf("r%d", i)) })
+	}
+	w.plan()
+	for len(w.events) > 0 {
+		next := heap.Pop(&w.events).(event)
+		w.now = next.at
+		next.run()
+	}
+	return w.finish()
+}
+
+func newWorld(c Case, policy Policy, seed uint64) *world {
+	w := &world{
+		c:         c,
+		policy:    policy,
+		random:    rand.New(rand.NewPCG(seed, 2)),
+		directory: routing.NewDirectory(),
+		workers:   map[string]*worker{},
+		lost:      -1,
+		result: Result{
+			First: map[int][]time.Duration{},
+		},
+	}
+	w.router = policy.Router(w.directory)
+	w.addOwners()
+	w.addWorkers()
+	return w
+}
+
+func (w *world) addOwners() {
+	count := w.c.Deployment.Instances
+	for i := range count {
+		o := &owner{
+			id:        fmt.Sprintf("instance%d", i),
+			index:     i,
+			domain:    fmt.Sprintf("domain%d", i%domains),
+			scheduler: ownership.NewScheduler(w.policy.Queue(), w.policy.Placer),
+			bank:      budget.NewBank(),
+			waiting:   map[string]*running{},
+		}
+		w.owners = append(w.owners, o)
+		w.setTerms(o, lending.PoolLoads, w.c.Deployment.Loads, 8, lending.OneLoad)
+		for team := range teamWeights {
+			rate := w.teamRate(team)
+			w.setTerms(o, lending.PoolOfTeam(teamOf(team)), rate, 4*rate, 0)
+		}
+	}
+}
+
+// teamRate is a team's rate in tokens a second: a quarter above what it sends
+// when no team floods, at what is charged ahead.
+func (w *world) teamRate(team int) float64 {
+	const tokens = 40 + 80 + 10 + 50
+	return 1.25 * w.c.Deployment.Rate * teamWeights[team] * tokens
+}
+
+func (w *world) setTerms(o *owner, pool string, rate, burst, unit float64) {
+	o.bank.SetTerms(pool, budget.Terms{
+		Rate:  rate,
+		Burst: burst,
+		Unit:  unit,
+		Share: budget.Share{
+			Leased: budget.Whole / int64(w.c.Deployment.Instances),
+		},
+		LeasedDeadline: epoch.Add(1000 * time.Hour),
+	}, w.clock())
+}
+
+// addWorkers gives each worker its owner by the rule of the daemon.
+func (w *world) addWorkers() {
+	for i := range w.c.Deployment.Workers {
+		backend := pomelospring.BackendServer{
+			Name:    fmt.Sprintf("model%d", i),
+			Kind:    pomelospring.ModelWorker,
+			Domain:  fmt.Sprintf("domain%d", i%domains),
+			Base:    "base",
+			Slots:   w.c.Deployment.Slots,
+			Running: w.c.Deployment.Running,
+		}
+		state := failuredomain.NewState()
+		for _, o := range w.owners {
+			if o.domain == backend.Domain {
+				state.Members[o.id] = failuredomain.Member{
+					Instance: pomelospring.Instance{
+						ID: o.id,
+					},
+				}
+			}
+		}
+		held := &worker{
+			backend: backend,
+			running: map[string]*running{},
+		}
+		for _, o := range w.owners {
+			if o.id == state.Owner(backend.Name) {
+				held.owner = o
+			}
+		}
+		held.owner.scheduler.Gain(backend, 1, time.Time{})
+		held.owner.scheduler.Reported(backend.Name, pomelospring.LoadReport{}, w.clock().Add(time.Millisecond))
+		w.workers[backend.Name] = held
+		w.names = append(w.names, backend.Name)
+	}
+	for _, o := range w.owners {
+		w.publish(o)
+	}
+}
+
+// plan enters the faults of the case.
+func (w *world) plan() {
+	total := w.c.Length + w.c.Length/3
+	if w.c.RestartEvery > 0 {
+		for at := w.c.RestartEvery; at < total; at += w.c.RestartEvery {
+			name := w.names[w.random.IntN(len(w.names))]
+			w.after(at, func() { w.restart(name) })
+		}
+	}
+	if w.c.LoseDomain {
+		w.after(total/3, func() { w.lost = 0 })
+		w.after(2*total/3, func() { w.lost = -1 })
+	}
+}
+
+// restart empties a worker; what ran there is lost and what was resident too.
+func (w *world) restart(name string) {
+	held := w.workers[name]
+	w.account(held)
+	held.running = map[string]*running{}
+	held.owner.scheduler.Lose(name)
+	held.owner.scheduler.Gain(held.backend, 1, time.Time{})
+	held.owner.scheduler.Reported(name, pomelospring.LoadReport{}, w.clock().Add(time.Millisecond))
+	w.advance(held.owner)
+}
+
+func (w *world) reachable(id string) bool {
+	for _, o := range w.owners {
+		if o.id == id {
+			return o.index%domains != w.lost
+		}
+	}
+	return false
+}
+
+func (w *world) arrive(r request, id string) {
+	entry := w.owners[r.entry]
+	for entry.index%domains == w.lost {
+		entry = w.owners[(entry.index+1)%len(w.owners)]
+	}
+	cost := float64(r.prompt + r.tokens)
+	if w.policy.Admits && !w.admit(entry, r.team, cost) {
+		w.result.refuse(w.measured(), r.team)
+		return
+	}
+	target, found := w.router.Route(pomelospring.RouteQuery{
+		Adapter:   r.adapter,
+		Base:      "base",
+		Domain:    entry.domain,
+		Prefix:    uint64(w.random.IntN(1000)),
+		Reachable: w.reachable,
+	})
+	if !found {
+		w.result.refuse(w.measured(), r.team)
+		return
+	}
+	o := w.workers[target.Server].owner
+	item := &running{
+		request:  r,
+		id:       id,
+		resident: w.isResident(o, r.adapter),
+		work: &pomelospring.Work{
+			ID:       id,
+			Team:     teamOf(r.team),
+			Weight:   w.teamRate(r.team),
+			Adapter:  r.adapter,
+			Base:     "base",
+			Cost:     cost,
+			Arrived:  w.clock(),
+			Deadline: w.clock().Add(startTime),
+		},
+	}
+	o.waiting[id] = item
+	o.scheduler.Submit(item.work, w.clock())
+	w.after(startTime+time.Millisecond, func() { w.advance(o) })
+	w.advance(o)
+}
+
+func (w *world) isResident(o *owner, adapter pomelospring.AdapterVersion) bool {
+	for _, summary := range o.scheduler.Summaries() {
+		for _, name := range summary.Resident {
+			if name == adapter.String() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// admit charges a team at one instance, with loans from the others.
+func (w *world) admit(entry *owner, team int, cost float64) bool {
+	pool := lending.PoolOfTeam(teamOf(team))
+	now := w.clock()
+	entry.bank.Want(pool, cost, now)
+	if _, spent := entry.bank.Spend(pool, cost, 0, now); spent {
+		return true
+	}
+	if !w.policy.Lends {
+		return false
+	}
+	missing, _ := entry.bank.Missing(pool, cost, now)
+	_, spent := entry.bank.Spend(pool, cost, w.borrow(entry, pool, missing), now)
+	return spent
+}
+
+// borrow asks the other instances in turn, as lending.Borrower does.
+func (w *world) borrow(entry *owner, pool string, missing float64) (borrowed float64) {
+	for i := 1; i < len(w.owners) && borrowed < missing; i++ {
+		lender := w.owners[(entry.index+i)%len(w.owners)]
+		if lender.index%domains == w.lost {
+			continue
+		}
+		lent, _ := lender.bank.Lend(pool, missing-borrowed, w.clock().Add(lendTime), w.clock())
+		borrowed += lent
+	}
+	return borrowed
+}
+
+// advance carries out what a scheduler wants done.
+func (w *world) advance(o *owner) {
+	loads := &lending.Loads{
+		Bank:  o.bank,
+		Clock: w.clock,
+	}
+	actions := o.scheduler.Next(w.clock(), loads.Take)
+	for _, dispatch := range actions.Dispatches {
+		w.dispatch(o, dispatch)
+	}
+	for _, work := range actions.Expired {
+		item := o.waiting[work.ID]
+		delete(o.waiting, work.ID)
+		w.result.expire(w.measured(), item)
+	}
+	for _, load := range actions.Loads {
+		w.load(o, load)
+	}
+	if actions.Starved && !o.retrying {
+		o.retrying = true
+		w.after(retryLoads, func() { w.retry(o) })
+	}
+	if len(actions.Loads) > 0 || len(actions.Dispatches) > 0 {
+		w.publish(o)
+	}
+}
+
+func (w *world) retry(o *owner) {
+	o.retrying = false
+	if w.policy.Lends {
+		missing, _ := o.bank.Missing(lending.PoolLoads, lending.OneLoad, w.clock())
+		o.bank.Deposit(lending.PoolLoads, w.borrow(o, lending.PoolLoads, missing), w.clock())
+	}
+	w.advance(o)
+}
+
+func (w *world) load(o *owner, load ownership.Load) {
+	w.loading++
+	slowdown := max(1, float64(w.loading)/crowdedLoads, w.c.StoreSlowdown)
+	w.result.load(w.measured())
+	w.after(time.Duration(float64(fetchTime)*slowdown), func() {
+		w.loading--
+		failed := w.random.Float64() < w.c.FailLoads
+		o.scheduler.Loaded(load.Server.Name, load.Placement.Adapter, failed, w.clock())
+		w.publish(o)
+		w.advance(o)
+	})
+}
+
+func (w *world) dispatch(o *owner, dispatch ownership.Dispatch) {
+	item := o.waiting[dispatch.Work.ID]
+	delete(o.waiting, dispatch.Work.ID)
+	held := w.workers[dispatch.Server.Name]
+	w.account(held)
+	item.worker = held
+	item.started = w.now
+	held.running[item.id] = item
+	w.result.start(w.measured(), item, w.now)
+	kinds := map[string]bool{}
+	for _, other := range held.running {
+		kinds[other.request.adapter.Adapter] = true
+	}
+	slowdown := 1 + crowding*float64(len(held.running)-1) + mixing*float64(len(kinds)-1)
+	duration := time.Duration(item.request.prompt)*prefillTime + time.Duration(float64(item.request.tokens)*float64(tokenTime)*slowdown)
+	w.after(duration, func() { w.end(o, item) })
+}
+
+func (w *world) end(o *owner, item *running) {
+	if item.worker.running[item.id] != item {
+		return
+	}
+	w.account(item.worker)
+	delete(item.worker.running, item.id)
+	if w.measured() {
+		item.worker.tokens += float64(item.request.tokens)
+	}
+	o.scheduler.Finished(item.work, item.worker.backend.Name, item.work.Cost, w.clock())
+	w.advance(o)
+}
+
+// account adds up the time that a worker was busy.
+func (w *world) account(held *worker) {
+	if len(held.running) > 0 && w.measured() {
+		held.busy += w.now - held.busyFrom
+	}
+	held.busyFrom = w.now
+}
+
+// measured says whether the warm-up is over.
+func (w *world) measured() bool { return w.now > w.c.Length/3 }
+
+// publish tells the routers of an owner's placements, after the lag.
+func (w *world) publish(o *owner) {
+	w.version++
+	version := w.version
+	for _, summary := range o.scheduler.Summaries() {
+		entry := routing.Entry{
+			Server:  summary.Server,
+			Owner:   o.id,
+			Domain:  o.domain,
+			Base:    summary.Base,
+			Fence:   1,
+			Version: version,
+			Slots:   summary.Slots,
+			Running: summary.Running,
+			Limit:   summary.Limit,
+			Waiting: summary.Waiting,
+		}
+		for _, text := range summary.Resident {
+			name, _ := pomelospring.ParseAdapterVersion(text)
+			entry.Resident = append(entry.Resident, name)
+		}
+		if w.now == 0 {
+			w.directory.Put(entry)
+			continue
+		}
+		w.after(w.c.ReportLag, func() { w.directory.Put(entry) })
+	}
+}
+
+func (w *world) finish() Result {
+	for _, name := range w.names {
+		held := w.workers[name]
+		w.result.Busy += held.busy
+		w.result.Tokens += held.tokens
+	}
+	w.result.sort()
+	return w.result
+}
--- a/wholepath/fleet_test.go
+++ b/wholepath/fleet_test.go
@@ -268,7 +268,7 @@
 }
 
 func (f *fleet) configure(domains []string) {
-	var text []string
+	text := make([]string, 0, 10+2*len(domains))
 	text = append(text, "set team red rate 100000 burst 200000; set team blue rate 400 burst 800")
 	for i := range 8 {
 		text = append(text, fmt.Sprintf("set adapter red%d base llama versions v1, v2", i))
