Shed work that would wait too long for a load, and let loads follow demand

Cause: at the measured rates the weight store is the bottleneck; every request for a cold adapter waited up to its 20 s, and many were then not started.

Change: an owner refuses at once, with the time to come back, what would wait over 5 s for a load of its own; it estimates by the time that the load budget has been short. The need of loads is counted when it arises, so that shares of the load budget follow it.

--- a/budget/bank.go
+++ b/budget/bank.go
@@ -11,6 +11,8 @@
 	demandHalfLife = 5 * time.Second
 	// lendHorizon is how much of its own demand a lender keeps tokens for.
 	lendHorizon = time.Second
+	// wantedSteps is how finely demand is told, in steps a token a second.
+	wantedSteps = 100
 	// lackPause is how long a holder that lacked tokens itself lends none.
 	lackPause = time.Second
 )
@@ -148,7 +150,7 @@
 	for pool, a := range b.accounts {
 		a.mu.Lock()
 		a.decay(now)
-		wanted[pool] = math.Round(a.wantedRate())
+		wanted[pool] = math.Round(a.wantedRate()*wantedSteps) / wantedSteps
 		a.mu.Unlock()
 	}
 	return wanted
--- a/cmd/measure/tables.go
+++ b/cmd/measure/tables.go
@@ -92,7 +92,11 @@
 
 func p99(r measure.Result) float64 { return r.StallQuantile(0.99) }
 
-func expiredPart(r measure.Result) float64 { return float64(r.Expired) / float64(max(1, r.Requests)) }
+// expiredPart is the part of the requests that were not started, refused at
+// once or after their wait.
+func expiredPart(r measure.Result) float64 {
+	return float64(r.Expired+r.Refused) / float64(max(1, r.Requests))
+}
 
 func loads(r measure.Result) float64 { return float64(r.Loads) }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -112,6 +112,7 @@
 		Scheme: transport.scheme,
 	}
 	scheduler := ownership.NewScheduler(queue.NewFair(), placement.StallSaving{})
+	scheduler.LoadWait = d.settings.Callers.LoadWait
 	owner := ownership.NewOwner(scheduler, engineClient, loads, d.logger, d.clock, d.settings.Membership.ClockBound)
 	d.common = &controllers.Common{
 		Settings: d.settings,
--- a/lending/loads.go
+++ b/lending/loads.go
@@ -32,16 +32,19 @@
 // Take spends one load, or reports that there is none at hand.
 func (l *Loads) Take() bool {
 	now := l.Clock()
-	l.Bank.Want(PoolLoads, OneLoad, now)
 	reservation, spent := l.Bank.Spend(PoolLoads, OneLoad, 0, now)
 	if !spent {
-		l.Bank.Want(PoolLoads, -OneLoad, now)
 		return false
 	}
 	l.Bank.Settle(PoolLoads, reservation, OneLoad, now)
 	return true
 }
 
+// Want counts the need of a load, so that shares follow it.
+func (l *Loads) Want() {
+	l.Bank.Want(PoolLoads, OneLoad, l.Clock())
+}
+
 // Refill borrows what one load lacks; what comes is deposited. Where a bucket
 // holds less than one load, the loan is what makes a load possible.
 func (l *Loads) Refill(ctx context.Context) {
--- a/measure/cases.go
+++ b/measure/cases.go
@@ -50,5 +50,6 @@
 		StoreSlowdown: 1,
 		Flood:         flood,
 		ReportLag:     usualLag,
+		Admits:        true,
 	}
 }
--- a/measure/policies.go
+++ b/measure/policies.go
@@ -1,12 +1,17 @@
 package measure
 
 import (
+	"time"
+
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/placement"
 	"github.com/pomelospring/pomelospring/queue"
 	"github.com/pomelospring/pomelospring/routing"
 )
 
+// loadWait is the daemon's own default.
+const loadWait = 5 * time.Second
+
 // Current is what the daemon runs.
 func Current() Policy {
 	return Policy{
@@ -15,7 +20,8 @@
 		Placer: placement.StallSaving{},
 		Queue:  func() pomelospring.Queue { return queue.NewFair() },
 		Lends:  true,
-		Admits: true,
+
+		LoadWait: loadWait,
 	}
 }
 
@@ -27,14 +33,12 @@
 			Router: func(d *routing.Directory) pomelospring.Router { return routing.LeastLoaded{Directory: d} },
 			Placer: placement.LeastLoaded{},
 			Queue:  func() pomelospring.Queue { return queue.NewFirstCome() },
-			Admits: true,
 		},
 		{
 			Name:   "rendezvous, LRU, first come",
 			Router: func(d *routing.Directory) pomelospring.Router { return routing.Rendezvous{Directory: d} },
 			Placer: placement.LeastLoaded{},
 			Queue:  func() pomelospring.Queue { return queue.NewFirstCome() },
-			Admits: true,
 		},
 	}
 }
--- a/measure/workload.go
+++ b/measure/workload.go
@@ -83,6 +83,8 @@
 	Flood float64
 	// ReportLag delays what routers hear of placements.
 	ReportLag time.Duration
+	// Admits says whether teams are held to their rates.
+	Admits bool
 }
 
 // request is one arrival.
--- a/measure/world.go
+++ b/measure/world.go
@@ -31,6 +31,8 @@
 	startTime = 20 * time.Second
 	// lendTime is how long a loan keeps room at its lender.
 	lendTime = 450 * time.Millisecond
+	// renewTime is the time between renewals of shares.
+	renewTime = 4 * time.Second
 	// retryLoads is the time until an owner without loads looks again.
 	retryLoads = 50 * time.Millisecond
 )
@@ -41,10 +43,10 @@
 	Router func(directory *routing.Directory) pomelospring.Router
 	Placer pomelospring.Placer
 	Queue  func() pomelospring.Queue
+	// LoadWait is the longest wait for a load that a request is taken for.
+	LoadWait time.Duration
 	// Lends says whether holders lend each other loads and tokens.
 	Lends bool
-	// Admits says whether teams are held to their rates.
-	Admits bool
 }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -186,6 +188,7 @@
 			bank:      budget.NewBank(),
 			waiting:   map[string]*running{},
 		}
+		o.scheduler.LoadWait = w.policy.LoadWait
 		w.owners = append(w.owners, o)
 		w.setTerms(o, lending.PoolLoads, w.c.Deployment.Loads, 8, lending.OneLoad)
 		for team := range teamWeights {
@@ -203,12 +206,16 @@
 }
 
 func (w *world) setTerms(o *owner, pool string, rate, burst, unit float64) {
+	w.setShare(o, pool, rate, burst, unit, budget.Whole/int64(w.c.Deployment.Instances))
+}
+
+func (w *world) setShare(o *owner, pool string, rate, burst, unit float64, share int64) {
 	o.bank.SetTerms(pool, budget.Terms{
 		Rate:  rate,
 		Burst: burst,
 		Unit:  unit,
 		Share: budget.Share{
-			Leased: budget.Whole / int64(w.c.Deployment.Instances),
+			Leased: share,
 		},
 		LeasedDeadline: epoch.Add(1000 * time.Hour),
 	}, w.clock())
@@ -254,9 +261,33 @@
 	}
 }
 
+// follow gives each holder its target of loads by demand, as a renewal does.
+func (w *world) follow() {
+	holders := make([]string, 0, len(w.owners))
+	wanted := map[string]float64{}
+	for _, o := range w.owners {
+		holders = append(holders, o.id)
+		wanted[o.id] = o.bank.Wanted(w.clock())[lending.PoolLoads]
+	}
+	whole := budget.Share{
+		Leased: budget.Whole,
+	}
+	targets := budget.Targets(holders, wanted, whole, budget.Split{
+		Floor: 3 * budget.Whole / 10,
+	})
+	for _, o := range w.owners {
+		w.setShare(o, lending.PoolLoads, w.c.Deployment.Loads, 8, lending.OneLoad, targets[o.id].Leased)
+	}
+}
+
 // plan enters the faults of the case.
 func (w *world) plan() {
 	total := w.c.Length + w.c.Length/3
+	if w.policy.Lends {
+		for at := renewTime; at < total; at += renewTime {
+			w.after(at, w.follow)
+		}
+	}
 	if w.c.RestartEvery > 0 {
 		for at := w.c.RestartEvery; at < total; at += w.c.RestartEvery {
 			name := w.names[w.random.IntN(len(w.names))]
@@ -295,7 +326,7 @@
 		entry = w.owners[(entry.index+1)%len(w.owners)]
 	}
 	cost := float64(r.prompt + r.tokens)
-	if w.policy.Admits && !w.admit(entry, r.team, cost) {
+	if w.c.Admits && !w.admit(entry, r.team, cost) {
 		w.result.refuse(w.measured(), r.team)
 		return
 	}
@@ -326,6 +357,13 @@
 			Deadline: w.clock().Add(startTime),
 		},
 	}
+	if o.scheduler.NeedsLoad(r.adapter) {
+		o.bank.Want(lending.PoolLoads, lending.OneLoad, w.clock())
+	}
+	if _, hopeless := o.scheduler.Hopeless(r.adapter, w.clock()); hopeless {
+		w.result.refuse(w.measured(), r.team)
+		return
+	}
 	o.waiting[id] = item
 	o.scheduler.Submit(item.work, w.clock())
 	w.after(startTime+time.Millisecond, func() { w.advance(o) })
--- a/ownership/scheduler.go
+++ b/ownership/scheduler.go
@@ -13,9 +13,11 @@
 
 const (
 	// rateHalfLife is how fast the rate of an adapter's requests is forgotten.
-	rateHalfLife = 60 * time.Second
+	rateHalfLife = 300 * time.Second
 	// loadBackOff is how long a failed load keeps the adapter off the server.
 	loadBackOff = 5 * time.Second
+	// gapSmoothing weighs the latest time between loads in its mean.
+	gapSmoothing = 0.2
 	// ratesKept bounds the adapters whose rate is remembered.
 	ratesKept = 16384
 )
@@ -48,10 +50,17 @@
 type Scheduler struct {
 	Queue  pomelospring.Queue
 	Placer pomelospring.Placer
+	// LoadWait is the longest wait for a load that a request is taken for;
+	// 0 takes every request.
+	LoadWait time.Duration
 
 	servers map[string]*server
 	names   []string
 	rates   map[pomelospring.AdapterVersion]*rate
+	// gap is the mean time between loads while the load budget is short.
+	gap time.Duration
+	// starvedSince is when the load budget ran short; zero while it does not.
+	starvedSince time.Time
 }
 
 type server struct {
@@ -254,6 +263,47 @@
 	s.hit(work.Adapter, now)
 }
 
+// Hopeless says whether work for an adapter would wait too long for a load, and
+// how long. An adapter that is resident, loading or waited for already needs
+// no load of its own.
+func (s *Scheduler) Hopeless(adapter pomelospring.AdapterVersion, now time.Time) (wait time.Duration, hopeless bool) {
+	if s.LoadWait == 0 || !s.NeedsLoad(adapter) {
+		return 0, false
+	}
+	ahead := 1
+	for other := range s.Queue.Waiting() {
+		if !s.held(other) {
+			ahead++
+		}
+	}
+	gap := s.gap
+	if !s.starvedSince.IsZero() {
+		gap = max(gap, now.Sub(s.starvedSince))
+	}
+	wait = time.Duration(ahead) * gap
+	return wait, wait > s.LoadWait
+}
+
+// NeedsLoad says whether work for an adapter would be the first to need a load
+// of it.
+func (s *Scheduler) NeedsLoad(adapter pomelospring.AdapterVersion) bool {
+	if s.held(adapter) {
+		return false
+	}
+	_, joined := s.Queue.Waiting()[adapter]
+	return !joined
+}
+
+// held says whether an owned model worker has an adapter or is loading it.
+func (s *Scheduler) held(adapter pomelospring.AdapterVersion) bool {
+	for _, held := range s.servers {
+		if held.resident[adapter] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Cancel takes work out that was not dispatched.
 func (s *Scheduler) Cancel(id string) bool {
 	return s.Queue.Remove(id)
@@ -338,12 +388,27 @@
 		}
 		if !takeLoad() {
 			actions.Starved = true
+			if s.starvedSince.IsZero() {
+				s.starvedSince = now
+			}
 			return actions
 		}
+		s.loadTaken(now)
 		actions.Loads = append(actions.Loads, s.order(placement, now))
 	}
 }
 
+// loadTaken keeps the mean time between loads; a load that did not have to
+// wait for the budget counts as no time.
+func (s *Scheduler) loadTaken(now time.Time) {
+	var gap time.Duration
+	if !s.starvedSince.IsZero() {
+		gap = now.Sub(s.starvedSince)
+	}
+	s.gap += time.Duration(gapSmoothing * float64(gap-s.gap))
+	s.starvedSince = time.Time{}
+}
+
 func (s *Scheduler) order(placement pomelospring.Placement, now time.Time) Load {
 	held := s.servers[placement.Server]
 	held.evicted[placement.Evict] = now
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -51,6 +51,7 @@
 	IdleTime      time.Duration `yaml:"idleTime" validate:"min=1s,max=1h" doc:"Time that an idle connection is kept."`
 	WriteTime     time.Duration `yaml:"writeTime" validate:"min=100ms,max=10m" doc:"Time for a caller to read one piece of an answer."`
 	StartTime     time.Duration `yaml:"startTime" validate:"min=100ms,max=10m" doc:"Time that a request may wait for a model worker."`
+	LoadWait      time.Duration `yaml:"loadWait" validate:"min=100ms,max=10m" doc:"Longest expected wait for the load of its adapter that a request is taken for; beyond it is refused at once with the time to come back."`
 	TotalTime     time.Duration `yaml:"totalTime" validate:"min=1s,max=1h" doc:"Time for a whole request."`
 	MaxTokens     int64         `yaml:"maxTokens" validate:"min=1,max=1000000" doc:"Tokens generated at most where a request does not say."`
 	BytesPerToken float64       `yaml:"bytesPerToken" validate:"min=0.25,max=16" doc:"Prompt bytes that make at least one token. 1 never undercounts; a higher figure charges less ahead and may undercount."`
@@ -125,6 +126,7 @@
 			IdleTime:      2 * time.Minute,
 			WriteTime:     30 * time.Second,
 			StartTime:     20 * time.Second,
+			LoadWait:      5 * time.Second,
 			TotalTime:     10 * time.Minute,
 			MaxTokens:     256,
 			BytesPerToken: 1,
