Lend without waste: exact loans, given back, refunded to the lender

Traced on single refusals: (1) the sum of what was left and what was lent missed the cost by a rounding error, so loans that sufficed were refused; (2) loans that did not suffice stayed away and kept room at their lenders; (3) what a request did not use of a loan was credited to the borrower, whose bucket has no room for it; (4) a burst cut into nine parts near the cost of a request loses refill at every full part.

Ruled out: lending only what the lender's own next second leaves over, and no lending for 1 s after a lack: they stop circles, and refuse most loans.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -66,8 +66,13 @@
 
 // Lender gets tokens from other instances.
 type Lender interface {
-	// Borrow returns tokens that must be spent or deposited by the deadline.
-	Borrow(ctx context.Context, pool string, amount float64) (borrowed float64, deadline time.Time)
+	// Borrow gets an amount or less.
+	Borrow(ctx context.Context, pool string, amount float64) (loans lending.Loans)
+	// Spent tells the lenders that their tokens were spent.
+	Spent(loans lending.Loans)
+	// Close ends loans, gives back what was not used of them, and returns what
+	// is left of that.
+	Close(loans lending.Loans, unused float64) (left float64)
 }
 
 // Cashier charges requests to their teams' budgets.
@@ -81,6 +86,8 @@
 type Charge struct {
 	Pool        string
 	Reservation budget.Reservation
+	// Loans are the part of the cost that came from others.
+	Loans lending.Loans
 }
 
 // Charge takes a cost from a team's budget before the request is sent on, or
@@ -98,16 +105,20 @@
 		return charge, pomelospring.NewRefusal(pomelospring.CodeLargerThanBurst, time.Time{}, "the request may cost %.0f tokens, more than team %s's burst of %.0f", cost, team.Name, team.Burst)
 	}
 	missing, _ := c.Bank.Missing(charge.Pool, cost, now)
-	borrowed, deadline := c.Lender.Borrow(ctx, charge.Pool, missing)
+	loans := c.Lender.Borrow(ctx, charge.Pool, missing)
 	now = c.Clock()
-	if now.After(deadline) {
-		borrowed = 0
+	spent = false
+	if now.Before(loans.Deadline) {
+		reservation, spent = c.Bank.Spend(charge.Pool, cost, loans.Amount, now)
 	}
-	if reservation, spent = c.Bank.Spend(charge.Pool, cost, borrowed, now); spent {
-		charge.Reservation = reservation
-		return charge, nil
+	if !spent {
+		c.Lender.Close(loans, loans.Amount)
+		return charge, c.overRate(team, charge.Pool, cost, now)
 	}
-	return charge, c.overRate(team, charge.Pool, cost, now)
+	c.Lender.Spent(loans)
+	charge.Loans = loans
+	charge.Reservation = reservation
+	return charge, nil
 }
 
 func (c *Cashier) overRate(team pomelospring.Team, pool string, cost float64, now time.Time) *pomelospring.Refusal {
@@ -121,5 +132,7 @@
 
 // Settle corrects a charge to the true cost.
 func (c *Cashier) Settle(charge Charge, used float64) {
-	c.Bank.Settle(charge.Pool, charge.Reservation, used, c.Clock())
+	unused := charge.Reservation.Charged + charge.Loans.Amount - used
+	unused = c.Lender.Close(charge.Loans, unused)
+	c.Bank.Settle(charge.Pool, charge.Reservation, charge.Reservation.Charged-unused, c.Clock())
 }
--- a/budget/bank.go
+++ b/budget/bank.go
@@ -9,12 +9,10 @@
 const (
 	// demandHalfLife is how fast the demand of a pool is forgotten.
 	demandHalfLife = 5 * time.Second
-	// lendHorizon is how much of its own demand a lender keeps tokens for.
-	lendHorizon = time.Second
+	// roundingMargin covers what is lost in adding up loans, in tokens.
+	roundingMargin = 0.001
 	// wantedSteps is how finely demand is told, in steps a token a second.
 	wantedSteps = 100
-	// lackPause is how long a holder that lacked tokens itself lends none.
-	lackPause = time.Second
 )
 
 // Bank holds an instance's buckets, one for each pool. It is safe for
@@ -31,8 +29,6 @@
 	wanted   float64
 	wantedAt time.Time
 	terms    Terms
-	// lendsAfter is when the holder may lend again.
-	lendsAfter time.Time
 }
 
 // NewBank makes a bank without buckets.
@@ -52,7 +48,8 @@
 }
 
 // Spend takes a cost from a pool, or nothing. borrowed is a part of the cost
-// that was lent by others and comes on top of the bucket.
+// that was lent by others; it comes on top of the bucket, is not part of the
+// reservation, and stays with the caller when nothing is spent.
 func (b *Bank) Spend(pool string, cost, borrowed float64, now time.Time) (reservation Reservation, spent bool) {
 	a := b.find(pool)
 	if a == nil {
@@ -62,11 +59,8 @@
 	defer a.mu.Unlock()
 	reservation, spent = a.bucket.Spend(max(0, cost-borrowed), now)
 	if !spent {
-		a.lendsAfter = now.Add(lackPause)
-		a.bucket.Deposit(borrowed, now)
 		return reservation, false
 	}
-	reservation.Charged = cost
 	return reservation, true
 }
 
@@ -95,24 +89,38 @@
 	a.wanted = max(0, a.wanted-(reservation.Charged-used))
 }
 
-// Lend deducts up to an amount for another holder, of what this holder's own
-// demand leaves over, and says how much more there would be. A holder that
-// lacked tokens of late lends none: a loan keeps its room at the lender for as
-// long as it is out, and loans to and fro would eat up the refill.
-func (b *Bank) Lend(pool string, amount float64, heldUntil, now time.Time) (lent, left float64) {
+// Lend deducts up to an amount for another holder and says what is left.
+func (b *Bank) Lend(pool, id string, amount float64, heldUntil, now time.Time) (lent, left float64) {
 	a := b.find(pool)
 	if a == nil {
 		return 0, 0
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if now.Before(a.lendsAfter) {
-		return 0, 0
+	lent = a.bucket.Lend(id, amount, heldUntil, now)
+	return lent, a.bucket.Level(now)
+}
+
+// SpentLoan lifts the cap after a loan; see Bucket.SpentLoan.
+func (b *Bank) SpentLoan(pool, id string, now time.Time) {
+	a := b.find(pool)
+	if a == nil {
+		return
 	}
-	a.decay(now)
-	surplus := max(0, a.bucket.Level(now)-a.wantedRate()*lendHorizon.Seconds())
-	lent = a.bucket.Lend(min(amount, surplus), heldUntil, now)
-	return lent, surplus - lent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bucket.SpentLoan(id, now)
+}
+
+// CloseLoan ends a loan; see Bucket.CloseLoan.
+func (b *Bank) CloseLoan(pool, id string, returned float64, now time.Time) {
+	a := b.find(pool)
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bucket.CloseLoan(id, returned, now)
 }
 
 // wantedRate is the demand in tokens a second.
@@ -120,7 +128,8 @@
 	return a.wanted * math.Ln2 / demandHalfLife.Seconds()
 }
 
-// Missing is how much of a cost the bucket lacks, and Whole's burst for it.
+// Missing is how much of a cost the bucket lacks, with a margin so that a loan
+// of as much suffices in spite of rounding, and the pool's terms.
 func (b *Bank) Missing(pool string, cost float64, now time.Time) (missing float64, terms Terms) {
 	a := b.find(pool)
 	if a == nil {
@@ -128,7 +137,11 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return max(0, cost-a.bucket.Level(now)), a.terms
+	missing = cost - a.bucket.Level(now)
+	if missing <= 0 {
+		return 0, a.terms
+	}
+	return missing + roundingMargin, a.terms
 }
 
 // Lent is the part of a pool that covers what is lent out; see Bucket.Lent.
--- a/budget/bucket.go
+++ b/budget/bucket.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// loanKept is how long the end of a loan is waited for.
+const loanKept = 15 * time.Minute
+
 // Terms are what a bucket fills and empties under.
 type Terms struct {
 	// Rate is the pool's whole rate, in tokens a second.
@@ -30,8 +33,9 @@
 	terms Terms
 	level float64
 	last  time.Time
-	// lent lowers the cap while tokens lent may still be spent elsewhere.
-	lent []loan
+	// loans are open; each lowers the cap while its tokens may still be spent
+	// elsewhere.
+	loans []loan
 	// room are lows of the cap's room over the level, oldest first and rising.
 	room      []low
 	operation int64
@@ -39,8 +43,11 @@
 }
 
 type loan struct {
-	amount   float64
-	deadline time.Time
+	id          string
+	reservation Reservation
+	// heldUntil is when the loan is over without word of it.
+	heldUntil time.Time
+	spent     bool
 }
 
 type low struct {
@@ -113,23 +120,61 @@
 }
 
 // Lend deducts up to an amount for another holder to spend before a deadline
-// by its own clock. The cap stays lowered until heldUntil, so that the tokens
-// are never counted in two buckets; what ends before heldUntil is not lent.
-func (b *Bucket) Lend(amount float64, heldUntil, now time.Time) float64 {
+// by its own clock. The cap stays lowered until heldUntil, or until word comes
+// that the tokens were spent, so that they are never counted in two buckets;
+// what ends before heldUntil is not lent. id names the loan.
+func (b *Bucket) Lend(id string, amount float64, heldUntil, now time.Time) float64 {
 	b.fill(now)
 	lent := min(amount, b.level, b.burst(heldUntil)-b.outstanding(now))
 	if lent <= 0 {
 		return 0
 	}
-	b.level -= lent
-	b.lent = append(b.lent, loan{
-		amount:   lent,
-		deadline: heldUntil,
+	reservation, _ := b.Spend(lent, now)
+	b.loans = append(b.loans, loan{
+		id:          id,
+		reservation: reservation,
+		heldUntil:   heldUntil,
 	})
 	b.note(now)
 	return lent
 }
 
+// SpentLoan lifts the cap again: the borrower has spent the tokens, or has
+// them in its own bucket.
+func (b *Bucket) SpentLoan(id string, now time.Time) {
+	b.fill(now)
+	for i := range b.loans {
+		if b.loans[i].id != id || b.loans[i].spent {
+			continue
+		}
+		// While the loan was out the cap was lower by as much, so only the
+		// room from now on bounds what may come back.
+		b.operation++
+		b.loans[i].reservation.operation = b.operation
+		b.loans[i].spent = true
+	}
+	b.note(now)
+}
+
+// CloseLoan ends a loan and takes back what was not used of it, as Settle does
+// with a charge of this holder's own.
+func (b *Bucket) CloseLoan(id string, returned float64, now time.Time) {
+	for i, l := range b.loans {
+		if l.id != id {
+			continue
+		}
+		b.loans = append(b.loans[:i], b.loans[i+1:]...)
+		if !l.spent {
+			b.operation++
+			l.reservation.operation = b.operation
+			b.note(now)
+		}
+		charged := l.reservation.Charged
+		b.Settle(l.reservation, charged-max(0, min(returned, charged)), now)
+		return
+	}
+}
+
 // Lent is the smallest part, in parts per million, that covers what is lent out
 // now: the holder must not claim less.
 func (b *Bucket) Lent(now time.Time) int64 {
@@ -165,6 +210,7 @@
 	}
 	b.level += b.filled(b.last, now)
 	b.last = now
+	b.dropLoans(now)
 	limit := b.Cap(now)
 	if b.level > limit {
 		b.level = limit
@@ -209,20 +255,25 @@
 	return max(b.terms.Unit, b.terms.Burst*live)
 }
 
+// outstanding is what is lent and may not be spent yet.
 func (b *Bucket) outstanding(now time.Time) float64 {
 	var sum float64
-	kept := b.lent[:0]
-	for _, l := range b.lent {
-		if l.deadline.Before(now) {
-			continue
+	for _, l := range b.loans {
+		if !l.spent && !l.heldUntil.Before(now) {
+			sum += l.reservation.Charged
 		}
-		kept = append(kept, l)
-		sum += l.amount
 	}
-	b.lent = kept
 	return sum
 }
 
+// dropLoans forgets loans whose end was never told.
+func (b *Bucket) dropLoans(now time.Time) {
+	for len(b.loans) > 0 && b.loans[0].heldUntil.Add(loanKept).Before(now) {
+		b.loans = b.loans[1:]
+		b.open--
+	}
+}
+
 // note keeps the lows of the room over the level while reservations are open.
 func (b *Bucket) note(now time.Time) {
 	if b.open == 0 {
--- a/budget/bucket_test.go
+++ b/budget/bucket_test.go
@@ -115,7 +115,7 @@
 		{
 			name: "a loan leaves the bucket and lowers the cap until it is over",
 			run: func(b *budget.Bucket) float64 {
-				b.Lend(60, at(7), at(5))
+				b.Lend("x", 60, at(7), at(5))
 				return b.Level(at(6.9))
 			},
 			want: 40,
@@ -123,14 +123,53 @@
 		{
 			name: "after that it fills again",
 			run: func(b *budget.Bucket) float64 {
-				b.Lend(60, at(7), at(5))
+				b.Lend("x", 60, at(7), at(5))
 				return b.Level(at(9))
 			},
 			want: 100,
 		},
+		{
+			name: "a loan that is given back at once leaves no trace",
+			run: func(b *budget.Bucket) float64 {
+				b.Lend("x", 60, at(7), at(5))
+				b.CloseLoan("x", 60, at(5))
+				return b.Level(at(5))
+			},
+			want: 100,
+		},
+		{
+			name: "a loan that was spent lifts the cap again",
+			run: func(b *budget.Bucket) float64 {
+				b.Lend("x", 60, at(7), at(5))
+				b.SpentLoan("x", at(5))
+				return b.Level(at(6))
+			},
+			want: 90,
+		},
+		{
+			name: "what a loan did not use comes back as far as there was room",
+			run: func(b *budget.Bucket) float64 {
+				b.Lend("x", 60, at(7), at(5))
+				b.SpentLoan("x", at(5))
+				_ = b.Level(at(5.8))
+				b.CloseLoan("x", 60, at(5.8))
+				return b.Level(at(5.8))
+			},
+			want: 100,
+		},
+		{
+			name: "a loan is closed once",
+			run: func(b *budget.Bucket) float64 {
+				b.Lend("x", 60, at(7), at(5))
+				b.CloseLoan("x", 30, at(5))
+				b.CloseLoan("x", 60, at(5))
+				return b.Level(at(5))
+			},
+			want: 70,
+		},
 		{
 			name: "what ends before the loan is over is not lent",
-			run:  func(b *budget.Bucket) float64 { return b.Lend(100, at(10.5), at(9)) },
+			run:  func(b *budget.Bucket) float64 { return b.Lend("x", 100, at(10.5), at(9)) },
 			want: 20,
 		},
 		{
--- a/budget/targets.go
+++ b/budget/targets.go
@@ -1,8 +1,11 @@
 package budget
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Split parametrizes how a holder asks for its parts.
@@ -43,6 +46,25 @@
 	return targets
 }
 
+// Concentrate picks the holders of one pool among those that there are: as many
+// as leave each of them leastBurst tokens, and one at the least. A burst cut
+// into parts near the cost of a request loses refill at every full part while
+// others are empty; whoever holds no part borrows.
+func Concentrate(holders []string, pool string, burst, leastBurst float64) []string {
+	count := max(1, int(burst/leastBurst))
+	if count >= len(holders) {
+		return holders
+	}
+	chosen := slices.Clone(holders)
+	slices.SortFunc(chosen, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(xxhash.Sum64String(pool+"\x00"+a), xxhash.Sum64String(pool+"\x00"+b)),
+			cmp.Compare(a, b),
+		)
+	})
+	return chosen[:count]
+}
+
 // Pools are the names of all pools that any holder has or wants, sorted.
 func (l Ledger) Pools() []string {
 	pools := map[string]bool{}
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -15,6 +15,7 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(&stallsCommand{}, "")
 	commander.Register(&floodCommand{}, "")
+	commander.Register(&refusalsCommand{}, "")
 	flag.Parse()
 	os.Exit(int(commander.Execute(context.Background())))
 }
--- a/controllers/membership.go
+++ b/controllers/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -155,16 +156,26 @@
 		holders = append(holders, m.Board.Self.ID)
 	}
 	shares := map[string]budget.Share{}
-	for pool := range m.pools() {
+	for pool, whole := range m.pools() {
 		wants := wantsOf(state.Ledger, pool)
 		wants[m.Board.Self.ID] = wanted[pool]
 		available := usable.Shares[pool].Less(state.Stranded(pool, m.Clock().Add(-m.Settings.Membership.ClockBound)))
-		targets := budget.Targets(holders, wants, available, m.split())
+		part := float64(available.Leased+available.Standing) / float64(budget.Whole)
+		chosen := budget.Concentrate(holders, pool, whole.burst*part, m.leastBurst(whole))
+		targets := budget.Targets(chosen, wants, available, m.split())
 		shares[pool] = m.coverLoans(pool, targets[m.Board.Self.ID])
 	}
 	return shares
 }
 
+// leastBurst is the least part of a pool's burst that is worth holding.
+func (m *MembershipController) leastBurst(whole wholePool) float64 {
+	if whole.unit > 0 {
+		return whole.unit / math.MaxInt32
+	}
+	return m.Settings.Budget.LeastBurst
+}
+
 // coverLoans keeps a share from shrinking below what is lent out.
 func (m *MembershipController) coverLoans(pool string, share budget.Share) budget.Share {
 	lent := m.Board.Bank.Lent(pool, m.Clock())
--- a/failuredomain/escrow_test.go
+++ b/failuredomain/escrow_test.go
@@ -68,6 +68,8 @@
 }
 
 type loan struct {
+	id       string
+	from     *instance
 	to       *instance
 	amount   float64
 	deadline time.Time
@@ -312,8 +314,12 @@
 		return
 	}
 	deadline := f.clock(to).Add(loanTime)
-	amount := from.bucket.Lend(wholeBurst*rapid.Float64Range(0, 1).Draw(f.t, "loan"), deadline.Add(clockBound), f.clock(from))
+	f.next++
+	id := fmt.Sprint(f.next)
+	amount := from.bucket.Lend(id, wholeBurst*rapid.Float64Range(0, 1).Draw(f.t, "loan"), deadline.Add(clockBound), f.clock(from))
 	f.loans = append(f.loans, loan{
+		id:       id,
+		from:     from,
 		to:       to,
 		amount:   amount,
 		deadline: deadline,
@@ -330,7 +336,14 @@
 	if rapid.Bool().Draw(f.t, "lost") || f.clock(l.to).After(l.deadline) {
 		return
 	}
+	if rapid.Bool().Draw(f.t, "given back") {
+		l.from.bucket.CloseLoan(l.id, l.amount, f.clock(l.from))
+		return
+	}
 	l.to.bucket.Deposit(l.amount, f.clock(l.to))
+	if rapid.Bool().Draw(f.t, "closed") {
+		l.from.bucket.SpentLoan(l.id, f.clock(l.from))
+	}
 }
 
 // crash replaces an instance by a new one that knows nothing.
--- a/lending/loads.go
+++ b/lending/loads.go
@@ -45,17 +45,20 @@
 	l.Bank.Want(PoolLoads, OneLoad, l.Clock())
 }
 
-// Refill borrows what one load lacks; what comes is deposited. Where a bucket
-// holds less than one load, the loan is what makes a load possible.
+// Refill borrows what one load lacks, if all of it is to be had.
 func (l *Loads) Refill(ctx context.Context) {
 	missing, _ := l.Bank.Missing(PoolLoads, OneLoad, l.Clock())
-	if missing > 0 {
-		borrowed, _ := l.Borrower.Borrow(ctx, PoolLoads, missing)
-		l.Bank.Deposit(PoolLoads, borrowed, l.Clock())
+	if missing <= 0 {
+		return
 	}
-	if missing, _ = l.Bank.Missing(PoolLoads, OneLoad, l.Clock()); missing <= 0 {
+	loans := l.Borrower.Borrow(ctx, PoolLoads, missing)
+	enough := loans.Amount >= missing && l.Clock().Before(loans.Deadline)
+	if enough {
+		l.Bank.Deposit(PoolLoads, loans.Amount, l.Clock())
+		l.Borrower.Close(loans, 0)
 		return
 	}
+	l.Borrower.Close(loans, loans.Amount)
 	select {
 	case <-ctx.Done():
 	case <-time.After(refillPause):
--- a/measure/world.go
+++ b/measure/world.go
@@ -87,7 +87,6 @@
 	busyFrom time.Duration
 	busy     time.Duration
 	tokens   float64
-	summary  string
 }
 
 type running struct {
@@ -95,7 +94,6 @@
 	id       string
 	work     *pomelospring.Work
 	started  time.Duration
-	stalled  bool
 	resident bool
 	worker   *worker
 }
@@ -392,22 +390,33 @@
 	if !w.policy.Lends {
 		return false
 	}
-	missing, _ := entry.bank.Missing(pool, cost, now)
-	_, spent := entry.bank.Spend(pool, cost, w.borrow(entry, pool, missing), now)
-	return spent
+	return w.spendWithLoans(entry, pool, cost)
 }
 
-// borrow asks the other instances in turn, as lending.Borrower does.
-func (w *world) borrow(entry *owner, pool string, missing float64) (borrowed float64) {
+// spendWithLoans borrows what is missing from the other instances in turn and
+// gives it back where it does not suffice, as lending.Borrower does.
+func (w *world) spendWithLoans(entry *owner, pool string, cost float64) bool {
+	now := w.clock()
+	missing, _ := entry.bank.Missing(pool, cost, now)
+	loans := map[*owner]float64{}
+	var borrowed float64
 	for i := 1; i < len(w.owners) && borrowed < missing; i++ {
 		lender := w.owners[(entry.index+i)%len(w.owners)]
 		if lender.index%domains == w.lost {
 			continue
 		}
-		lent, _ := lender.bank.Lend(pool, missing-borrowed, w.clock().Add(lendTime), w.clock())
+		lent, _ := lender.bank.Lend(pool, entry.id, missing-borrowed, now.Add(lendTime), now)
+		loans[lender] = lent
 		borrowed += lent
 	}
-	return borrowed
+	_, spent := entry.bank.Spend(pool, cost, borrowed, now)
+	for lender, lent := range loans {
+		if spent {
+			lent = 0
+		}
+		lender.bank.CloseLoan(pool, entry.id, lent, now)
+	}
+	return spent
 }
 
 // advance carries out what a scheduler wants done.
@@ -416,7 +425,9 @@
 		Bank:  o.bank,
 		Clock: w.clock,
 	}
-	actions := o.scheduler.Next(w.clock(), loads.Take)
+	actions := o.scheduler.Next(w.clock(), func() bool {
+		return loads.Take() || w.policy.Lends && w.spendWithLoans(o, lending.PoolLoads, lending.OneLoad)
+	})
 	for _, dispatch := range actions.Dispatches {
 		w.dispatch(o, dispatch)
 	}
@@ -439,10 +450,6 @@
 
 func (w *world) retry(o *owner) {
 	o.retrying = false
-	if w.policy.Lends {
-		missing, _ := o.bank.Missing(lending.PoolLoads, lending.OneLoad, w.clock())
-		o.bank.Deposit(lending.PoolLoads, w.borrow(o, lending.PoolLoads, missing), w.clock())
-	}
 	w.advance(o)
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -81,13 +81,23 @@
 func (s *Server) Lend(_ context.Context, request *peerpb.LendRequest) (*peerpb.LendReply, error) {
 	now := s.Clock()
 	deadline := time.Unix(0, request.GetDeadline())
-	lent, left := s.Board.Bank.Lend(request.GetPool(), request.GetAmount(), deadline.Add(s.ClockBound), now)
+	lent, left := s.Board.Bank.Lend(request.GetPool(), request.GetLoan(), request.GetAmount(), deadline.Add(s.ClockBound), now)
 	return &peerpb.LendReply{
 		Lent: lent,
 		Left: left,
 	}, nil
 }
 
+// CloseLoan implements the call CloseLoan.
+func (s *Server) CloseLoan(_ context.Context, request *peerpb.CloseLoanRequest) (*peerpb.CloseLoanReply, error) {
+	if request.GetSpent() {
+		s.Board.Bank.SpentLoan(request.GetPool(), request.GetLoan(), s.Clock())
+		return &peerpb.CloseLoanReply{}, nil
+	}
+	s.Board.Bank.CloseLoan(request.GetPool(), request.GetLoan(), request.GetReturned(), s.Clock())
+	return &peerpb.CloseLoanReply{}, nil
+}
+
 // Exchange implements the call Exchange.
 func (s *Server) Exchange(_ context.Context, request *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
 	since := request.GetSequence()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -64,6 +64,7 @@
 	LeasedTime      time.Duration `yaml:"leasedTime" validate:"min=2s,max=1h" doc:"How long the part that follows demand is held without renewal."`
 	StandingTime    time.Duration `yaml:"standingTime" validate:"min=2s,max=24h" doc:"How long the standing part is held without renewal."`
 	FloorPercent    int           `yaml:"floorPercent" validate:"min=0,max=100" doc:"Part of the leased budget that is spread evenly whatever the demand, in percent."`
+	LeastBurst      float64       `yaml:"leastBurst" validate:"min=1,max=1000000000" doc:"Least part of a team's burst that an instance holds, in tokens; in a failure domain with less for each, fewer instances hold it and lend to the others. Several times the cost of a usual request."`
 	RenewEvery      time.Duration `yaml:"renewEvery" validate:"min=100ms,max=1m" doc:"Time between renewals of a small failure domain; it grows with the domain."`
 }
 
@@ -137,6 +138,7 @@
 			LeasedTime:      75 * time.Second,
 			StandingTime:    10 * time.Minute,
 			FloorPercent:    30,
+			LeastBurst:      1000,
 			RenewEvery:      2 * time.Second,
 		},
 		Loads: Loads{
