Shed a flooding team's cold requests first; find keys by their binary hash

Change: the estimate of a wait for a load leaves out what waits for teams further over an even part of the loads of late. Keys are found by their binary hash.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -26,7 +26,7 @@
 	if secret == "" {
 		return key, team, pomelospring.NewRefusal(pomelospring.CodeKeyMissing, time.Time{}, "a key is needed: Authorization: Bearer KEY")
 	}
-	id, known := state.KeysByHash[Hash(secret)]
+	id, known := state.KeysByHash[sha256.Sum256([]byte(secret))]
 	if !known {
 		return key, team, pomelospring.NewRefusal(pomelospring.CodeKeyUnknown, time.Time{}, "the key is not valid")
 	}
--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,231 @@
+package admission_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/admission"
+	"github.com/pomelospring/pomelospring/budget"
+	"github.com/pomelospring/pomelospring/configuration"
+	"github.com/pomelospring/pomelospring/lending"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func clock() time.Time { return now }
+
+// lender is a fake of the other instances.
+type lender struct {
+	amount   float64
+	late     bool
+	spent    bool
+	returned float64
+}
+
+// Borrow implements admission.Lender.
+func (l *lender) Borrow(_ context.Context, pool string, amount float64) lending.Loans {
+	loans := lending.Loans{
+		Pool:     pool,
+		Amount:   min(amount, l.amount),
+		Deadline: now.Add(time.Second),
+	}
+	if l.late {
+		loans.Deadline = now.Add(-time.Second)
+	}
+	return loans
+}
+
+// Spent implements admission.Lender.
+func (l *lender) Spent(lending.Loans) { l.spent = true }
+
+// Close implements admission.Lender.
+func (l *lender) Close(loans lending.Loans, unused float64) float64 {
+	l.returned = max(0, min(unused, loans.Amount))
+	return unused - l.returned
+}
+
+func newCashier(l *lender, level float64) *admission.Cashier {
+	bank := budget.NewBank()
+	terms := budget.Terms{
+		Rate:  100,
+		Burst: 1000,
+		Share: budget.Share{
+			Leased: budget.Whole / 2,
+		},
+		LeasedDeadline: now.Add(time.Hour),
+	}
+	seconds := level / 50
+	bank.SetTerms("team/red", terms, now.Add(-time.Duration(seconds*float64(time.Second))))
+	return &admission.Cashier{
+		Bank:   bank,
+		Lender: l,
+		Clock:  clock,
+	}
+}
+
+func TestCharge(t *testing.T) {
+	type outcome struct {
+		Code     pomelospring.Code
+		Retry    bool
+		Spent    bool
+		Returned float64
+	}
+	scenarios := []struct {
+		name   string
+		lender lender
+		level  float64
+		cost   float64
+		want   outcome
+	}{
+		{
+			name:  "a cost within the bucket is charged",
+			level: 200,
+			cost:  200,
+			want:  outcome{},
+		},
+		{
+			name:   "what is missing is borrowed and spent",
+			lender: lender{amount: 500},
+			level:  200,
+			cost:   600,
+			want:   outcome{Spent: true},
+		},
+		{
+			name:   "loans that do not suffice are given back",
+			lender: lender{amount: 100},
+			level:  200,
+			cost:   600,
+			want:   outcome{Code: pomelospring.CodeOverRate, Retry: true, Returned: 100},
+		},
+		{
+			name:   "a loan that came too late is not spent",
+			lender: lender{amount: 500, late: true},
+			level:  200,
+			cost:   600,
+			want:   outcome{Code: pomelospring.CodeOverRate, Retry: true, Returned: 400.001},
+		},
+		{
+			name:   "a cost over the whole burst is refused for good",
+			lender: lender{amount: 5000},
+			level:  200,
+			cost:   1001,
+			want:   outcome{Code: pomelospring.CodeLargerThanBurst},
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			l := scenario.lender
+			team := pomelospring.Team{
+				Name:  "red",
+				Rate:  100,
+				Burst: 1000,
+			}
+			_, refusal := newCashier(&l, scenario.level).Charge(context.Background(), team, scenario.cost)
+			got := outcome{
+				Spent:    l.spent,
+				Returned: l.returned,
+			}
+			if refusal != nil {
+				got.Code = refusal.Code
+				got.Retry = refusal.RetryAt.After(now)
+			}
+			if diff := cmp.Diff(scenario.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestSettleGivesLendersTheirsFirst(t *testing.T) {
+	l := &lender{
+		amount: 500,
+	}
+	cashier := newCashier(l, 200)
+	team := pomelospring.Team{
+		Name:  "red",
+		Rate:  100,
+		Burst: 1000,
+	}
+	charge, refusal := cashier.Charge(context.Background(), team, 600)
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	cashier.Settle(charge, 100)
+	missing, _ := cashier.Bank.Missing("team/red", 100, now)
+	if diff := cmp.Diff([]float64{400.001, 0}, []float64{l.returned, missing}, cmp.Comparer(near)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func near(a, b float64) bool { return a-b < 1e-6 && b-a < 1e-6 }
+
+func state(adapters int) *configuration.State {
+	s := configuration.NewState()
+	for n := range adapters {
+		name := fmt.Sprint("adapter", n)
+		s.Adapters[name] = pomelospring.Adapter{
+			Name:     name,
+			Base:     "base",
+			Versions: []string{"v1"},
+		}
+	}
+	s.Teams["red"] = pomelospring.Team{
+		Name:  "red",
+		Rate:  1e12,
+		Burst: 1e12,
+		Adapters: map[string][]string{
+			"*": {"*"},
+		},
+	}
+	s.Keys["web"] = pomelospring.Key{
+		ID:   "web",
+		Team: "red",
+		Hash: admission.Hash("secret"),
+	}
+	s.KeysByHash[sha256.Sum256([]byte("secret"))] = "web"
+	return s
+}
+
+// BenchmarkAdmission goes from the key to the charge.
+func BenchmarkAdmission(b *testing.B) {
+	for _, adapters := range []int{130, 1300, 13000} {
+		b.Run(fmt.Sprintf("adapters=%d", adapters), func(b *testing.B) {
+			s := state(adapters)
+			bank := budget.NewBank()
+			bank.SetTerms("team/red", budget.Terms{
+				Rate:  1e12,
+				Burst: 1e12,
+				Share: budget.Share{
+					Leased: budget.Whole,
+				},
+				LeasedDeadline: time.Now().Add(time.Hour),
+			}, time.Now())
+			cashier := &admission.Cashier{
+				Bank:   bank,
+				Lender: &lender{},
+				Clock:  time.Now,
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				_, team, refusal := admission.Identify(s, "secret")
+				if refusal != nil {
+					b.Fatal(refusal)
+				}
+				if _, _, refusal = admission.Authorize(s, team, "adapter7@v1"); refusal != nil {
+					b.Fatal(refusal)
+				}
+				charge, refusal := cashier.Charge(context.Background(), team, 100)
+				if refusal != nil {
+					b.Fatal(n, refusal)
+				}
+				cashier.Settle(charge, 80)
+			}
+		})
+	}
+}
--- a/configuration/fold.go
+++ b/configuration/fold.go
@@ -38,7 +38,7 @@
 	}
 	state.Started = true
 	for id, key := range state.Keys {
-		state.KeysByHash[key.Hash] = id
+		state.KeysByHash[hashOf(key.Hash)] = id
 	}
 	return state, nil
 }
@@ -138,7 +138,7 @@
 		state.Teams[operation.SetTeam.Name] = *operation.SetTeam
 	case operation.SetKey != nil:
 		state.Keys[operation.SetKey.ID] = *operation.SetKey
-		state.KeysByHash[operation.SetKey.Hash] = operation.SetKey.ID
+		state.KeysByHash[hashOf(operation.SetKey.Hash)] = operation.SetKey.ID
 	case operation.SetAdapter != nil:
 		state.Adapters[operation.SetAdapter.Name] = *operation.SetAdapter
 	case operation.SetRoute != nil:
@@ -148,7 +148,7 @@
 	case operation.DeleteTeam != "":
 		delete(state.Teams, operation.DeleteTeam)
 	case operation.DeleteKey != "":
-		delete(state.KeysByHash, state.Keys[operation.DeleteKey].Hash)
+		delete(state.KeysByHash, hashOf(state.Keys[operation.DeleteKey].Hash))
 		delete(state.Keys, operation.DeleteKey)
 	case operation.DeleteAdapter != "":
 		delete(state.Adapters, operation.DeleteAdapter)
--- a/configuration/state.go
+++ b/configuration/state.go
@@ -3,6 +3,9 @@
 package configuration
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+
 	"github.com/pomelospring/pomelospring"
 )
 
@@ -27,7 +30,17 @@
 	// Results maps the ID of a recent change to its outcome.
 	Results map[string]Result `json:"results"`
 	// KeysByHash finds a key by the hash of its secret; derived from Keys.
-	KeysByHash map[string]string `json:"-"`
+	KeysByHash map[[sha256.Size]byte]string `json:"-"`
+}
+
+// hashOf reads the hex form of a hash; what is not one gives the zero hash,
+// which no secret has.
+func hashOf(text string) (hash [sha256.Size]byte) {
+	decoded, err := hex.DecodeString(text)
+	if err == nil && len(decoded) == len(hash) {
+		copy(hash[:], decoded)
+	}
+	return hash
 }
 
 // Result is what became of one change.
@@ -51,6 +64,6 @@
 		BackendServers: map[string]pomelospring.BackendServer{},
 		Modified:       map[string]int64{},
 		Results:        map[string]Result{},
-		KeysByHash:     map[string]string{},
+		KeysByHash:     map[[sha256.Size]byte]string{},
 	}
 }
--- a/decision.go
+++ b/decision.go
@@ -60,6 +60,8 @@
 	Count int
 	// Base is the base model that the adapter belongs to.
 	Base string
+	// Team is the one that waits with the lead.
+	Team string
 	// Oldest is the earliest arrival.
 	Oldest time.Time
 	// Lead is the virtual time of the least-served team that waits, which
--- a/measure/cases.go
+++ b/measure/cases.go
@@ -39,9 +39,14 @@
 	return cases
 }
 
+// quietPart is the part of a deployment's usual rate that a flood starts from,
+// so that the weight store has room for what is usual.
+const quietPart = 0.6
+
 // FloodCase is a workload in which the largest team sends a multiple of its
 // rate.
 func FloodCase(deployment Deployment, flood float64, length time.Duration) Case {
+	deployment.Rate *= quietPart
 	return Case{
 		Name:          fmt.Sprintf("%s, flood %.0f", deployment.Name, flood),
 		Deployment:    deployment,
--- a/ownership/owner.go
+++ b/ownership/owner.go
@@ -141,7 +141,7 @@
 	if o.scheduler.NeedsLoad(work.Adapter) {
 		o.Loads.Want()
 	}
-	if wait, hopeless := o.scheduler.Hopeless(work.Adapter, now); hopeless {
+	if wait, hopeless := o.scheduler.Hopeless(work, now); hopeless {
 		return pomelospring.NewRefusal(pomelospring.CodeOverloaded, now.Add(wait), "too many adapters wait to be loaded before %s", work.Adapter)
 	}
 	o.waiting[work.ID] = decided
--- a/ownership/scheduler.go
+++ b/ownership/scheduler.go
@@ -57,6 +57,7 @@
 	servers map[string]*server
 	names   []string
 	rates   map[pomelospring.AdapterVersion]*rate
+	shares  loadShares
 	// gap is the mean time between loads while the load budget is short.
 	gap time.Duration
 	// starvedSince is when the load budget ran short; zero while it does not.
@@ -111,6 +112,7 @@
 		Placer:  placer,
 		servers: map[string]*server{},
 		rates:   map[pomelospring.AdapterVersion]*rate{},
+		shares:  newLoadShares(),
 	}
 }
 
@@ -260,19 +262,22 @@
 // Submit queues work.
 func (s *Scheduler) Submit(work *pomelospring.Work, now time.Time) {
 	s.Queue.Push(work)
+	s.shares.see(work.Team, now)
 	s.hit(work.Adapter, now)
 }
 
 // Hopeless says whether work for an adapter would wait too long for a load, and
 // how long. An adapter that is resident, loading or waited for already needs
-// no load of its own.
-func (s *Scheduler) Hopeless(adapter pomelospring.AdapterVersion, now time.Time) (wait time.Duration, hopeless bool) {
-	if s.LoadWait == 0 || !s.NeedsLoad(adapter) {
+// no load of its own. What waits for teams further over their share of loads
+// does not count: a team that floods sheds its own work first.
+func (s *Scheduler) Hopeless(work *pomelospring.Work, now time.Time) (wait time.Duration, hopeless bool) {
+	if s.LoadWait == 0 || !s.NeedsLoad(work.Adapter) {
 		return 0, false
 	}
 	ahead := 1
-	for other := range s.Queue.Waiting() {
-		if !s.held(other) {
+	excess := s.shares.excess(work.Team, now)
+	for other, waiting := range s.Queue.Waiting() {
+		if !s.held(other) && s.shares.excess(waiting.Team, now) <= excess {
 			ahead++
 		}
 	}
@@ -394,6 +399,7 @@
 			return actions
 		}
 		s.loadTaken(now)
+		s.shares.add(s.Queue.Waiting()[placement.Adapter].Team, now)
 		actions.Loads = append(actions.Loads, s.order(placement, now))
 	}
 }
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -135,6 +135,7 @@
 func sum(held pomelospring.Waiting, waiting []*pomelospring.Work, served float64) pomelospring.Waiting {
 	if held.Count == 0 || served < held.Lead {
 		held.Lead = served
+		held.Team = waiting[0].Team
 	}
 	for _, work := range waiting {
 		if held.Count == 0 || work.Arrived.Before(held.Oldest) {
