--- /dev/null
+++ b/events/catalogue_test.go
@@ -0,0 +1,34 @@
+package events_test
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pomelospring/pomelospring/events"
+)
+
+func TestTheCatalogueIsComplete(t *testing.T) {
+	numbers := map[int]string{}
+	names := map[string]bool{}
+	for _, event := range events.Catalogue() {
+		if other, taken := numbers[event.Number]; taken || names[event.Name] {
+			t.Errorf("event %d %s stands twice, also as %s", event.Number, event.Name, other)
+		}
+		if event.Meaning == "" {
+			t.Errorf("event %d says nothing", event.Number)
+		}
+		numbers[event.Number] = event.Name
+		names[event.Name] = true
+	}
+	var want bytes.Buffer
+	events.WritePage(&want)
+	got, err := os.ReadFile("../docs/EVENTS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want.String(), string(got)); diff != "" {
+		t.Errorf("run pomelospringd events > docs/EVENTS.md: %s", diff)
+	}
+}
--- a/settings/read.go
+++ b/settings/read.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"reflect"
 	"strings"
+	"time"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
@@ -28,8 +30,11 @@
 // is allowed.
 func Parse(text []byte) (settings *Settings, err error) {
 	settings = Default()
+	if err = checkDurations(text); err != nil {
+		return nil, err
+	}
 	decoder := yaml.NewDecoder(strings.NewReader(string(text)), yaml.DisallowUnknownField())
-	if err = decoder.Decode(settings); err != nil {
+	if err = decoder.Decode(settings); err != nil && !errors.Is(err, io.EOF) {
 		return nil, errors.New(strings.TrimSpace(yaml.FormatError(err, false, true)))
 	}
 	if err = check(settings, text); err != nil {
@@ -38,6 +43,53 @@
 	return settings, nil
 }
 
+// checkDurations looks for spans of time that can't be read: the decoder's own
+// error for them names neither line nor field.
+func checkDurations(text []byte) error {
+	file, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		// The decoder reports it, with its place.
+		return nil
+	}
+	var problems []error
+	for _, path := range durationPaths("", reflect.TypeOf(Settings{})) {
+		node := nodeAt(file, path)
+		if node == nil {
+			continue
+		}
+		if _, err := time.ParseDuration(node.GetToken().Value); err != nil {
+			problems = append(problems, fmt.Errorf("line %d: %s is %q: it must be a span of time such as 10s", node.GetToken().Position.Line, path, node.GetToken().Value))
+		}
+	}
+	return errors.Join(problems...)
+}
+
+func durationPaths(prefix string, kind reflect.Type) (paths []string) {
+	for i := range kind.NumField() {
+		field := kind.Field(i)
+		path := prefix + field.Tag.Get("yaml")
+		switch {
+		case field.Type == reflect.TypeOf(time.Duration(0)):
+			paths = append(paths, path)
+		case field.Type.Kind() == reflect.Struct:
+			paths = append(paths, durationPaths(path+".", field.Type)...)
+		}
+	}
+	return paths
+}
+
+func nodeAt(file *ast.File, path string) ast.Node {
+	query, err := yaml.PathString("$." + path)
+	if err != nil {
+		return nil
+	}
+	node, err := query.FilterFile(file)
+	if err != nil {
+		return nil
+	}
+	return node
+}
+
 func check(settings *Settings, text []byte) error {
 	validate := validator.New(validator.WithRequiredStructEnabled())
 	validate.RegisterTagNameFunc(func(field reflect.StructField) string {
@@ -62,12 +114,8 @@
 }
 
 func lineOf(file *ast.File, path string) string {
-	query, err := yaml.PathString("$." + path)
-	if err != nil {
-		return "not in the file"
-	}
-	node, err := query.FilterFile(file)
-	if err != nil || node == nil {
+	node := nodeAt(file, path)
+	if node == nil {
 		return "not in the file"
 	}
 	return fmt.Sprintf("line %d", node.GetToken().Position.Line)
--- /dev/null
+++ b/stream/follower_test.go
@@ -0,0 +1,280 @@
+package stream_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/configuration"
+	"github.com/pomelospring/pomelospring/standin"
+	"github.com/pomelospring/pomelospring/stream"
+)
+
+// peers is a fake of the other instances.
+type peers struct {
+	from *stream.Follower
+}
+
+// ReadRecords implements stream.Peers.
+func (p *peers) ReadRecords(_ context.Context, _ string, from int64) (stream.Reading, error) {
+	if p.from == nil {
+		return stream.Reading{}, errors.New("nobody is there")
+	}
+	return p.from.Read(from)
+}
+
+// reader is one follower with what it published last.
+type reader struct {
+	follower *stream.Follower
+	peers    *peers
+
+	mu    sync.Mutex
+	state *configuration.State
+	fresh time.Time
+	back  bool
+}
+
+func newReader(log pomelospring.Log) *reader {
+	r := &reader{
+		peers: &peers{},
+		state: configuration.NewState(),
+	}
+	empty := stream.ConfigurationFold{
+		State: configuration.NewState(),
+	}
+	r.follower = stream.NewFollower(log, r.peers, configuration.Stream, time.Now, empty, r.publish, func(error) {})
+	return r
+}
+
+func (r *reader) publish(fold stream.Fold, fresh time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := fold.(stream.ConfigurationFold).State
+	r.back = r.back || state.Next < r.state.Next
+	r.state, r.fresh = state, fresh
+}
+
+func (r *reader) teams() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.state.Teams)
+}
+
+func change(n int) configuration.Change {
+	return configuration.Change{
+		MadeAgainst: 1 << 40,
+		Operations: []configuration.Operation{
+			{
+				SetTeam: &pomelospring.Team{
+					Name: fmt.Sprint("team", n),
+				},
+			},
+		},
+	}
+}
+
+func TestFollower(t *testing.T) {
+	scenarios := []struct {
+		name string
+		run  func(t *testing.T, log *standin.Log, start func() *reader) int
+		want int
+	}{
+		{
+			name: "an append is read back",
+			run: func(t *testing.T, _ *standin.Log, start func() *reader) int {
+				r := start()
+				if _, _, err := r.follower.Append(t.Context(), configuration.KindChange, change(1)); err != nil {
+					t.Error(err)
+				}
+				synctest.Wait()
+				return r.teams()
+			},
+			want: 1,
+		},
+		{
+			name: "an append whose answer is lost is found, and made once",
+			run: func(t *testing.T, log *standin.Log, start func() *reader) int {
+				r := start()
+				synctest.Wait()
+				log.SetFaults(standin.Faults{
+					LoseAnswers: true,
+				})
+				if _, _, err := r.follower.Append(t.Context(), configuration.KindChange, change(1)); err != nil {
+					t.Error(err)
+				}
+				return len(log.Records(configuration.Stream))
+			},
+			want: 1,
+		},
+		{
+			name: "an append that never arrives is said to be unsettled",
+			run: func(t *testing.T, log *standin.Log, start func() *reader) int {
+				r := start()
+				log.SetFaults(standin.Faults{
+					DropBefore: true,
+				})
+				if _, _, err := r.follower.Append(t.Context(), configuration.KindChange, change(1)); !errors.Is(err, stream.ErrUnsettled) {
+					t.Error(err)
+				}
+				return len(log.Records(configuration.Stream))
+			},
+			want: 0,
+		},
+		{
+			name: "a newcomer starts from a snapshot once the first records are gone",
+			run: func(t *testing.T, log *standin.Log, start func() *reader) int {
+				r := start()
+				fill(t, r, 5)
+				if err := r.follower.PostSnapshot(t.Context()); err != nil {
+					t.Error(err)
+				}
+				fill(t, r, 2)
+				log.Truncate(configuration.Stream, 5)
+				second := start()
+				time.Sleep(time.Second)
+				return second.teams()
+			},
+			want: 5,
+		},
+		{
+			name: "records between a snapshot's making and its place are not lost",
+			run: func(t *testing.T, log *standin.Log, start func() *reader) int {
+				r := start()
+				fill(t, r, 3)
+				body, _ := stream.ConfigurationFold{State: r.state}.Snapshot()
+				fill(t, r, 5)
+				_, _ = log.Append(t.Context(), configuration.Stream, []pomelospring.Record{{ID: "late", Kind: stream.KindSnapshot, Stamp: time.Now(), Body: body}})
+				log.Truncate(configuration.Stream, 3)
+				second := start()
+				time.Sleep(time.Second)
+				return second.teams()
+			},
+			want: 5,
+		},
+		{
+			name: "a snapshot that rests on records that are gone is not used",
+			run: func(t *testing.T, log *standin.Log, start func() *reader) int {
+				r := start()
+				fill(t, r, 3)
+				body, _ := stream.ConfigurationFold{State: r.state}.Snapshot()
+				fill(t, r, 5)
+				_, _ = log.Append(t.Context(), configuration.Stream, []pomelospring.Record{{ID: "late", Kind: stream.KindSnapshot, Stamp: time.Now(), Body: body}})
+				log.Truncate(configuration.Stream, 6)
+				second := start()
+				time.Sleep(time.Second)
+				return second.teams()
+			},
+			want: 0,
+		},
+		{
+			name: "two snapshots at once are harmless",
+			run: func(t *testing.T, log *standin.Log, start func() *reader) int {
+				r, other := start(), start()
+				fill(t, r, 4)
+				synctest.Wait()
+				_ = r.follower.PostSnapshot(t.Context())
+				_ = other.follower.PostSnapshot(t.Context())
+				log.Truncate(configuration.Stream, 4)
+				second := start()
+				time.Sleep(time.Second)
+				return second.teams()
+			},
+			want: 4,
+		},
+		{
+			name: "cut from the log, a newcomer starts from a peer",
+			run: func(t *testing.T, log *standin.Log, start func() *reader) int {
+				r := start()
+				fill(t, r, 4)
+				log.SetFaults(standin.Faults{
+					Down: true,
+				})
+				second := start()
+				second.peers.from = r.follower
+				time.Sleep(time.Second)
+				return second.teams()
+			},
+			want: 4,
+		},
+		{
+			name: "what was read from a peer is read on from the log",
+			run: func(t *testing.T, log *standin.Log, start func() *reader) int {
+				r := start()
+				fill(t, r, 4)
+				log.SetFaults(standin.Faults{
+					Down: true,
+				})
+				second := start()
+				second.peers.from = r.follower
+				time.Sleep(time.Second)
+				log.SetFaults(standin.Faults{})
+				fill(t, r, 6)
+				time.Sleep(time.Second)
+				return second.teams()
+			},
+			want: 6,
+		},
+		{
+			name: "one that was away for longer than the log keeps records catches up",
+			run: func(t *testing.T, log *standin.Log, start func() *reader) int {
+				r := start()
+				fill(t, r, 2)
+				synctest.Wait()
+				log.SetFaults(standin.Faults{
+					Down: true,
+				})
+				time.Sleep(5 * time.Second)
+				for n := range 6 {
+					record, _ := pomelospring.NewRecord(fmt.Sprint("direct", n), configuration.KindChange, time.Now(), change(10+n))
+					log.SetFaults(standin.Faults{})
+					_, _ = log.Append(t.Context(), configuration.Stream, []pomelospring.Record{record})
+					log.SetFaults(standin.Faults{
+						Down: true,
+					})
+				}
+				log.SetFaults(standin.Faults{})
+				other := start()
+				time.Sleep(time.Second)
+				_ = other.follower.PostSnapshot(t.Context())
+				time.Sleep(time.Second)
+				if r.back {
+					t.Error("an offset went back")
+				}
+				return r.teams()
+			},
+			want: 8,
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := standin.NewLog(time.Now, 0)
+				start := func() *reader {
+					r := newReader(log)
+					go func() { _ = r.follower.Run(t.Context()) }()
+					return r
+				}
+				if diff := cmp.Diff(scenario.want, scenario.run(t, log, start)); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+// fill makes the configuration have as many teams.
+func fill(t *testing.T, r *reader, teams int) {
+	t.Helper()
+	for n := range teams {
+		if _, _, err := r.follower.Append(t.Context(), configuration.KindChange, change(n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	synctest.Wait()
+}
