--- a/controllers/ownership.go
+++ b/controllers/ownership.go
@@ -145,14 +145,18 @@
 		})
 	}
 	membership := o.Settings.Membership
-	evictAfter := state.PriorDeadline.Add(membership.ClockBound + membership.FlightTime)
-	o.Owner.Gain(backend, state.Fence, evictAfter)
+	var useAfter time.Time
+	if former := state.FormerLease(backend.Name); !former.IsZero() {
+		useAfter = former.Add(membership.ClockBound + membership.FlightTime)
+	}
+	o.Owner.Gain(backend, state.Fence, useAfter)
 	if _, polled := o.polling.LoadOrStore(backend.Name, true); !polled {
 		go o.poll(ctx, backend.Name)
 	}
 }
 
-// lose gives a server up and tells the new owner what still runs there.
+// lose gives a server up and tells the new owner what still runs there, once
+// no order to the server is under way any more.
 func (o *OwnershipController) lose(ctx context.Context, state *failuredomain.State, name string) {
 	busy := o.Owner.Lose(name)
 	owner, known := state.Members[state.Owner(name)]
@@ -168,6 +172,7 @@
 }
 
 func (o *OwnershipController) handOver(ctx context.Context, owner pomelospring.Instance, server string, fence int64, busy map[pomelospring.AdapterVersion]int) {
+	o.Owner.WaitOrders(ctx, server)
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	request := &peerpb.HandoverRequest{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,6 +114,7 @@
 	scheduler := ownership.NewScheduler(queue.NewFair(), placement.StallSaving{})
 	scheduler.LoadWait = d.settings.Callers.LoadWait
 	owner := ownership.NewOwner(scheduler, engineClient, loads, d.logger, d.clock, d.settings.Membership.ClockBound)
+	owner.FlightTime = d.settings.Membership.FlightTime
 	d.common = &controllers.Common{
 		Settings: d.settings,
 		Board:    d.board,
--- a/failuredomain/fold.go
+++ b/failuredomain/fold.go
@@ -82,11 +82,33 @@
 		return
 	}
 	state.Fence = record.Offset + 1
-	for _, member := range before {
-		if member.Deadline.After(state.PriorDeadline) {
-			state.PriorDeadline = member.Deadline
+	state.Past = append(stillHeld(state.Past, record.Stamp.Add(-clockBound)), pastOf(before))
+}
+
+// stillHeld drops the sets of which every lease has ended everywhere.
+func stillHeld(past []Past, at time.Time) []Past {
+	kept := make([]Past, 0, len(past)+1)
+	for _, set := range past {
+		for _, deadline := range set.Deadlines {
+			if !deadline.Before(at) {
+				kept = append(kept, set)
+				break
+			}
+		}
+	}
+	return kept
+}
+
+func pastOf(members map[string]Member) Past {
+	past := Past{
+		Deadlines: map[string]time.Time{},
+	}
+	for id, member := range members {
+		if !member.Instance.Leaving {
+			past.Deadlines[id] = member.Deadline
 		}
 	}
+	return past
 }
 
 func sameOwners(before, after map[string]Member) bool {
--- a/failuredomain/fold_test.go
+++ b/failuredomain/fold_test.go
@@ -1,6 +1,7 @@
 package failuredomain_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -160,7 +161,9 @@
 type membership struct {
 	Candidates []string
 	Fence      int64
-	Prior      float64
+	// Former is when the last lease ends of former owners of a server, as the
+	// candidates have owned it in turn.
+	Former float64
 }
 
 func TestMembership(t *testing.T) {
@@ -188,7 +191,7 @@
 				s.renew("i", 1, 0, 10, false)
 				s.renew("j", 1, 1, 11, false)
 			},
-			want: membership{Candidates: []string{"i", "j"}, Fence: 2, Prior: 10},
+			want: membership{Candidates: []string{"i", "j"}, Fence: 2, Former: 10},
 		},
 		{
 			name: "a lease that lapsed ends once a stamp lies beyond the clock bound",
@@ -198,7 +201,7 @@
 				s.renew("j", 2, 10.2, 30, false)
 				s.renew("j", 3, 10.4, 30, false)
 			},
-			want: membership{Candidates: []string{"j"}, Fence: 4, Prior: 30},
+			want: membership{Candidates: []string{"j"}, Fence: 4, Former: 10},
 		},
 		{
 			name: "a leaving member owns nothing and is still known",
@@ -207,7 +210,7 @@
 				s.renew("j", 1, 1, 11, false)
 				s.renew("i", 2, 2, 12, true)
 			},
-			want: membership{Candidates: []string{"j"}, Fence: 3, Prior: 11},
+			want: membership{Candidates: []string{"j"}, Fence: 3, Former: 10},
 		},
 		{
 			name: "an old renewal that arrives late brings nobody back",
@@ -217,7 +220,7 @@
 				s.renew("i", 3, 2, 12, true)
 				s.renew("i", 2, 1, 11, false)
 			},
-			want: membership{Candidates: []string{"j"}, Fence: 3, Prior: 11},
+			want: membership{Candidates: []string{"j"}, Fence: 3, Former: 10},
 		},
 	}
 	for _, scenario := range scenarios {
@@ -228,8 +231,10 @@
 				Candidates: s.state.Candidates(),
 				Fence:      s.state.Fence,
 			}
-			if !s.state.PriorDeadline.IsZero() {
-				got.Prior = s.state.PriorDeadline.Sub(start).Seconds()
+			for n := range 64 {
+				if former := s.state.FormerLease(fmt.Sprint("m", n)); !former.IsZero() {
+					got.Former = max(got.Former, former.Sub(start).Seconds())
+				}
 			}
 			if diff := cmp.Diff(scenario.want, got); diff != "" {
 				t.Error(diff)
--- a/failuredomain/owner.go
+++ b/failuredomain/owner.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pomelospring/pomelospring"
@@ -14,6 +15,19 @@
 	return highest(s.Candidates(), "owner/"+server)
 }
 
+// FormerLease is when the last lease ends of those that owned a backend server
+// before its owner of now; the zero time without any.
+func (s *State) FormerLease(server string) (deadline time.Time) {
+	owner := s.Owner(server)
+	for _, set := range s.Past {
+		former := highest(slices.Sorted(maps.Keys(set.Deadlines)), "owner/"+server)
+		if former != owner && set.Deadlines[former].After(deadline) {
+			deadline = set.Deadlines[former]
+		}
+	}
+	return deadline
+}
+
 // Writer names the member that writes the domain's claims and intents. Two
 // that think so at once are harmless; one spares the log.
 func (s *State) Writer(purpose string) string {
--- a/failuredomain/state.go
+++ b/failuredomain/state.go
@@ -51,6 +51,13 @@
 	Deadline time.Time             `json:"deadline"`
 }
 
+// Past is a former set of owners.
+type Past struct {
+	// Deadlines maps each member that could own servers to the end of the
+	// lease that it had when the set changed.
+	Deadlines map[string]time.Time `json:"deadlines"`
+}
+
 // State is a failure domain at one offset. It is never changed in place.
 type State struct {
 	// Next is the offset of the first record that is not folded in.
@@ -60,8 +67,9 @@
 	// Fence is the offset after the record that last changed who may own
 	// backend servers; it goes out as fencing number.
 	Fence int64 `json:"fence"`
-	// PriorDeadline is when the last lease held before that change ends.
-	PriorDeadline time.Time `json:"priorDeadline"`
+	// Past are the sets of owners before that change, of which some member's
+	// lease may still hold by its own clock.
+	Past []Past `json:"past,omitempty"`
 	// Holding is the domain's last settled part of the common budget.
 	Holding budget.Holding `json:"holding"`
 	// Claims are the domain's claims that are not settled, oldest first.
--- a/ownership/control.go
+++ b/ownership/control.go
@@ -12,9 +12,9 @@
 var endOfTime = time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // Gain takes over a model worker; see Scheduler.Gain.
-func (o *Owner) Gain(backend pomelospring.BackendServer, fence int64, evictAfter time.Time) {
+func (o *Owner) Gain(backend pomelospring.BackendServer, fence int64, useAfter time.Time) {
 	o.mu.Lock()
-	o.scheduler.Gain(backend, fence, evictAfter)
+	o.scheduler.Gain(backend, fence, useAfter)
 	o.mu.Unlock()
 	o.Changed()
 	o.Advance()
@@ -54,11 +54,37 @@
 // HandedOver takes the former owner's word; see Scheduler.HandedOver.
 func (o *Owner) HandedOver(name string, fence int64, busy map[pomelospring.AdapterVersion]int) {
 	o.mu.Lock()
-	o.scheduler.HandedOver(name, fence, busy, o.Clock())
+	o.scheduler.HandedOver(name, fence, busy, o.Clock().Add(o.FlightTime))
 	o.mu.Unlock()
 	o.Advance()
 }
 
+// WaitOrders returns once no order to a model worker is under way.
+func (o *Owner) WaitOrders(ctx context.Context, server string) {
+	for {
+		o.mu.Lock()
+		count, changed := o.orders[server], o.ordered
+		o.mu.Unlock()
+		if count == 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// orderDone notes that an order to a model worker is not under way any more.
+func (o *Owner) orderDone(server string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.orders[server]--
+	close(o.ordered)
+	o.ordered = make(chan struct{})
+}
+
 // Summaries tells what is owned here.
 func (o *Owner) Summaries() []Summary {
 	o.mu.Lock()
--- a/ownership/owner.go
+++ b/ownership/owner.go
@@ -49,6 +49,8 @@
 	Clock  pomelospring.Clock
 	// ClockBound is the largest difference assumed between two clocks.
 	ClockBound time.Duration
+	// FlightTime is the longest that a request or order is under way.
+	FlightTime time.Duration
 	// Changed is called after placements changed.
 	Changed func()
 
@@ -58,6 +60,10 @@
 	// served is the mean time that a request runs.
 	served    time.Duration
 	refilling bool
+	// orders counts the orders under way by server; ordered is closed when
+	// one of them changes.
+	orders  map[string]int
+	ordered chan struct{}
 }
 
 type verdict struct {
@@ -77,6 +83,8 @@
 		scheduler:  scheduler,
 		waiting:    map[string]chan verdict{},
 		served:     time.Second,
+		orders:     map[string]int{},
+		ordered:    make(chan struct{}),
 	}
 }
 
@@ -217,7 +225,7 @@
 func (o *Owner) finish(work *pomelospring.Work, server pomelospring.BackendServer, used float64, abandoned bool) {
 	o.mu.Lock()
 	if abandoned {
-		o.scheduler.Abandoned(work, server.Name, used, o.Clock())
+		o.scheduler.Abandoned(work, server.Name, used, o.Clock(), o.FlightTime)
 	} else {
 		o.scheduler.Finished(work, server.Name, used, o.Clock())
 	}
@@ -245,6 +253,9 @@
 			refusal: pomelospring.NewRefusal(pomelospring.CodeOverloaded, o.Clock().Add(o.scheduler.Backlog(o.served)+time.Second), "the request could not be started in time"),
 		})
 	}
+	for _, load := range actions.Loads {
+		o.orders[load.Server.Name]++
+	}
 	refill := actions.Starved && !o.refilling
 	if refill {
 		o.refilling = true
@@ -286,6 +297,7 @@
 	}
 	events.Log(o.Logger, events.AdapterLoading, fields)
 	err := o.order(order)
+	o.orderDone(order.Server.Name)
 	o.mu.Lock()
 	o.scheduler.Loaded(order.Server.Name, order.Placement.Adapter, err != nil, o.Clock())
 	o.mu.Unlock()
--- a/ownership/scheduler.go
+++ b/ownership/scheduler.go
@@ -71,13 +71,14 @@
 	// reported says that the server itself said what is resident.
 	reported bool
 	resident map[pomelospring.AdapterVersion]*resident
-	// evictAfter is when a former owner can no longer send work.
-	evictAfter time.Time
-	// idleReport is set once a report after evictAfter was taken.
+	// useAfter is when a former owner can no longer send work or orders.
+	useAfter time.Time
+	// idleReport is set once a report after useAfter was taken.
 	idleReport bool
 	// foreign counts work of the former owner that still runs.
 	foreign map[pomelospring.AdapterVersion]int
-	// foreignAt is when foreign was told; older reports don't change it.
+	// foreignAt is when all of foreign has arrived; older reports don't change
+	// it.
 	foreignAt time.Time
 	// frozen forbids orders: the lease lapsed and no peer can confirm it.
 	frozen   bool
@@ -94,8 +95,8 @@
 	loading  bool
 	lastUsed time.Time
 	loadedAt time.Time
-	// lingering is when a request on it was given up that the server may
-	// still run; zero once a later report shows that it does not.
+	// lingering is when a request on it that was given up has arrived at the
+	// latest; zero once a later report shows that it does not run.
 	lingering time.Time
 }
 
@@ -116,22 +117,22 @@
 	}
 }
 
-// Gain takes over a model worker. Nothing is evicted before evictAfter, unless
-// the former owner hands over.
-func (s *Scheduler) Gain(backend pomelospring.BackendServer, fence int64, evictAfter time.Time) {
+// Gain takes over a model worker. Nothing is sent there before useAfter, unless
+// the former owner hands over: it may still evict what it thinks idle.
+func (s *Scheduler) Gain(backend pomelospring.BackendServer, fence int64, useAfter time.Time) {
 	if held, known := s.servers[backend.Name]; known {
 		held.backend = backend
 		held.fence = fence
 		return
 	}
 	s.servers[backend.Name] = &server{
-		backend:    backend,
-		fence:      fence,
-		resident:   map[pomelospring.AdapterVersion]*resident{},
-		evictAfter: evictAfter,
-		foreign:    map[pomelospring.AdapterVersion]int{},
-		failures:   map[pomelospring.AdapterVersion]time.Time{},
-		evicted:    map[pomelospring.AdapterVersion]time.Time{},
+		backend:  backend,
+		fence:    fence,
+		resident: map[pomelospring.AdapterVersion]*resident{},
+		useAfter: useAfter,
+		foreign:  map[pomelospring.AdapterVersion]int{},
+		failures: map[pomelospring.AdapterVersion]time.Time{},
+		evicted:  map[pomelospring.AdapterVersion]time.Time{},
 	}
 	s.rename()
 }
@@ -179,15 +180,16 @@
 	}
 }
 
-// HandedOver takes the former owner's word on what still runs.
-func (s *Scheduler) HandedOver(name string, fence int64, busy map[pomelospring.AdapterVersion]int, now time.Time) {
+// HandedOver takes the former owner's word on what still runs. Requests that
+// it sent may be under way until arrived; only a later report clears them.
+func (s *Scheduler) HandedOver(name string, fence int64, busy map[pomelospring.AdapterVersion]int, arrived time.Time) {
 	held, known := s.servers[name]
 	if !known || fence < held.fence {
 		return
 	}
 	held.foreign = busy
-	held.foreignAt = now
-	held.evictAfter = time.Time{}
+	held.foreignAt = arrived
+	held.useAfter = time.Time{}
 	held.idleReport = true
 }
 
@@ -199,7 +201,7 @@
 	}
 	held.reconcile(report, at)
 	held.reported = true
-	if !held.idleReport && at.After(held.evictAfter) {
+	if !held.idleReport && at.After(held.useAfter) {
 		held.idleReport = true
 		held.foreign = foreignOf(held, report)
 		return
@@ -329,15 +331,16 @@
 }
 
 // Abandoned says that dispatched work was given up while its model worker may
-// still run it: the adapter stays until a later report shows it idle.
-func (s *Scheduler) Abandoned(work *pomelospring.Work, name string, used float64, now time.Time) {
+// still run it: the adapter stays until a report from after its time of flight
+// shows it idle.
+func (s *Scheduler) Abandoned(work *pomelospring.Work, name string, used float64, now time.Time, flight time.Duration) {
 	s.Finished(work, name, used, now)
 	held, known := s.servers[name]
 	if !known {
 		return
 	}
 	if r := held.resident[work.Adapter]; r != nil {
-		r.lingering = now
+		r.lingering = now.Add(flight)
 	}
 }
 
@@ -459,7 +462,7 @@
 	free := make([]*server, 0, len(s.names))
 	for _, name := range s.names {
 		held := s.servers[name]
-		if held.running < held.backend.Running && !held.backend.Draining && !now.Before(held.brokenUntil) {
+		if held.running < held.backend.Running && held.usable(now) {
 			free = append(free, held)
 		}
 	}
@@ -469,6 +472,11 @@
 	return free
 }
 
+// usable says whether anything may be sent to the server.
+func (held *server) usable(now time.Time) bool {
+	return !held.backend.Draining && !now.Before(held.brokenUntil) && !now.Before(held.useAfter)
+}
+
 func ready(held *server) []pomelospring.AdapterVersion {
 	names := make([]pomelospring.AdapterVersion, 0, len(held.resident))
 	for adapter, r := range held.resident {
--- a/ownership/scheduler_test.go
+++ b/ownership/scheduler_test.go
@@ -34,12 +34,12 @@
 }
 
 // newScript owns server m1 with two slots, since second 0.
-func newScript(evictAfter float64) *script {
+func newScript(useAfter float64) *script {
 	s := &script{
 		Scheduler: ownership.NewScheduler(queue.NewFair(), placement.StallSaving{}),
 		work:      map[string]*pomelospring.Work{},
 	}
-	s.Gain(server("m1"), 1, at(evictAfter))
+	s.Gain(server("m1"), 1, at(useAfter))
 	return s
 }
 
@@ -115,10 +115,10 @@
 
 func TestScheduler(t *testing.T) {
 	scenarios := []struct {
-		name       string
-		evictAfter float64
-		run        func(s *script)
-		want       []string
+		name     string
+		useAfter float64
+		run      func(s *script)
+		want     []string
 	}{
 		{
 			name: "a resident adapter is served at once",
@@ -159,19 +159,22 @@
 			want: []string{"r1 to m1", "r2 to m1", "load z on m1 for y"},
 		},
 		{
-			name:       "a new owner evicts nothing before the former one's lease is over",
-			evictAfter: 10,
+			name:     "a new owner sends nothing before the former one's lease is over",
+			useAfter: 10,
 			run: func(s *script) {
 				s.report(1, []string{"x", "y"})
-				s.ask("r1", "z", 2)
+				s.ask("r1", "x", 2)
+				s.ask("r2", "z", 2)
 				s.report(9.9, []string{"x", "y"})
 				s.next(9.95)
+				s.note("over")
+				s.next(10)
 			},
-			want: nil,
+			want: []string{"over", "r1 to m1"},
 		},
 		{
-			name:       "nor before a report from after that time",
-			evictAfter: 10,
+			name:     "nor evicts anything before a report from after that time",
+			useAfter: 10,
 			run: func(s *script) {
 				s.report(9, []string{"x", "y"})
 				s.ask("r1", "z", 9)
@@ -183,8 +186,8 @@
 			want: []string{"reported", "load z on m1 for y"},
 		},
 		{
-			name:       "what the former owner hands over may be evicted but for what runs",
-			evictAfter: 100,
+			name:     "what the former owner hands over may be evicted but for what runs",
+			useAfter: 100,
 			run: func(s *script) {
 				s.report(1, []string{"x", "y"})
 				s.HandedOver("m1", 1, map[pomelospring.AdapterVersion]int{name("x"): 1}, at(2))
@@ -193,8 +196,8 @@
 			want: []string{"load z on m1 for y"},
 		},
 		{
-			name:       "an old handover counts for nothing",
-			evictAfter: 100,
+			name:     "an old handover counts for nothing",
+			useAfter: 100,
 			run: func(s *script) {
 				s.report(1, []string{"x", "y"})
 				s.HandedOver("m1", 0, nil, at(2))
@@ -208,9 +211,9 @@
 				s.report(1, []string{"x", "y"})
 				s.ask("r1", "x", 2)
 				s.ask("r2", "y", 2)
-				s.Abandoned(s.work["r1"], "m1", 10, at(3))
+				s.Abandoned(s.work["r1"], "m1", 10, at(3), 200*time.Millisecond)
 				s.ask("r3", "z", 3.1)
-				s.report(2.9, []string{"x", "y"}, "y")
+				s.report(3.1, []string{"x", "y"}, "y")
 				s.next(3.2)
 				s.note("reported")
 				s.report(3.5, []string{"x", "y"}, "y")
@@ -298,7 +301,7 @@
 	}
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
-			s := newScript(scenario.evictAfter)
+			s := newScript(scenario.useAfter)
 			scenario.run(s)
 			if diff := cmp.Diff(scenario.want, s.done); diff != "" {
 				t.Error(diff)
--- a/ownership/view.go
+++ b/ownership/view.go
@@ -48,7 +48,7 @@
 	views := make([]pomelospring.ServerView, 0, len(s.names))
 	for _, name := range s.names {
 		held := s.servers[name]
-		if !held.reported || held.frozen || held.backend.Draining || now.Before(held.brokenUntil) {
+		if !held.reported || held.frozen || !held.usable(now) {
 			continue
 		}
 		view := pomelospring.ServerView{
@@ -57,7 +57,7 @@
 			Slots:    held.backend.Slots,
 			Running:  held.running,
 			Limit:    held.backend.Running,
-			MayEvict: held.idleReport && !now.Before(held.evictAfter),
+			MayEvict: held.idleReport,
 		}
 		for adapter, r := range held.resident {
 			view.Resident = append(view.Resident, pomelospring.ResidentView{
