--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-PROGRAMS := pomelospringd pomelospringctl standins
+PROGRAMS := pomelospringd pomelospringctl standins measure
 
 .PHONY: build run stop test bench lint generate
 
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -15,6 +15,8 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(&stallsCommand{}, "")
 	commander.Register(&floodCommand{}, "")
+	commander.Register(&slopesCommand{}, "")
+	commander.Register(&overheadCommand{}, "")
 	commander.Register(&refusalsCommand{}, "")
 	flag.Parse()
 	os.Exit(int(commander.Execute(context.Background())))
--- /dev/null
+++ b/cmd/measure/overhead.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/subcommands"
+	"github.com/pomelospring/pomelospring/engine"
+)
+
+// overheadCommand compares the time to the first token at a model worker and
+// through a daemon.
+type overheadCommand struct {
+	direct  string
+	through string
+	key     string
+	model   string
+	rate    int
+	length  time.Duration
+}
+
+// Name implements subcommands.Command.
+func (*overheadCommand) Name() string { return "overhead" }
+
+// Synopsis implements subcommands.Command.
+func (*overheadCommand) Synopsis() string { return "what a daemon adds to the first token" }
+
+// Usage implements subcommands.Command.
+func (*overheadCommand) Usage() string {
+	return `overhead -direct URL -through URL -key KEY -model MODEL [-rate N] [-length TIME]
+  Sends requests at a steady rate to a model worker that has the model, then
+  through a daemon, and prints quantiles of the time to the first token.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (o *overheadCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&o.direct, "direct", "http://127.0.0.1:7101", "base URL of the model worker")
+	flags.StringVar(&o.through, "through", "http://127.0.0.1:8011", "base URL of the daemon")
+	flags.StringVar(&o.key, "key", "", "caller's key")
+	flags.StringVar(&o.model, "model", "billing@v2", "model to ask")
+	flags.IntVar(&o.rate, "rate", 200, "requests a second")
+	flags.DurationVar(&o.length, "length", 20*time.Second, "time measured for each")
+}
+
+// Execute implements subcommands.Command.
+func (o *overheadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...interface{}) subcommands.ExitStatus {
+	for _, target := range []struct {
+		name string
+		url  string
+	}{
+		{
+			name: "model worker",
+			url:  o.direct,
+		},
+		{
+			name: "through a daemon",
+			url:  o.through,
+		},
+	} {
+		histogram, failed := o.run(ctx, target.url)
+		millis := func(q float64) float64 { return float64(histogram.ValueAtQuantile(q)) / 1000 }
+		fmt.Printf("| %s | %d | %d | %.2f | %.2f | %.2f |\n", target.name, histogram.TotalCount(), failed, millis(50), millis(95), millis(99))
+	}
+	return subcommands.ExitSuccess
+}
+
+// run asks at the steady rate; the time counts from when a request was due.
+func (o *overheadCommand) run(ctx context.Context, url string) (histogram *hdrhistogram.Histogram, failed int) {
+	histogram = hdrhistogram.New(1, 60_000_000, 3)
+	client := &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 1000,
+		},
+	}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	interval := time.Second / time.Duration(o.rate)
+	began := time.Now()
+	for i := 0; time.Since(began) < o.length; i++ {
+		due := began.Add(time.Duration(i) * interval)
+		time.Sleep(time.Until(due))
+		group.Go(func() {
+			err := o.ask(ctx, client, url)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				if failed++; failed == 1 {
+					fmt.Fprintln(os.Stderr, err)
+				}
+				return
+			}
+			_ = histogram.RecordValue(time.Since(due).Microseconds())
+		})
+	}
+	group.Wait()
+	return histogram, failed
+}
+
+// ask returns once the first token is there and drains the rest later.
+func (o *overheadCommand) ask(ctx context.Context, client *http.Client, url string) error {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`, o.model)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+engine.PathChat, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return err
+	}
+	if url == o.through {
+		request.Header.Set("Authorization", "Bearer "+o.key)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	reader := bufio.NewReader(response.Body)
+	if _, err = reader.ReadString('\n'); err != nil {
+		_ = response.Body.Close()
+		return err
+	}
+	go func() {
+		_, _ = reader.WriteTo(discard{})
+		_ = response.Body.Close()
+	}()
+	return nil
+}
+
+// discard takes the rest of an answer.
+type discard struct{}
+
+// Write implements io.Writer.
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- /dev/null
+++ b/cmd/measure/slopes.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/pomelospring/pomelospring/capacity"
+)
+
+// slopesCommand measures what control work costs at several sizes.
+type slopesCommand struct{}
+
+// Name implements subcommands.Command.
+func (*slopesCommand) Name() string { return "slopes" }
+
+// Synopsis implements subcommands.Command.
+func (*slopesCommand) Synopsis() string { return "measure the slopes of docs/CAPACITY.md, as JSON" }
+
+// Usage implements subcommands.Command.
+func (*slopesCommand) Usage() string { return "slopes > docs/measurements/slopes.json\n" }
+
+// SetFlags implements subcommands.Command.
+func (*slopesCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (*slopesCommand) Execute(context.Context, *flag.FlagSet, ...interface{}) subcommands.ExitStatus {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(capacity.Measure()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/cmd/pomelospringctl/run.go
+++ b/cmd/pomelospringctl/run.go
@@ -56,7 +56,8 @@
 // Usage implements subcommands.Command.
 func (*runCommand) Usage() string {
 	return `run [-address URL] [-format table|json|csv] [-dryRun] [-wait TIME] COMMAND
-  Sends a command of the language; see the subcommand language.
+  Sends a command of the language; see the subcommand language. With - in place
+  of the command it is read from standard input.
   The operator's token is taken from ` + variableToken + `.
   Examples:
     run 'set team utility rate 5000 burst 20000'
@@ -88,8 +89,13 @@
 		fmt.Fprintf(os.Stderr, "format %q is not table, json or csv\n", r.format)
 		return subcommands.ExitUsageError
 	}
+	text, err := textOf(flags.Args(), os.Stdin)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
 	request := operator.Request{
-		Text:        strings.Join(flags.Args(), " "),
+		Text:        text,
 		DryRun:      r.dryRun,
 		WaitSeconds: int(r.wait.Seconds()),
 		MadeAgainst: r.madeAgainst,
@@ -109,6 +115,15 @@
 	return r.exitStatus(status, reply)
 }
 
+// textOf is the command's text: the arguments, or standard input for "-".
+func textOf(args []string, input io.Reader) (text string, err error) {
+	if len(args) != 1 || args[0] != "-" {
+		return strings.Join(args, " "), nil
+	}
+	read, err := io.ReadAll(input)
+	return string(read), err
+}
+
 func (r *runCommand) exitStatus(status int, reply operator.Reply) subcommands.ExitStatus {
 	switch {
 	case reply.Unsettled:
--- a/controllers/directory.go
+++ b/controllers/directory.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -31,6 +31,9 @@
 	publishInterval = 50 * time.Millisecond
 	// loadSteps is how finely the load of a server is told, per limit.
 	loadSteps = 4
+	// loadToldLimit is the number of servers up to which load alone is news;
+	// in a larger fleet it rides on answers and on placements only.
+	loadToldLimit = 256
 )
 
 // DirectoryController tells others what is resident on the model workers
@@ -101,7 +104,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, summary := range d.Owner.Summaries() {
-		text := digest(summary)
+		text := digest(summary, d.Board.Directory.Len() <= loadToldLimit)
 		if d.told[summary.Server] == text {
 			continue
 		}
@@ -111,9 +114,13 @@
 	}
 }
 
-func digest(summary ownership.Summary) string {
-	step := (summary.Running + summary.Waiting) * loadSteps / max(1, summary.Limit)
-	return strings.Join(append(summary.Resident, string(rune('a'+min(step, 25))), time.Unix(summary.Fence, 0).String()), " ")
+// digest is what makes word of a server news.
+func digest(summary ownership.Summary, withLoad bool) string {
+	step := 0
+	if withLoad {
+		step = (summary.Running + summary.Waiting) * loadSteps / max(1, summary.Limit)
+	}
+	return fmt.Sprint(summary.Fence, step, summary.Resident)
 }
 
 func (d *DirectoryController) entry(summary ownership.Summary) routing.Entry {
--- a/ownership/owner.go
+++ b/ownership/owner.go
@@ -39,6 +39,9 @@
 	Server string
 	// Stalled is how long the request waited for a load.
 	Stalled time.Duration
+	// Running and Waiting are the server's load as the request ended.
+	Running int
+	Waiting int
 }
 
 // Owner runs the model workers that this instance owns.
@@ -102,6 +105,7 @@
 			Stalled: o.Clock().Sub(started),
 		}
 		end.Usage, err = o.run(ctx, work, server, request, emit)
+		end.Running, end.Waiting = o.loadOf(server.Name)
 		if errors.Is(err, engine.ErrMissing) {
 			continue
 		}
@@ -216,6 +220,13 @@
 	o.scheduler.Broken(server.Name, o.Clock().Add(brokenPause))
 }
 
+// loadOf is the load of a server; it rides on the answers to other instances.
+func (o *Owner) loadOf(server string) (running, waiting int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.scheduler.Load(server)
+}
+
 func (o *Owner) took(duration time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/ownership/view.go
+++ b/ownership/view.go
@@ -132,6 +132,14 @@
 	return summaries
 }
 
+// Load counts what runs on a server owned and what waits here.
+func (s *Scheduler) Load(name string) (running, waiting int) {
+	if held, known := s.servers[name]; known {
+		running = held.running
+	}
+	return running, s.Queue.Len()
+}
+
 // Backlog is how long newly queued work would wait, if all that waits and runs
 // takes as long as one request did of late.
 func (s *Scheduler) Backlog(serviceTime time.Duration) time.Duration {
--- a/peer/server.go
+++ b/peer/server.go
@@ -281,6 +281,8 @@
 		CompletionTokens: end.Usage.CompletionTokens,
 		Server:           end.Server,
 		Stalled:          int64(end.Stalled),
+		Running:          int32(end.Running),
+		Waiting:          int32(end.Waiting),
 	}
 }
 
@@ -294,5 +296,7 @@
 		},
 		Server:  end.GetServer(),
 		Stalled: time.Duration(end.GetStalled()),
+		Running: int(end.GetRunning()),
+		Waiting: int(end.GetWaiting()),
 	}
 }
--- a/routing/directory.go
+++ b/routing/directory.go
@@ -84,6 +84,23 @@
 	return true
 }
 
+// NoteLoad takes the load that an answer told of a server. It is not passed on.
+func (d *Directory) NoteLoad(server string, running, waiting int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if held, known := d.servers[server]; known {
+		held.Running = running
+		held.Waiting = waiting
+	}
+}
+
+// Len counts the servers known.
+func (d *Directory) Len() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.servers)
+}
+
 func newer(a, b Entry) bool {
 	if a.Fence != b.Fence {
 		return a.Fence > b.Fence
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -154,7 +154,9 @@
 			return peer.ToEnd(chunk.GetEnd()), peer.ToRefusal(chunk.GetRefusal())
 		}
 		if chunk.GetEnd() != nil {
-			return peer.ToEnd(chunk.GetEnd()), nil
+			end = peer.ToEnd(chunk.GetEnd())
+			s.Board.Directory.NoteLoad(end.Server, end.Running, end.Waiting)
+			return end, nil
 		}
 		if err := emit(chunk.GetData()); err != nil {
 			return end, pomelospring.NewUnknown(pomelospring.CodeCallerGone, "%v", err)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -157,7 +157,7 @@
 		},
 		Streams: Streams{
 			SnapshotRecords: 500,
-			SnapshotAge:     5 * time.Minute,
+			SnapshotAge:     20 * time.Minute,
 		},
 		Logging: Logging{
 			Level: "info",
