--- a/Makefile
+++ b/Makefile
@@ -14,4 +14,16 @@
 	scripts/stop
 
 test:
-	go test -race -count=1 work
+	go test -race -count=1 -p 2 work
+
+bench:
+	go test -run xxx -bench . ./routing ./admission
+
+lint:
+	for module in . cmd/*; do (cd $$module && golangci-lint run ./...) || exit 1; done
+
+generate: build
+	cd peer/peerpb && protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. peer.proto
+	bin/pomelospringd reference > docs/SETTINGS.md
+	bin/pomelospringd events > docs/EVENTS.md
+	bin/measure capacity > docs/CAPACITY.md
--- a/capacity/slopes.go
+++ b/capacity/slopes.go
@@ -56,7 +56,8 @@
 		Size: size,
 		Unit: unit,
 	}
-	var xs, ys []float64
+	xs := make([]float64, 0, len(sizes))
+	ys := make([]float64, 0, len(sizes))
 	for _, n := range sizes {
 		value := measure(n)
 		s.Points = append(s.Points, Point{
@@ -163,7 +164,7 @@
 
 func configured(adapters int) *configuration.State {
 	state := configuration.NewState()
-	var operations []configuration.Operation
+	operations := make([]configuration.Operation, 0, adapters)
 	for n := range adapters {
 		operations = append(operations, adapterOperation(n))
 	}
@@ -187,7 +188,7 @@
 }
 
 func changeBytes(operations int) float64 {
-	var list []configuration.Operation
+	list := make([]configuration.Operation, 0, operations)
 	for n := range operations {
 		list = append(list, adapterOperation(n))
 	}
@@ -393,7 +394,7 @@
 		LeasedDeadline: start.Add(time.Hour),
 	}, start)
 	now := start.Add(time.Second)
-	var reservations []budget.Reservation
+	reservations := make([]budget.Reservation, 0, open)
 	for range open {
 		reservation, _ := bucket.Spend(100, now)
 		reservations = append(reservations, reservation)
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -16,6 +16,7 @@
 	commander.Register(&stallsCommand{}, "")
 	commander.Register(&floodCommand{}, "")
 	commander.Register(&slopesCommand{}, "")
+	commander.Register(&capacityCommand{}, "")
 	commander.Register(&overheadCommand{}, "")
 	commander.Register(&refusalsCommand{}, "")
 	flag.Parse()
--- a/cmd/measure/overhead.go
+++ b/cmd/measure/overhead.go
@@ -6,6 +6,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"sync"
@@ -89,24 +90,27 @@
 		due := began.Add(time.Duration(i) * interval)
 		time.Sleep(time.Until(due))
 		group.Go(func() {
-			err := o.ask(ctx, client, url)
+			err := o.ask(ctx, client, url, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				_ = histogram.RecordValue(time.Since(due).Microseconds())
+			})
+			if err == nil {
+				return
+			}
 			mu.Lock()
 			defer mu.Unlock()
-			if err != nil {
-				if failed++; failed == 1 {
-					fmt.Fprintln(os.Stderr, err)
-				}
-				return
+			if failed++; failed == 1 {
+				fmt.Fprintln(os.Stderr, err)
 			}
-			_ = histogram.RecordValue(time.Since(due).Microseconds())
 		})
 	}
 	group.Wait()
 	return histogram, failed
 }
 
-// ask returns once the first token is there and drains the rest later.
-func (o *overheadCommand) ask(ctx context.Context, client *http.Client, url string) error {
+// ask calls first once the first token is there and reads the rest.
+func (o *overheadCommand) ask(ctx context.Context, client *http.Client, url string, first func()) (err error) {
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`, o.model)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+engine.PathChat, bytes.NewReader([]byte(body)))
 	if err != nil {
@@ -119,24 +123,15 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		_ = response.Body.Close()
 		return fmt.Errorf("status %d", response.StatusCode)
 	}
 	reader := bufio.NewReader(response.Body)
 	if _, err = reader.ReadString('\n'); err != nil {
-		_ = response.Body.Close()
 		return err
 	}
-	go func() {
-		_, _ = reader.WriteTo(discard{})
-		_ = response.Body.Close()
-	}()
-	return nil
+	first()
+	_, err = io.Copy(io.Discard, reader)
+	return err
 }
-
-// discard takes the rest of an answer.
-type discard struct{}
-
-// Write implements io.Writer.
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- a/cmd/measure/refusals.go
+++ b/cmd/measure/refusals.go
@@ -38,7 +38,7 @@
 	fmt.Println("| --- | --- | --- | --- |")
 	for _, c := range measure.RefusalCases(r.length) {
 		for _, policy := range measure.Sharings {
-			var parts []float64
+			parts := make([]float64, 0, r.seeds)
 			worst := 0.0
 			for seed := range r.seeds {
 				result := measure.RunRefusals(c, policy, uint64(seed+1))
--- a/cmd/measure/slopes.go
+++ b/cmd/measure/slopes.go
@@ -36,3 +36,38 @@
 	}
 	return subcommands.ExitSuccess
 }
+
+// capacityCommand makes the page from the slopes.
+type capacityCommand struct {
+	path string
+}
+
+// Name implements subcommands.Command.
+func (*capacityCommand) Name() string { return "capacity" }
+
+// Synopsis implements subcommands.Command.
+func (*capacityCommand) Synopsis() string { return "print docs/CAPACITY.md from measured slopes" }
+
+// Usage implements subcommands.Command.
+func (*capacityCommand) Usage() string { return "capacity > docs/CAPACITY.md\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *capacityCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.path, "slopes", "docs/measurements/slopes.json", "file of the slopes")
+}
+
+// Execute implements subcommands.Command.
+func (c *capacityCommand) Execute(context.Context, *flag.FlagSet, ...interface{}) subcommands.ExitStatus {
+	text, err := os.ReadFile(c.path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	var slopes []capacity.Slope
+	if err := json.Unmarshal(text, &slopes); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	capacity.WritePage(os.Stdout, slopes)
+	return subcommands.ExitSuccess
+}
--- a/controllers/budget.go
+++ b/controllers/budget.go
@@ -112,7 +112,10 @@
 	for pool := range b.pools() {
 		claim.Shares[pool] = b.target(pool, claim.Wanted[pool], now).AtLeast(state.Stranded(pool, now.Add(-b.Settings.Membership.ClockBound)))
 	}
-	if b.report(b.Domain.Post(ctx, failuredomain.KindDomainClaim, failuredomain.DomainClaim{Claim: claim})) {
+	announced := failuredomain.DomainClaim{
+		Claim: claim,
+	}
+	if b.report(b.Domain.Post(ctx, failuredomain.KindDomainClaim, announced)) {
 		b.announcedAt = now
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -152,11 +152,11 @@
 	if t.peers, err = certificate.Client(d.settings.TLS.Peers, d.logger); err != nil {
 		return t, err
 	}
-	platformTLS, err := certificate.Client(settings.Certificate{Authority: d.settings.TLS.PlatformAuthority}, d.logger)
+	platformTLS, err := certificate.Client(authorityOnly(d.settings.TLS.PlatformAuthority), d.logger)
 	if err != nil {
 		return t, err
 	}
-	backendTLS, err := certificate.Client(settings.Certificate{Authority: d.settings.TLS.BackendAuthority}, d.logger)
+	backendTLS, err := certificate.Client(authorityOnly(d.settings.TLS.BackendAuthority), d.logger)
 	if err != nil {
 		return t, err
 	}
@@ -170,6 +170,12 @@
 	return t, nil
 }
 
+func authorityOnly(path string) settings.Certificate {
+	return settings.Certificate{
+		Authority: path,
+	}
+}
+
 func newHTTPClient(config *tls.Config, single bool) *http.Client {
 	dialer := &net.Dialer{
 		Timeout: connectTimeout,
@@ -205,16 +211,16 @@
 			})
 		})
 	}
-	d.common.Configuration = follower(configuration.Stream, stream.ConfigurationFold{State: configuration.NewState()}, func(fold stream.Fold, fresh time.Time) {
+	d.common.Configuration = follower(configuration.Stream, stream.ConfigurationFold{}.Empty(), func(fold stream.Fold, fresh time.Time) {
 		d.board.Configuration.Set(fold.(stream.ConfigurationFold).State, fresh)
 	})
-	d.common.Budget = follower(budget.Stream, stream.BudgetFold{State: budget.NewState(), ClockBound: bound}, func(fold stream.Fold, fresh time.Time) {
+	d.common.Budget = follower(budget.Stream, stream.NewBudgetFold(bound), func(fold stream.Fold, fresh time.Time) {
 		d.board.Budget.Set(fold.(stream.BudgetFold).State, fresh)
 	})
-	d.common.Domain = follower(failuredomain.Stream(d.board.Self.Domain), stream.DomainFold{State: failuredomain.NewState(), ClockBound: bound}, func(fold stream.Fold, fresh time.Time) {
+	d.common.Domain = follower(failuredomain.Stream(d.board.Self.Domain), stream.NewDomainFold(bound), func(fold stream.Fold, fresh time.Time) {
 		d.board.Domain.Set(fold.(stream.DomainFold).State, fresh)
 	})
-	d.common.Intents = follower(intent.Stream(d.board.Self.Domain), stream.IntentFold{State: intent.NewState()}, func(fold stream.Fold, fresh time.Time) {
+	d.common.Intents = follower(intent.Stream(d.board.Self.Domain), stream.IntentFold{}.Empty(), func(fold stream.Fold, fresh time.Time) {
 		d.board.Intents.Set(fold.(stream.IntentFold).State, fresh)
 	})
 }
--- a/measure/policies.go
+++ b/measure/policies.go
@@ -16,7 +16,7 @@
 func Current() Policy {
 	return Policy{
 		Name:   "current",
-		Router: func(d *routing.Directory) pomelospring.Router { return routing.Affinity{Directory: d} },
+		Router: newAffinity,
 		Placer: placement.StallSaving{},
 		Queue:  func() pomelospring.Queue { return queue.NewFair() },
 		Lends:  true,
@@ -30,15 +30,33 @@
 	return []Policy{
 		{
 			Name:   "least loaded, LRU, first come",
-			Router: func(d *routing.Directory) pomelospring.Router { return routing.LeastLoaded{Directory: d} },
+			Router: newLeastLoaded,
 			Placer: placement.LeastLoaded{},
 			Queue:  func() pomelospring.Queue { return queue.NewFirstCome() },
 		},
 		{
 			Name:   "rendezvous, LRU, first come",
-			Router: func(d *routing.Directory) pomelospring.Router { return routing.Rendezvous{Directory: d} },
+			Router: newRendezvous,
 			Placer: placement.LeastLoaded{},
 			Queue:  func() pomelospring.Queue { return queue.NewFirstCome() },
 		},
 	}
 }
+
+func newAffinity(d *routing.Directory) pomelospring.Router {
+	return routing.Affinity{
+		Directory: d,
+	}
+}
+
+func newLeastLoaded(d *routing.Directory) pomelospring.Router {
+	return routing.LeastLoaded{
+		Directory: d,
+	}
+}
+
+func newRendezvous(d *routing.Directory) pomelospring.Router {
+	return routing.Rendezvous{
+		Directory: d,
+	}
+}
--- a/measure/world.go
+++ b/measure/world.go
@@ -8,7 +8,6 @@
 
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/budget"
-	"github.com/pomelospring/pomelospring/failuredomain"
 	"github.com/pomelospring/pomelospring/lending"
 	"github.com/pomelospring/pomelospring/ownership"
 	"github.com/pomelospring/pomelospring/routing"
@@ -98,50 +97,6 @@
 	worker   *worker
 }
 
-// event is something that happens at a time; ties keep their order.
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type events []event
-
-// Len implements heap.Interface.
-func (e events) Len() int { return len(e) }
-
-// Less implements heap.Interface.
-func (e events) Less(i, j int) bool {
-	if e[i].at != e[j].at {
-		return e[i].at < e[j].at
-	}
-	return e[i].order < e[j].order
-}
-
-// Swap implements heap.Interface.
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
-func (w *world) after(wait time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.events, event{
-		at:    w.now + wait,
-		order: w.order,
-		run:   run,
-	})
-}
-
-func (w *world) clock() time.Time { return epoch.Add(w.now) }
-
 // Run measures one policy on one case.
 func Run(c Case, policy Policy, seed uint64) Result {
 	w := newWorld(c, policy, seed)
@@ -157,108 +112,6 @@
 	return w.finish()
 }
 
-func newWorld(c Case, policy Policy, seed uint64) *world {
-	w := &world{
-		c:         c,
-		policy:    policy,
-		random:    rand.New(rand.NewPCG(seed, 2)),
-		directory: routing.NewDirectory(),
-		workers:   map[string]*worker{},
-		lost:      -1,
-		result: Result{
-			First: map[int][]time.Duration{},
-		},
-	}
-	w.router = policy.Router(w.directory)
-	w.addOwners()
-	w.addWorkers()
-	return w
-}
-
-func (w *world) addOwners() {
-	count := w.c.Deployment.Instances
-	for i := range count {
-		o := &owner{
-			id:        fmt.Sprintf("instance%d", i),
-			index:     i,
-			domain:    fmt.Sprintf("domain%d", i%domains),
-			scheduler: ownership.NewScheduler(w.policy.Queue(), w.policy.Placer),
-			bank:      budget.NewBank(),
-			waiting:   map[string]*running{},
-		}
-		o.scheduler.LoadWait = w.policy.LoadWait
-		w.owners = append(w.owners, o)
-		w.setTerms(o, lending.PoolLoads, w.c.Deployment.Loads, 8, lending.OneLoad)
-		for team := range teamWeights {
-			rate := w.teamRate(team)
-			w.setTerms(o, lending.PoolOfTeam(teamOf(team)), rate, 4*rate, 0)
-		}
-	}
-}
-
-// teamRate is a team's rate in tokens a second: a quarter above what it sends
-// when no team floods, at what is charged ahead.
-func (w *world) teamRate(team int) float64 {
-	const tokens = 40 + 80 + 10 + 50
-	return 1.25 * w.c.Deployment.Rate * teamWeights[team] * tokens
-}
-
-func (w *world) setTerms(o *owner, pool string, rate, burst, unit float64) {
-	w.setShare(o, pool, rate, burst, unit, budget.Whole/int64(w.c.Deployment.Instances))
-}
-
-func (w *world) setShare(o *owner, pool string, rate, burst, unit float64, share int64) {
-	o.bank.SetTerms(pool, budget.Terms{
-		Rate:  rate,
-		Burst: burst,
-		Unit:  unit,
-		Share: budget.Share{
-			Leased: share,
-		},
-		LeasedDeadline: epoch.Add(1000 * time.Hour),
-	}, w.clock())
-}
-
-// addWorkers gives each worker its owner by the rule of the daemon.
-func (w *world) addWorkers() {
-	for i := range w.c.Deployment.Workers {
-		backend := pomelospring.BackendServer{
-			Name:    fmt.Sprintf("model%d", i),
-			Kind:    pomelospring.ModelWorker,
-			Domain:  fmt.Sprintf("domain%d", i%domains),
-			Base:    "base",
-			Slots:   w.c.Deployment.Slots,
-			Running: w.c.Deployment.Running,
-		}
-		state := failuredomain.NewState()
-		for _, o := range w.owners {
-			if o.domain == backend.Domain {
-				state.Members[o.id] = failuredomain.Member{
-					Instance: pomelospring.Instance{
-						ID: o.id,
-					},
-				}
-			}
-		}
-		held := &worker{
-			backend: backend,
-			running: map[string]*running{},
-		}
-		for _, o := range w.owners {
-			if o.id == state.Owner(backend.Name) {
-				held.owner = o
-			}
-		}
-		held.owner.scheduler.Gain(backend, 1, time.Time{})
-		held.owner.scheduler.Reported(backend.Name, pomelospring.LoadReport{}, w.clock().Add(time.Millisecond))
-		w.workers[backend.Name] = held
-		w.names = append(w.names, backend.Name)
-	}
-	for _, o := range w.owners {
-		w.publish(o)
-	}
-}
-
 // follow gives each holder its target of loads by demand, as a renewal does.
 func (w *world) follow() {
 	holders := make([]string, 0, len(w.owners))
@@ -278,26 +131,6 @@
 	}
 }
 
-// plan enters the faults of the case.
-func (w *world) plan() {
-	total := w.c.Length + w.c.Length/3
-	if w.policy.Lends {
-		for at := renewTime; at < total; at += renewTime {
-			w.after(at, w.follow)
-		}
-	}
-	if w.c.RestartEvery > 0 {
-		for at := w.c.RestartEvery; at < total; at += w.c.RestartEvery {
-			name := w.names[w.random.IntN(len(w.names))]
-			w.after(at, func() { w.restart(name) })
-		}
-	}
-	if w.c.LoseDomain {
-		w.after(total/3, func() { w.lost = 0 })
-		w.after(2*total/3, func() { w.lost = -1 })
-	}
-}
-
 // restart empties a worker; what ran there is lost and what was resident too.
 func (w *world) restart(name string) {
 	held := w.workers[name]
--- a/ownership/scheduler.go
+++ b/ownership/scheduler.go
@@ -16,6 +16,8 @@
 	rateHalfLife = 300 * time.Second
 	// loadBackOff is how long a failed load keeps the adapter off the server.
 	loadBackOff = 5 * time.Second
+	// gapHalfLife is how fast that mean is forgotten without loads.
+	gapHalfLife = 10 * time.Second
 	// gapSmoothing weighs the latest time between loads in its mean.
 	gapSmoothing = 0.2
 	// ratesKept bounds the adapters whose rate is remembered.
@@ -59,7 +61,8 @@
 	rates   map[pomelospring.AdapterVersion]*rate
 	shares  loadShares
 	// gap is the mean time between loads while the load budget is short.
-	gap time.Duration
+	gap      time.Duration
+	lastLoad time.Time
 	// starvedSince is when the load budget ran short; zero while it does not.
 	starvedSince time.Time
 }
@@ -100,12 +103,6 @@
 	lingering time.Time
 }
 
-// rate is a decayed count of requests.
-type rate struct {
-	count float64
-	at    time.Time
-}
-
 // NewScheduler makes a scheduler without servers.
 func NewScheduler(queue pomelospring.Queue, placer pomelospring.Placer) *Scheduler {
 	return &Scheduler{
@@ -180,87 +177,6 @@
 	}
 }
 
-// HandedOver takes the former owner's word on what still runs. Requests that
-// it sent may be under way until arrived; only a later report clears them.
-func (s *Scheduler) HandedOver(name string, fence int64, busy map[pomelospring.AdapterVersion]int, arrived time.Time) {
-	held, known := s.servers[name]
-	if !known || fence < held.fence {
-		return
-	}
-	held.foreign = busy
-	held.foreignAt = arrived
-	held.useAfter = time.Time{}
-	held.idleReport = true
-}
-
-// Reported takes a load report that was true at a time.
-func (s *Scheduler) Reported(name string, report pomelospring.LoadReport, at time.Time) {
-	held, known := s.servers[name]
-	if !known {
-		return
-	}
-	held.reconcile(report, at)
-	held.reported = true
-	if !held.idleReport && at.After(held.useAfter) {
-		held.idleReport = true
-		held.foreign = foreignOf(held, report)
-		return
-	}
-	if held.idleReport && len(held.foreign) > 0 && at.After(held.foreignAt) {
-		held.foreign = foreignOf(held, report)
-	}
-}
-
-// reconcile believes the server where nothing was ordered since the report.
-func (held *server) reconcile(report pomelospring.LoadReport, at time.Time) {
-	said := map[pomelospring.AdapterVersion]bool{}
-	for _, text := range report.Resident {
-		adapter, err := pomelospring.ParseAdapterVersion(text)
-		if err != nil {
-			continue
-		}
-		said[adapter] = true
-		if held.resident[adapter] == nil && held.evicted[adapter].Before(at) {
-			held.resident[adapter] = &resident{
-				loadedAt: at,
-			}
-		}
-	}
-	for adapter, r := range held.resident {
-		if !said[adapter] && !r.loading && r.busy == 0 && r.loadedAt.Before(at) {
-			delete(held.resident, adapter)
-			continue
-		}
-		if r.lingering.Before(at) && report.Busy[adapter.String()] <= r.busy {
-			r.lingering = time.Time{}
-		}
-	}
-	for adapter, ordered := range held.evicted {
-		if ordered.Before(at) {
-			delete(held.evicted, adapter)
-		}
-	}
-}
-
-// foreignOf is what the server runs beyond what was sent from here.
-func foreignOf(held *server, report pomelospring.LoadReport) map[pomelospring.AdapterVersion]int {
-	foreign := map[pomelospring.AdapterVersion]int{}
-	for text, count := range report.Busy {
-		adapter, err := pomelospring.ParseAdapterVersion(text)
-		if err != nil {
-			continue
-		}
-		own := 0
-		if r := held.resident[adapter]; r != nil {
-			own = r.busy
-		}
-		if count > own {
-			foreign[adapter] = count - own
-		}
-	}
-	return foreign
-}
-
 // Submit queues work.
 func (s *Scheduler) Submit(work *pomelospring.Work, now time.Time) {
 	s.Queue.Push(work)
@@ -283,7 +199,7 @@
 			ahead++
 		}
 	}
-	gap := s.gap
+	gap := s.expectedGap(now)
 	if !s.starvedSince.IsZero() {
 		gap = max(gap, now.Sub(s.starvedSince))
 	}
@@ -291,6 +207,15 @@
 	return wait, wait > s.LoadWait
 }
 
+// expectedGap is the mean time between loads, forgotten while there are none:
+// an owner that sheds all its work would else never learn better.
+func (s *Scheduler) expectedGap(now time.Time) time.Duration {
+	if s.lastLoad.IsZero() {
+		return 0
+	}
+	return time.Duration(float64(s.gap) * math.Exp2(-now.Sub(s.lastLoad).Seconds()/gapHalfLife.Seconds()))
+}
+
 // NeedsLoad says whether work for an adapter would be the first to need a load
 // of it.
 func (s *Scheduler) NeedsLoad(adapter pomelospring.AdapterVersion) bool {
@@ -344,43 +269,6 @@
 	}
 }
 
-// Missing says that a model worker does not have an adapter after all.
-func (s *Scheduler) Missing(name string, adapter pomelospring.AdapterVersion) {
-	held, known := s.servers[name]
-	if !known {
-		return
-	}
-	if r := held.resident[adapter]; r != nil && r.busy == 0 {
-		delete(held.resident, adapter)
-	}
-}
-
-// Broken keeps work away from a model worker until a time.
-func (s *Scheduler) Broken(name string, until time.Time) {
-	if held, known := s.servers[name]; known {
-		held.brokenUntil = until
-	}
-}
-
-// Loaded says how a load ended.
-func (s *Scheduler) Loaded(name string, adapter pomelospring.AdapterVersion, failed bool, now time.Time) {
-	held, known := s.servers[name]
-	if !known {
-		return
-	}
-	if failed {
-		delete(held.resident, adapter)
-		held.failures[adapter] = now.Add(loadBackOff)
-		return
-	}
-	if r := held.resident[adapter]; r != nil {
-		r.loading = false
-		r.loadedAt = now
-		r.lastUsed = now
-	}
-	delete(held.failures, adapter)
-}
-
 // Next says what to do now. takeLoad spends one load of the load budget, or
 // reports that there is none to spend.
 func (s *Scheduler) Next(now time.Time, takeLoad func() bool) (actions Actions) {
@@ -416,6 +304,7 @@
 	}
 	s.gap += time.Duration(gapSmoothing * float64(gap-s.gap))
 	s.starvedSince = time.Time{}
+	s.lastLoad = now
 }
 
 func (s *Scheduler) order(placement pomelospring.Placement, now time.Time) Load {
@@ -486,39 +375,3 @@
 	}
 	return names
 }
-
-func (s *Scheduler) hit(adapter pomelospring.AdapterVersion, now time.Time) {
-	r, known := s.rates[adapter]
-	if !known {
-		if len(s.rates) >= ratesKept {
-			s.forgetRates(now)
-		}
-		r = &rate{
-			at: now,
-		}
-		s.rates[adapter] = r
-	}
-	r.count = r.decayed(now) + 1
-	r.at = now
-}
-
-func (s *Scheduler) forgetRates(now time.Time) {
-	for adapter, r := range s.rates {
-		if r.decayed(now) < 0.5 {
-			delete(s.rates, adapter)
-		}
-	}
-}
-
-func (r *rate) decayed(now time.Time) float64 {
-	return r.count * math.Exp2(-now.Sub(r.at).Seconds()/rateHalfLife.Seconds())
-}
-
-// perSecond is the rate of an adapter's requests.
-func (s *Scheduler) perSecond(adapter pomelospring.AdapterVersion, now time.Time) float64 {
-	r, known := s.rates[adapter]
-	if !known {
-		return 0
-	}
-	return r.decayed(now) * math.Ln2 / rateHalfLife.Seconds()
-}
--- a/ownership/scheduler_test.go
+++ b/ownership/scheduler_test.go
@@ -360,6 +360,42 @@
 	}
 }
 
+// TestAShortLoadBudgetShedsAndHeals lets the budget of loads run dry for long.
+func TestAShortLoadBudgetShedsAndHeals(t *testing.T) {
+	s := newScript(0)
+	s.LoadWait = 5 * time.Second
+	s.report(1, nil)
+	work := func(adapter string, seconds float64) *pomelospring.Work {
+		return &pomelospring.Work{
+			ID:       adapter,
+			Team:     "red",
+			Adapter:  name(adapter),
+			Base:     "base",
+			Arrived:  at(seconds),
+			Deadline: at(seconds + 20),
+		}
+	}
+	none := func() bool { return false }
+	hopeless := func(adapter string, seconds float64) bool {
+		_, shed := s.Hopeless(work(adapter, seconds), at(seconds))
+		return shed
+	}
+	got := make([]bool, 0, 5)
+	got = append(got, hopeless("x", 2)) // nothing waits yet
+	s.Submit(work("x", 2), at(2))
+	s.Next(at(2), none)
+	got = append(got, hopeless("y", 3))  // the budget ran short a second ago
+	got = append(got, hopeless("y", 12)) // it has been short for ten seconds
+	got = append(got, hopeless("x", 12)) // one load serves all that wait for it
+	s.next(13)
+	s.Loaded("m1", name("x"), false, at(13))
+	s.next(13)
+	got = append(got, hopeless("y", 14)) // nothing else waits any more
+	if diff := cmp.Diff([]bool{false, false, true, false, false}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestLoseTellsWhatRuns(t *testing.T) {
 	s := newScript(0)
 	s.report(1, []string{"x", "y"})
--- a/placement/stall_saving.go
+++ b/placement/stall_saving.go
@@ -14,7 +14,7 @@
 	replicaBacklog = 8
 	// agingTime is how long a request waits until it counts as much as one
 	// more request.
-	agingTime = 5 * time.Second
+	agingTime = 500 * time.Millisecond
 	// horizon is how far ahead expected requests count towards a load.
 	horizon = time.Second
 )
--- a/stream/fold.go
+++ b/stream/fold.go
@@ -76,6 +76,13 @@
 	ClockBound time.Duration
 }
 
+// NewBudgetFold makes an empty fold.
+func NewBudgetFold(clockBound time.Duration) Fold {
+	return BudgetFold{
+		ClockBound: clockBound,
+	}.Empty()
+}
+
 // Next implements Fold.
 func (b BudgetFold) Next() int64 { return b.State.Next }
 
@@ -116,6 +123,13 @@
 	ClockBound time.Duration
 }
 
+// NewDomainFold makes an empty fold.
+func NewDomainFold(clockBound time.Duration) Fold {
+	return DomainFold{
+		ClockBound: clockBound,
+	}.Empty()
+}
+
 // Next implements Fold.
 func (d DomainFold) Next() int64 { return d.State.Next }
 
