--- a/ownership/scheduler.go
+++ b/ownership/scheduler.go
@@ -275,11 +275,13 @@
 	actions.Expired = s.Queue.Expired(now)
 	actions.Dispatches = s.dispatch(now)
 	if s.Queue.Len() == 0 {
+		s.starvedSince = time.Time{}
 		return actions
 	}
 	for {
 		placement, found := s.Placer.Place(s.view(now))
 		if !found {
+			s.starvedSince = time.Time{}
 			return actions
 		}
 		if !takeLoad() {
--- a/ownership/scheduler_test.go
+++ b/ownership/scheduler_test.go
@@ -380,7 +380,7 @@
 		_, shed := s.Hopeless(work(adapter, seconds), at(seconds))
 		return shed
 	}
-	got := make([]bool, 0, 5)
+	got := make([]bool, 0, 6)
 	got = append(got, hopeless("x", 2)) // nothing waits yet
 	s.Submit(work("x", 2), at(2))
 	s.Next(at(2), none)
@@ -391,7 +391,12 @@
 	s.Loaded("m1", name("x"), false, at(13))
 	s.next(13)
 	got = append(got, hopeless("y", 14)) // nothing else waits any more
-	if diff := cmp.Diff([]bool{false, false, true, false, false}, got); diff != "" {
+	s.Submit(work("z", 14), at(14))
+	s.Next(at(14), none)
+	s.Cancel("z")
+	s.Next(at(15), none)
+	got = append(got, hopeless("y", 60)) // what ran short is not wanted any more
+	if diff := cmp.Diff([]bool{false, false, true, false, false, false}, got); diff != "" {
 		t.Error(diff)
 	}
 }
