Take what the bucket has before borrowing the rest

Four requests at once each counted on the same tokens of the bucket for their part, borrowed the rest, and all but one then missed it.

Ruled out: shares not yet given out (loans cover that); the 50 ms in which a poor pool is not asked for (it follows from the miss).

Change: a request takes what the bucket has at once, borrows the rest, and gives its part back if that fails. A reservation of nothing settles without touching the count of open ones.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -104,20 +104,22 @@
 	if cost > team.Burst {
 		return charge, pomelospring.NewRefusal(pomelospring.CodeLargerThanBurst, time.Time{}, "the request may cost %.0f tokens, more than team %s's burst of %.0f", cost, team.Name, team.Burst)
 	}
-	missing, _ := c.Bank.Missing(charge.Pool, cost, now)
-	loans := c.Lender.Borrow(ctx, charge.Pool, missing)
-	now = c.Clock()
-	spent = false
-	if now.Before(loans.Deadline) {
-		reservation, spent = c.Bank.Spend(charge.Pool, cost, loans.Amount, now)
-	}
-	if !spent {
-		c.Lender.Close(loans, loans.Amount)
-		return charge, c.overRate(team, charge.Pool, cost, now)
+	return c.chargeWithLoans(ctx, team, charge.Pool, cost)
+}
+
+// chargeWithLoans takes what the bucket has and borrows the rest.
+func (c *Cashier) chargeWithLoans(ctx context.Context, team pomelospring.Team, pool string, cost float64) (charge Charge, refusal *pomelospring.Refusal) {
+	charge.Pool = pool
+	charge.Reservation = c.Bank.SpendSome(pool, cost, c.Clock())
+	missing := cost - charge.Reservation.Charged
+	charge.Loans = c.Lender.Borrow(ctx, pool, missing)
+	now := c.Clock()
+	if charge.Loans.Amount < missing || now.After(charge.Loans.Deadline) {
+		c.Lender.Close(charge.Loans, charge.Loans.Amount)
+		c.Bank.Settle(pool, charge.Reservation, 0, now)
+		return Charge{}, c.overRate(team, pool, cost, now)
 	}
-	c.Lender.Spent(loans)
-	charge.Loans = loans
-	charge.Reservation = reservation
+	c.Lender.Spent(charge.Loans)
 	return charge, nil
 }
 
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -107,7 +107,7 @@
 			lender: lender{amount: 500, late: true},
 			level:  200,
 			cost:   600,
-			want:   outcome{Code: pomelospring.CodeOverRate, Retry: true, Returned: 400.001},
+			want:   outcome{Code: pomelospring.CodeOverRate, Retry: true, Returned: 400},
 		},
 		{
 			name:   "a cost over the whole burst is refused for good",
@@ -157,11 +157,53 @@
 	}
 	cashier.Settle(charge, 100)
 	missing, _ := cashier.Bank.Missing("team/red", 100, now)
-	if diff := cmp.Diff([]float64{400.001, 0}, []float64{l.returned, missing}, cmp.Comparer(near)); diff != "" {
+	if diff := cmp.Diff([]float64{400, 0}, []float64{l.returned, missing}, cmp.Comparer(near)); diff != "" {
 		t.Error(diff)
 	}
 }
 
+// TestRequestsAtOnceDoNotCountOnTheSameTokens has a lender that admits another
+// request while the first one waits for its loan.
+func TestRequestsAtOnceDoNotCountOnTheSameTokens(t *testing.T) {
+	l := &lender{
+		amount: 500,
+	}
+	cashier := newCashier(l, 200)
+	team := pomelospring.Team{
+		Name:  "red",
+		Rate:  100,
+		Burst: 1000,
+	}
+	nested := &nestedLender{
+		lender: l,
+		during: func() {
+			if _, refusal := cashier.Charge(context.Background(), team, 400); refusal != nil {
+				t.Errorf("the second request is refused: %v", refusal)
+			}
+		},
+	}
+	cashier.Lender = nested
+	if _, refusal := cashier.Charge(context.Background(), team, 600); refusal != nil {
+		t.Errorf("the first request is refused: %v", refusal)
+	}
+}
+
+// nestedLender calls during once, while a loan is under way.
+type nestedLender struct {
+	*lender
+	during func()
+}
+
+// Borrow implements admission.Lender.
+func (n *nestedLender) Borrow(ctx context.Context, pool string, amount float64) lending.Loans {
+	during := n.during
+	n.during = nil
+	if during != nil {
+		during()
+	}
+	return n.lender.Borrow(ctx, pool, amount)
+}
+
 func near(a, b float64) bool { return a-b < 1e-6 && b-a < 1e-6 }
 
 func state(adapters int) *configuration.State {
--- a/budget/bank.go
+++ b/budget/bank.go
@@ -64,6 +64,19 @@
 	return reservation, true
 }
 
+// SpendSome takes as much of a cost as the bucket has, so that no other request
+// counts on the same tokens while the rest is borrowed.
+func (b *Bank) SpendSome(pool string, cost float64, now time.Time) (reservation Reservation) {
+	a := b.find(pool)
+	if a == nil {
+		return Reservation{}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	reservation, _ = a.bucket.Spend(max(0, min(cost, a.bucket.Level(now))), now)
+	return reservation
+}
+
 // Want counts tokens asked for, whether served or refused.
 func (b *Bank) Want(pool string, tokens float64, now time.Time) {
 	a := b.find(pool)
--- a/budget/bucket.go
+++ b/budget/bucket.go
@@ -108,6 +108,11 @@
 func (b *Bucket) Settle(reservation Reservation, used float64, now time.Time) {
 	b.fill(now)
 	back := reservation.Charged - used
+	if reservation.operation == 0 {
+		// Nothing was taken here; a debt counts all the same.
+		b.level += min(0, back)
+		return
+	}
 	if back > 0 {
 		back = min(back, b.lowestRoom(reservation.operation))
 	}
