--- a/stream/follower_test.go
+++ b/stream/follower_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,15 +19,16 @@
 
 // peers is a fake of the other instances.
 type peers struct {
-	from *stream.Follower
+	from atomic.Pointer[stream.Follower]
 }
 
 // ReadRecords implements stream.Peers.
 func (p *peers) ReadRecords(_ context.Context, _ string, from int64) (stream.Reading, error) {
-	if p.from == nil {
+	peer := p.from.Load()
+	if peer == nil {
 		return stream.Reading{}, errors.New("nobody is there")
 	}
-	return p.from.Read(from)
+	return peer.Read(from)
 }
 
 // reader is one follower with what it published last.
@@ -60,6 +62,20 @@
 	r.state, r.fresh = state, fresh
 }
 
+func (r *reader) fold() stream.Fold {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return stream.ConfigurationFold{
+		State: r.state,
+	}
+}
+
+func (r *reader) wentBack() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.back
+}
+
 func (r *reader) teams() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -147,7 +163,7 @@
 			run: func(t *testing.T, log *standin.Log, start func() *reader) int {
 				r := start()
 				fill(t, r, 3)
-				body, _ := stream.ConfigurationFold{State: r.state}.Snapshot()
+				body, _ := r.fold().Snapshot()
 				fill(t, r, 5)
 				_, _ = log.Append(t.Context(), configuration.Stream, []pomelospring.Record{{ID: "late", Kind: stream.KindSnapshot, Stamp: time.Now(), Body: body}})
 				log.Truncate(configuration.Stream, 3)
@@ -162,7 +178,7 @@
 			run: func(t *testing.T, log *standin.Log, start func() *reader) int {
 				r := start()
 				fill(t, r, 3)
-				body, _ := stream.ConfigurationFold{State: r.state}.Snapshot()
+				body, _ := r.fold().Snapshot()
 				fill(t, r, 5)
 				_, _ = log.Append(t.Context(), configuration.Stream, []pomelospring.Record{{ID: "late", Kind: stream.KindSnapshot, Stamp: time.Now(), Body: body}})
 				log.Truncate(configuration.Stream, 6)
@@ -196,7 +212,7 @@
 					Down: true,
 				})
 				second := start()
-				second.peers.from = r.follower
+				second.peers.from.Store(r.follower)
 				time.Sleep(time.Second)
 				return second.teams()
 			},
@@ -211,7 +227,7 @@
 					Down: true,
 				})
 				second := start()
-				second.peers.from = r.follower
+				second.peers.from.Store(r.follower)
 				time.Sleep(time.Second)
 				log.SetFaults(standin.Faults{})
 				fill(t, r, 6)
@@ -243,7 +259,7 @@
 				time.Sleep(time.Second)
 				_ = other.follower.PostSnapshot(t.Context())
 				time.Sleep(time.Second)
-				if r.back {
+				if r.wentBack() {
 					t.Error("an offset went back")
 				}
 				return r.teams()
