Drop what nothing calls, and the trick in the concentration of pools

Nothing called Bucket.Until, Ledger.Pools or Follower.WaitNext any more; the last kept a channel that each read closed and made anew. The pool of loads was kept out of concentration by a least burst of unit / MaxInt32; it now says so.

Behaviour stays as it is; no test was changed.

Left: Queue.Waiting is worked out several times for one submitted request (NeedsLoad, Hopeless, the placer's view); a loan that comes after its deadline is closed without giving it back, which loses tokens but never doubles them; the subcommands without flags repeat their five methods.

--- a/budget/bucket.go
+++ b/budget/bucket.go
@@ -197,18 +197,6 @@
 	b.note(now)
 }
 
-// Until is the earliest time at which a cost could be met by filling alone;
-// the zero time says never under these terms.
-func (b *Bucket) Until(cost float64, now time.Time) time.Time {
-	b.fill(now)
-	rate := b.rate(now)
-	if cost > b.burst(now) || rate <= 0 {
-		return time.Time{}
-	}
-	missing := max(0, cost-b.level)
-	return now.Add(time.Duration(missing / rate * float64(time.Second)))
-}
-
 func (b *Bucket) fill(now time.Time) {
 	if now.Before(b.last) {
 		return
@@ -248,10 +236,6 @@
 	return float64(parts) / float64(Whole)
 }
 
-func (b *Bucket) rate(now time.Time) float64 {
-	return b.terms.Rate * b.live(now)
-}
-
 func (b *Bucket) burst(now time.Time) float64 {
 	live := b.live(now)
 	if live <= 0 {
--- a/budget/targets.go
+++ b/budget/targets.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,17 +63,3 @@
 	})
 	return chosen[:count]
 }
-
-// Pools are the names of all pools that any holder has or wants, sorted.
-func (l Ledger) Pools() []string {
-	pools := map[string]bool{}
-	for _, held := range l {
-		for pool := range held.Shares {
-			pools[pool] = true
-		}
-		for pool := range held.Wanted {
-			pools[pool] = true
-		}
-	}
-	return slices.Sorted(maps.Keys(pools))
-}
--- a/capacity/slopes.go
+++ b/capacity/slopes.go
@@ -128,7 +128,7 @@
 }
 
 // heap is what the result of make keeps, in bytes.
-func heap(size int, make func() any) float64 {
+func heap(make func() any) float64 {
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
@@ -136,7 +136,6 @@
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	runtime.KeepAlive(kept)
-	_ = size
 	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
 }
 
@@ -207,7 +206,7 @@
 }
 
 func adapterMemory(adapters int) float64 {
-	return heap(adapters, func() any { return configured(adapters) })
+	return heap(func() any { return configured(adapters) })
 }
 
 func snapshotBytes(adapters int) float64 {
@@ -361,7 +360,7 @@
 }
 
 func placementMemory(workers int) float64 {
-	return heap(workers, func() any { return directory(workers) })
+	return heap(func() any { return directory(workers) })
 }
 
 func routeTime(workers int) float64 {
--- a/controllers/membership.go
+++ b/controllers/membership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -160,20 +159,20 @@
 		wants := wantsOf(state.Ledger, pool)
 		wants[m.Board.Self.ID] = wanted[pool]
 		available := usable.Shares[pool].Less(state.Stranded(pool, m.Clock().Add(-m.Settings.Membership.ClockBound)))
-		part := float64(available.Leased+available.Standing) / float64(budget.Whole)
-		chosen := budget.Concentrate(holders, pool, whole.burst*part, m.leastBurst(whole))
-		targets := budget.Targets(chosen, wants, available, m.split())
+		targets := budget.Targets(m.concentrated(holders, pool, whole, available), wants, available, m.split())
 		shares[pool] = m.coverLoans(pool, targets[m.Board.Self.ID])
 	}
 	return shares
 }
 
-// leastBurst is the least part of a pool's burst that is worth holding.
-func (m *MembershipController) leastBurst(whole wholePool) float64 {
+// concentrated picks the holders of a pool. A pool with a unit has them all:
+// each of its buckets holds a unit, however small its part.
+func (m *MembershipController) concentrated(holders []string, pool string, whole wholePool, available budget.Share) []string {
 	if whole.unit > 0 {
-		return whole.unit / math.MaxInt32
+		return holders
 	}
-	return m.Settings.Budget.LeastBurst
+	part := float64(available.Leased+available.Standing) / float64(budget.Whole)
+	return budget.Concentrate(holders, pool, whole.burst*part, m.Settings.Budget.LeastBurst)
 }
 
 // coverLoans keeps a share from shrinking below what is lent out.
--- a/stream/append.go
+++ b/stream/append.go
@@ -71,24 +71,6 @@
 	delete(f.waiters, id)
 }
 
-// WaitNext returns once the fold has passed an offset.
-func (f *Follower) WaitNext(ctx context.Context, offset int64) (err error) {
-	defer pomelospring.Annotate(&err, "wait for offset %d of %s", offset, f.Stream)
-	for {
-		f.mu.Lock()
-		next, grown := f.fold.Next(), f.grown
-		f.mu.Unlock()
-		if next > offset {
-			return nil
-		}
-		select {
-		case <-grown:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
 // SnapshotDue says whether a snapshot is due by count or by age.
 func (f *Follower) SnapshotDue(records int, before time.Time) bool {
 	f.mu.Lock()
--- a/stream/follower.go
+++ b/stream/follower.go
@@ -51,7 +51,6 @@
 	recent  []pomelospring.StoredRecord
 	fresh   time.Time
 	waiters map[string]chan int64
-	grown   chan struct{}
 	// pending are records read without a state to fold them into.
 	pending []pomelospring.StoredRecord
 	// since counts records after the last snapshot seen.
@@ -70,7 +69,6 @@
 		Failed:  failed,
 		fold:    empty,
 		waiters: map[string]chan int64{},
-		grown:   make(chan struct{}),
 	}
 }
 
@@ -133,11 +131,6 @@
 	for _, record := range records {
 		f.takeOne(record)
 	}
-	if len(records) == 0 {
-		return
-	}
-	close(f.grown)
-	f.grown = make(chan struct{})
 }
 
 func (f *Follower) takeOne(record pomelospring.StoredRecord) {
