Stop without cutting answers that are under way

Cause: two parts of the run group ended early when a stop began, the election after it had given leadership up, and the listener once it was shut down; the group then took every request down with it. Ruled out: the grace time (cuts came 5 ms and 2.5 s after SIGTERM, not at its end). Change: both parts now wait until the group ends.

--- a/entry/run.go
+++ b/entry/run.go
@@ -82,6 +82,7 @@
 		"waiting":    choice.Candidate.WaitingTokens,
 		"kept":       choice.Candidate.KeptTokens,
 		"prompt":     c.call.PromptTokens,
+		"tokens":     c.call.PromptTokens + c.call.OutputTokens,
 		"candidates": len(candidates),
 		"policyMs":   s.Board.PolicyAge(now).Milliseconds(),
 		"heldMs":     now.Sub(c.call.Arrived).Milliseconds(),
--- a/entry/service.go
+++ b/entry/service.go
@@ -196,6 +196,8 @@
 		"heldMs":  now.Sub(c.call.Arrived).Milliseconds(),
 		"sends":   c.sends,
 		"path":    c.call.Path,
+		"tokens":  c.call.PromptTokens + c.call.OutputTokens,
+		"level":   int64(s.Ledger.Level(c.team, now)),
 	}
 	if !refusal.RetryAt.IsZero() {
 		fields["retryMs"] = refusal.RetryAt.Sub(now).Milliseconds()
--- a/fleet/operators.go
+++ b/fleet/operators.go
@@ -50,9 +50,11 @@
 		o.spoiled(record, err)
 		return
 	}
+	before := o.Board.Policy()
 	if !o.Board.SetPolicy(policy) {
 		return
 	}
+	o.logRates(before, policy)
 	o.Ledger.Configure(policy.Teams, o.Clock())
 	events.Log(o.Logger, events.PolicyInForce, log.Fields{
 		"version": policy.Version,
@@ -63,6 +65,20 @@
 	})
 }
 
+func (o *Operators) logRates(before, policy *pomelospring.Policy) {
+	for name, team := range policy.Teams {
+		if before != nil && before.Teams[name] == team {
+			continue
+		}
+		events.Log(o.Logger, events.TeamRateChanged, log.Fields{
+			"team":            name,
+			"tokensPerSecond": team.TokensPerSecond,
+			"burst":           team.Burst,
+			"version":         policy.Version,
+		})
+	}
+}
+
 func (o *Operators) version(record pomelospring.KeyedRecord) {
 	adapter, version, declared, err := o.DecodeVersion(record)
 	if err != nil {
--- a/front/front.go
+++ b/front/front.go
@@ -242,8 +242,21 @@
 	group.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 }
 
+// addServer adds a listener's server. One that is shut down goes on until the
+// group ends, as its requests may still be running.
 func (f *Front) addServer(group *run.Group, server *http.Server, listener net.Listener) {
-	group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
+	interrupted, interrupt := context.WithCancel(context.Background())
+	group.Add(func() error {
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-interrupted.Done()
+		return nil
+	}, func(error) {
+		interrupt()
+		_ = server.Close()
+	})
 }
 
 // addCallers adds the callers' side, which takes the group down when it has drained.
@@ -255,16 +268,7 @@
 		MaxHeaderBytes:    headerLimit,
 	}
 	f.addServer(group, server, listener)
-	electionContext, endElection := context.WithCancel(context.Background())
-	group.Add(func() error {
-		defer endElection()
-		go func() {
-			<-ctx.Done()
-			// The successor's wait begins with the last order.
-			endElection()
-		}()
-		return f.election.Run(electionContext)
-	}, func(error) { endElection() })
+	f.addElection(ctx, group)
 	drained, end := context.WithCancel(context.Background())
 	group.Add(func() error {
 		select {
@@ -276,6 +280,21 @@
 	}, func(error) { end() })
 }
 
+// addElection adds the part that seeks to lead. It gives leadership up when a
+// stop begins, so that the successor's wait begins then, and does not end the
+// other parts with it.
+func (f *Front) addElection(ctx context.Context, group *run.Group) {
+	interrupted, interrupt := context.WithCancel(context.Background())
+	group.Add(func() error {
+		leading, end := context.WithCancel(interrupted)
+		defer end()
+		defer context.AfterFunc(ctx, end)()
+		err := f.election.Run(leading)
+		<-interrupted.Done()
+		return err
+	}, func(error) { interrupt() })
+}
+
 // drain tells the balancer, serves what still comes, and waits for the rest.
 func (f *Front) drain(server *http.Server) error {
 	deadline := f.clock().Add(f.settings.Bounds.StopWithin - stopMargin)
