Let the leader pass on what it read of the store; admit in proportion

Ruled out: renewals, 0.1 call each. Change: the leader relays changes with their age, others read only when that is old; SIGHUP reads the settings again; a bucket below the demand until the next exchange admits in proportion; the lease holds 10.5 s. Conclusion: one leader for all workers is too much to lose at once; one for each failure domain comes next.

--- a/cmd/pomelospringd/front.go
+++ b/cmd/pomelospringd/front.go
@@ -64,7 +64,7 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := front.New(config, logger, lines).Run(ctx); err != nil {
+	if err := front.New(config, f.path, logger, lines).Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
--- a/coordination/election.go
+++ b/coordination/election.go
@@ -12,10 +12,18 @@
 )
 
 const (
-	// lookEvery is the time between questions for the leader while there is none.
-	lookEvery = 700 * time.Millisecond
+	// lookEvery is the time between questions for the leader while there is
+	// none, and lookPerInstance what each instance adds to it: the platform
+	// counts the calls of all.
+	lookEvery       = 600 * time.Millisecond
+	lookPerInstance = 10 * time.Millisecond
 	// lookSpread keeps instances from joining at the same moment.
-	lookSpread = 600 * time.Millisecond
+	lookSpread = 400 * time.Millisecond
+	// smallWait is what an instance with no processor of its own would wait
+	// before it joins; those with more wait less, so that they lead.
+	smallWait = 800 * time.Millisecond
+	// leaveTimeout bounds the word to the group at a stop.
+	leaveTimeout = 700 * time.Millisecond
 	// idleEvery is how often an instance that knows its leader looks whether
 	// there is anything to do.
 	idleEvery = 100 * time.Millisecond
@@ -33,7 +41,11 @@
 	Address string
 	Logger  log.Interface
 	Uptime  func() time.Duration
+	// ProcessorShare is this instance's part of a core.
+	ProcessorShare float64
 
+	// lookAt is when the group may be asked again.
+	lookAt     time.Duration
 	generation int64
 	// joined is set while this instance is in the group.
 	joined  bool
@@ -64,28 +76,44 @@
 	if e.Member.Known() != "" {
 		return idleEvery
 	}
-	owners, err := e.Groups.Owners(ctx)
-	if err != nil {
-		return lookEvery + rand.N(lookSpread)
+	if e.Uptime() < e.lookAt {
+		return idleEvery
 	}
-	if len(owners) == 0 {
-		// Others may see the same; whoever looks first after the pause joins.
-		if pause(ctx, rand.N(lookSpread)) != nil {
-			return 0
-		}
-		if owners, err = e.Groups.Owners(ctx); err != nil {
-			return lookEvery
+	e.lookAt = e.Uptime() + e.pause()
+	e.look(ctx)
+	return idleEvery
+}
+
+// look asks for the leader, and joins where there is none.
+func (e *Election) look(ctx context.Context) {
+	owners, err := e.Groups.Owners(ctx)
+	if err == nil && len(owners) == 0 {
+		// Others may see the same; whoever looks first after the wait joins.
+		if pause(ctx, e.joinWait()) != nil {
+			return
 		}
+		owners, err = e.Groups.Owners(ctx)
+	}
+	if err != nil {
+		return
 	}
 	if len(owners) == 0 || owners[e.Address] > 0 {
 		e.resumed = owners[e.Address] >= e.Leader.Parts()
 		e.joined = true
 		e.heldAll = false
 		e.renew(ctx)
-		return lease.RenewEvery
+		return
 	}
 	e.Member.Find(most(owners))
-	return lookEvery + rand.N(lookSpread)
+}
+
+// pause is the time between looks.
+func (e *Election) pause() time.Duration {
+	return lookEvery + time.Duration(e.Member.Instances())*lookPerInstance + rand.N(lookSpread)
+}
+
+func (e *Election) joinWait() time.Duration {
+	return time.Duration((1-min(1, e.ProcessorShare))*float64(smallWait)) + rand.N(lookSpread)
 }
 
 // renew enters the group or stays in it.
@@ -134,7 +162,7 @@
 	e.generation = 0
 	e.Leader.lost()
 	e.stepDown()
-	ctx, cancel := context.WithTimeout(context.Background(), lookEvery)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := e.Groups.Leave(ctx, e.Address); err != nil {
 		events.Log(e.Logger, events.RenewalMissed, log.Fields{
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -16,12 +16,21 @@
 )
 
 const (
-	// exchangeEvery is the time between exchanges with the leader.
-	exchangeEvery = 200 * time.Millisecond
+	// exchangeLeast is the time between exchanges with the leader in a small
+	// fleet, and exchangePerInstance what each instance adds to it, so that the
+	// leader's work stays the same.
+	exchangeLeast       = 200 * time.Millisecond
+	exchangePerInstance = 5 * time.Millisecond
 	// exchangeTimeout bounds one exchange.
-	exchangeTimeout = 350 * time.Millisecond
+	exchangeTimeout = 400 * time.Millisecond
 	// missedLimit is how many exchanges may fail before the leader is looked up anew.
-	missedLimit = 3
+	missedLimit = 4
+	// relayMargin is how late an exchange may be before an instance reads the
+	// platform's topics itself.
+	relayMargin = 500 * time.Millisecond
+	// relayAge is how old the leader's own reading of the topics may be, well
+	// within the two seconds in which a change must be in force.
+	relayAge = time.Second
 )
 
 // errNoLeader says that no instance gives orders at the moment.
@@ -43,9 +52,20 @@
 	// Heard is told how many instances there are.
 	Heard func(instances int)
 
-	mu      sync.Mutex
-	address string
-	missed  int
+	// Servers takes in the leader's list of backend servers.
+	Servers *fleet.ServerList
+
+	mu        sync.Mutex
+	address   string
+	missed    int
+	instances int
+	// leader is the one that the versions held are of.
+	leader        string
+	serverVersion int64
+	// heardAt is the last exchange, with the age of what the leader read then.
+	heardAt     time.Time
+	operatorAge time.Duration
+	serverAge   time.Duration
 	// leaderOffset is how far the leader knows the operators' records.
 	leaderOffset int64
 }
@@ -78,6 +98,13 @@
 	return m.address
 }
 
+// Instances is how many instances the leader counted last.
+func (m *Member) Instances() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.instances
+}
+
 // Run exchanges with the leader until the context ends.
 func (m *Member) Run(ctx context.Context) error {
 	for {
@@ -85,14 +112,41 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(exchangeEvery):
+		case <-time.After(m.interval()):
 		}
 	}
 }
 
+// interval is the time between exchanges.
+func (m *Member) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return exchangeLeast + time.Duration(m.instances)*exchangePerInstance
+}
+
+// OperatorsRelayed reports whether another instance, the leader, tells what
+// operators wrote, so that it need not be read here.
+func (m *Member) OperatorsRelayed() bool {
+	return m.relayed(func() time.Duration { return m.operatorAge })
+}
+
+// ServersRelayed is the same for the list of backend servers.
+func (m *Member) ServersRelayed() bool { return m.relayed(func() time.Duration { return m.serverAge }) }
+
+func (m *Member) relayed(age func() time.Duration) bool {
+	interval := m.interval()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.address == "" || m.address == m.Address {
+		return false
+	}
+	return age() < relayAge && m.Clock().Sub(m.heardAt) < interval+relayMargin
+}
+
 func (m *Member) exchange(ctx context.Context) {
 	m.mu.Lock()
 	address, leaderOffset := m.address, m.leaderOffset
+	leader, serverVersion := m.leader, m.serverVersion
 	m.mu.Unlock()
 	if address == "" {
 		return
@@ -105,6 +159,8 @@
 		Spending:         spendingTo(m.Ledger.Spending()),
 		OperatorOffset:   m.Board.OperatorOffset(),
 		ResidencyVersion: m.Board.ResidencyVersion(),
+		ServerVersion:    serverVersion,
+		Leader:           leader,
 	}
 	if leaderOffset > 0 {
 		request.Records = recordsTo(m.Board.RecordsFrom(leaderOffset))
@@ -117,7 +173,7 @@
 		m.miss(address, err)
 		return
 	}
-	m.learn(reply)
+	m.learn(reply, address != m.Address, serverVersion == 0)
 }
 
 func (m *Member) call(ctx context.Context, address string, request *coordinationpb.ExchangeRequest) (reply *coordinationpb.ExchangeReply, err error) {
@@ -147,19 +203,36 @@
 	}
 }
 
-func (m *Member) learn(reply *coordinationpb.ExchangeReply) {
+// learn takes in a reply. What the leader read of the store is taken from
+// another instance only; the leader itself has it. allServers says that the
+// reply lists all backend servers.
+func (m *Member) learn(reply *coordinationpb.ExchangeReply, remote, allServers bool) {
 	now := m.Clock()
+	operatorAge := time.Duration(reply.OperatorAgeMilliseconds) * time.Millisecond
+	serverAge := time.Duration(reply.ServerAgeMilliseconds) * time.Millisecond
 	m.mu.Lock()
+	whole := m.leader != reply.Leader
 	m.missed = 0
+	m.leader = reply.Leader
 	m.leaderOffset = reply.OperatorOffset
-	m.mu.Unlock()
-	m.Ledger.Learn(reply.Leader, spendingFrom(reply.Spending), int(reply.Instances), now)
-	if reply.Residency != nil {
-		m.Board.SetResidency(residencyFrom(reply.Residency), reply.ResidencyVersion)
+	m.serverVersion = 0
+	if serverAge < relayAge {
+		m.serverVersion = reply.ServerVersion
 	}
+	m.instances = int(reply.Instances)
+	m.heardAt = now
+	m.operatorAge = operatorAge
+	m.serverAge = serverAge
+	m.mu.Unlock()
+	m.Ledger.Learn(reply.Leader, spendingFrom(reply.Spending), int(reply.Instances), m.interval(), now)
+	m.Board.SetResidency(residencyFrom(reply.Residency), whole, reply.ResidencyVersion)
 	m.Board.HearLeader(usesFrom(reply.Uses), now)
-	if len(reply.Records) > 0 {
+	if remote {
 		m.Local.Absorb(recordsFrom(reply.Records))
+		m.Board.HearOperator(reply.OperatorOffset, now.Add(-operatorAge))
+		if serverAge < relayAge {
+			m.Servers.Relay(serversFrom(reply.Servers), reply.ServersGone, whole || allServers, now.Add(-serverAge))
+		}
 	}
 	m.Heard(int(reply.Instances))
 }
@@ -215,6 +288,7 @@
 func residencyFrom(list []*coordinationpb.ServerResidency) map[string][]pomelospring.ResidentAdapter {
 	residency := make(map[string][]pomelospring.ResidentAdapter, len(list))
 	for _, server := range list {
+		residency[server.Server] = nil
 		for _, adapter := range server.Adapters {
 			residency[server.Server] = append(residency[server.Server], pomelospring.ResidentAdapter{
 				Adapter: adapter.Adapter,
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -8,6 +8,7 @@
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/coordination/coordinationpb"
 	"github.com/pomelospring/pomelospring/fleet"
+	"github.com/pomelospring/pomelospring/quota"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 )
@@ -65,7 +66,12 @@
 }
 
 func (l *Leader) exchange(request *coordinationpb.ExchangeRequest) *coordinationpb.ExchangeReply {
+	residencySince, serversSince := request.ResidencyVersion, request.ServerVersion
+	if request.Leader != l.Instance {
+		residencySince, serversSince = 0, 0
+	}
 	offset := l.Board.OperatorOffset()
+	changed, gone, serverVersion := l.Board.ServerChanges(serversSince)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.lease.Holds(l.Uptime()) {
@@ -88,10 +94,14 @@
 		OperatorOffset:   offset,
 		Records:          recordsTo(l.Board.RecordsFrom(request.OperatorOffset)),
 		ResidencyVersion: l.book.Version,
+		Residency:        residencyTo(l.book.Residency(residencySince, now)),
 		Instances:        l.count(now),
-	}
-	if request.ResidencyVersion != l.book.Version {
-		reply.Residency = residencyTo(l.book.Residency(now))
+		ServerVersion:    serverVersion,
+		Servers:          serversTo(changed),
+		ServersGone:      gone,
+
+		OperatorAgeMilliseconds: l.Board.PolicyAge(now).Milliseconds(),
+		ServerAgeMilliseconds:   l.Board.ServersAge(now).Milliseconds(),
 	}
 	return reply
 }
@@ -135,24 +145,60 @@
 	return list
 }
 
-func spendingFrom(list []*coordinationpb.TeamSpending) map[string]float64 {
-	spending := make(map[string]float64, len(list))
+func spendingFrom(list []*coordinationpb.TeamSpending) map[string]quota.Spending {
+	spending := make(map[string]quota.Spending, len(list))
 	for _, entry := range list {
-		spending[entry.Team] = entry.Tokens
+		spending[entry.Team] = quota.Spending{
+			Spent: entry.Tokens,
+			Asked: entry.Asked,
+		}
 	}
 	return spending
 }
 
-func spendingTo(spending map[string]float64) (list []*coordinationpb.TeamSpending) {
-	for team, tokens := range spending {
+func spendingTo(spending map[string]quota.Spending) (list []*coordinationpb.TeamSpending) {
+	for team, counts := range spending {
 		list = append(list, &coordinationpb.TeamSpending{
 			Team:   team,
-			Tokens: tokens,
+			Tokens: counts.Spent,
+			Asked:  counts.Asked,
+		})
+	}
+	return list
+}
+
+func serversTo(servers []pomelospring.FleetServer) (list []*coordinationpb.ServerEntry) {
+	for _, server := range servers {
+		list = append(list, &coordinationpb.ServerEntry{
+			Id:       server.ID,
+			Service:  server.Service,
+			Address:  server.Address,
+			Domain:   server.Domain,
+			Slots:    int32(server.Slots),
+			Started:  server.Started.UnixMilli(),
+			Draining: server.Draining,
+			Models:   server.Models,
 		})
 	}
 	return list
 }
 
+func serversFrom(list []*coordinationpb.ServerEntry) (servers []pomelospring.FleetServer) {
+	for _, entry := range list {
+		servers = append(servers, pomelospring.FleetServer{
+			ID:       entry.Id,
+			Service:  entry.Service,
+			Address:  entry.Address,
+			Domain:   entry.Domain,
+			Slots:    int(entry.Slots),
+			Started:  time.UnixMilli(entry.Started),
+			Draining: entry.Draining,
+			Models:   entry.Models,
+		})
+	}
+	return servers
+}
+
 func recordsFrom(list []*coordinationpb.OperatorRecord) (records []pomelospring.KeyedRecord) {
 	for _, record := range list {
 		records = append(records, pomelospring.KeyedRecord{
--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -97,8 +97,7 @@
 		return queued + distance + time.Duration(candidate.FailureRate*float64(plainFailureCost))
 	}
 	unread := max(0, need.PromptTokens-candidate.KeptTokens)
-	reading := time.Duration(float64(candidate.WaitingTokens+unread) / readTokensPerSecond * float64(time.Second))
-	return reading +
+	return Queued(candidate) + readingTime(unread) +
 		time.Duration(candidate.Running)*runningCost +
 		distance +
 		time.Duration(candidate.FailureRate*float64(failureCost))
@@ -119,3 +118,11 @@
 	}
 	return preferred
 }
+
+// Queued estimates the time until a candidate has read the prompts that wait
+// there already.
+func Queued(candidate Candidate) time.Duration { return readingTime(candidate.WaitingTokens) }
+
+func readingTime(tokens int64) time.Duration {
+	return time.Duration(float64(tokens) / readTokensPerSecond * float64(time.Second))
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -15,9 +15,10 @@
 const (
 	// sendLimit bounds the tries of one call that a backend server rejects.
 	sendLimit = 3
-	// replicaWait is the estimated wait above which one more worker is asked
-	// to hold an adapter: a load takes a quarter of a second.
-	replicaWait = 300 * time.Millisecond
+	// replicaWait is the wait behind other prompts above which one more worker
+	// is asked to hold an adapter: a load takes a quarter of a second and is
+	// paid for.
+	replicaWait = 400 * time.Millisecond
 	// replicaPause keeps wishes for more workers with one adapter apart.
 	replicaPause = 400 * time.Millisecond
 	// silentPart is the part of the time left after which an idempotent plain
@@ -67,7 +68,7 @@
 	if need.Model && now.Add(choice.Wait).After(c.deadline) {
 		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeOverloaded, comeBack(now), "the wait of %s is longer than the call's deadline", choice.Wait)
 	}
-	if need.Model && c.call.NeedsAdapter() && choice.Wait > replicaWait {
+	if need.Model && c.call.NeedsAdapter() && dispatch.Queued(choice.Candidate) > replicaWait {
 		s.wishReplica(c.call.Adapter, now)
 	}
 	events.Log(s.Logger, events.CallRouted, log.Fields{
--- a/entry/service.go
+++ b/entry/service.go
@@ -27,6 +27,10 @@
 	// so that refused callers do not return together.
 	comeBackLeast  = 250 * time.Millisecond
 	comeBackSpread = 350 * time.Millisecond
+	// costWeight is the weight of one request in the average cost of its route.
+	costWeight = 0.05
+	// costMemory bounds the routes whose cost is remembered.
+	costMemory = 5000
 	// notReadyWait is when to come back to an instance that just started.
 	notReadyWait = 300 * time.Millisecond
 )
@@ -48,6 +52,8 @@
 	mu       sync.Mutex
 	retries  map[string]*retry.Budget
 	replicas map[string]time.Time
+	// costs are what requests of a route cost on average, in tokens.
+	costs map[string]float64
 }
 
 // Counters counts what became of calls.
@@ -170,7 +176,7 @@
 	if c.call.Counted {
 		tokens = float64(c.call.PromptTokens + c.call.OutputTokens)
 	}
-	admitted, retryAt := c.service.Ledger.Admit(c.team, tokens, now)
+	admitted, retryAt := c.service.Ledger.Admit(c.team, tokens, c.service.usualCost(c.route.Name, tokens), now)
 	if !admitted {
 		return pomelospring.NewRefusal(pomelospring.CodeOverRate, retryAt, "the team is over its rate")
 	}
@@ -206,6 +212,24 @@
 	c.out.Refuse(refusal)
 }
 
+// usualCost takes in what a request of a route costs, and gives the average.
+// A team's bucket must hold that much for a route's requests, so that those of
+// cheap routes are not refused because of expensive ones.
+func (s *Service) usualCost(route string, tokens float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.costs == nil || len(s.costs) > costMemory {
+		s.costs = map[string]float64{}
+	}
+	cost, known := s.costs[route]
+	if !known {
+		cost = tokens
+	}
+	cost += (tokens - cost) * costWeight
+	s.costs[route] = cost
+	return cost
+}
+
 func (s *Service) retryBudget(service string) *retry.Budget {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -89,6 +89,7 @@
 	PolicySpoiled        = define(621, "policySpoiled", log.ErrorLevel, "A record of the platform's operators can't be read; the former one stays in force.")
 	VersionDeclared      = define(622, "versionDeclared", log.InfoLevel, "Operators declared a newer version of an adapter.")
 	SettingsReloaded     = define(623, "settingsReloaded", log.InfoLevel, "The settings file was read again.")
+	SettingsSpoiled      = define(625, "settingsSpoiled", log.ErrorLevel, "The settings file could not be read again; the former settings stay.")
 	TeamRateChanged      = define(624, "teamRateChanged", log.InfoLevel, "A team's rate or burst, in tokens, changed with the configuration.")
 	KeysUnverifiable     = define(603, "keysUnverifiable", log.ErrorLevel, "Nothing was heard of the configuration for too long; keys are no longer accepted.")
 )
--- a/fleet.go
+++ b/fleet.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -44,6 +45,18 @@
 	return false
 }
 
+// Alike reports whether two entries say the same, but for the adapters held.
+func (f *FleetServer) Alike(other *FleetServer) bool {
+	return f.ID == other.ID &&
+		f.Service == other.Service &&
+		f.Address == other.Address &&
+		f.Domain == other.Domain &&
+		f.Slots == other.Slots &&
+		f.Started.Equal(other.Started) &&
+		f.Draining == other.Draining &&
+		slices.Equal(f.Models, other.Models)
+}
+
 // PromptPart is a piece of a prompt that requests may share.
 type PromptPart struct {
 	ID     string
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -22,6 +22,8 @@
 	// policyFresh is how old the last word of the store may be for a key or
 	// route that is not known to be refused for good.
 	policyFresh = 3 * time.Second
+	// unknownAge stands for what was never heard.
+	unknownAge = time.Hour
 )
 
 // Board is shared by all parts of one instance. It is safe for concurrent use.
@@ -42,6 +44,12 @@
 
 	servers     map[string]pomelospring.FleetServer
 	serversRead bool
+	// serverVersion rises with each change of the list; changed holds the
+	// version at which a server changed or went last.
+	serverVersion int64
+	changed       map[string]int64
+	// serversHeard is the time of the store's answer that the list rests on.
+	serversHeard time.Time
 
 	residency        map[string]map[string]int64
 	residencyVersion int64
@@ -63,6 +71,7 @@
 		records:   map[string]pomelospring.KeyedRecord{},
 		declared:  map[string]declaration{},
 		servers:   map[string]pomelospring.FleetServer{},
+		changed:   map[string]int64{},
 		residency: map[string]map[string]int64{},
 		others:    map[string]Use{},
 		uses:      map[string]*use{},
@@ -85,19 +94,22 @@
 	}
 }
 
-// HearOperator notes that what operators wrote is known up to an offset.
-func (b *Board) HearOperator(offset int64, now time.Time) {
+// HearOperator notes that what operators wrote was known up to an offset at a
+// time.
+func (b *Board) HearOperator(offset int64, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.operatorOffset = max(b.operatorOffset, offset)
-	b.operatorHeard.Store(&now)
+	if heard := b.operatorHeard.Load(); heard == nil || heard.Before(at) {
+		b.operatorHeard.Store(&at)
+	}
 }
 
 // PolicyAge is the time since the last word on what operators wrote.
 func (b *Board) PolicyAge(now time.Time) time.Duration {
 	heard := b.operatorHeard.Load()
 	if heard == nil {
-		return policyFresh
+		return unknownAge
 	}
 	return now.Sub(*heard)
 }
@@ -166,12 +178,26 @@
 	return versions
 }
 
-// SetServers takes over the list of backend servers.
-func (b *Board) SetServers(servers map[string]pomelospring.FleetServer) {
+// SetServers takes over the list of backend servers, as the store told it at
+// heard.
+func (b *Board) SetServers(servers map[string]pomelospring.FleetServer, heard time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for id, server := range servers {
+		if before, known := b.servers[id]; !known || !before.Alike(&server) {
+			b.serverVersion++
+			b.changed[id] = b.serverVersion
+		}
+	}
+	for id := range b.servers {
+		if _, listed := servers[id]; !listed {
+			b.serverVersion++
+			b.changed[id] = b.serverVersion
+		}
+	}
 	b.servers = servers
 	b.serversRead = true
+	b.serversHeard = heard
 	for id := range b.uses {
 		if _, listed := servers[id]; !listed && b.uses[id].running == 0 {
 			delete(b.uses, id)
@@ -179,6 +205,34 @@
 	}
 }
 
+// ServerChanges lists the servers that changed or went since a version, and
+// the version that they lead to.
+func (b *Board) ServerChanges(since int64) (changed []pomelospring.FleetServer, gone []string, version int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, at := range b.changed {
+		if at <= since {
+			continue
+		}
+		if server, listed := b.servers[id]; listed {
+			changed = append(changed, server)
+		} else {
+			gone = append(gone, id)
+		}
+	}
+	return changed, gone, b.serverVersion
+}
+
+// ServersAge is the time since the store's answer that the list rests on.
+func (b *Board) ServersAge(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.serversRead {
+		return unknownAge
+	}
+	return now.Sub(b.serversHeard)
+}
+
 // Servers lists the backend servers known.
 func (b *Board) Servers() []pomelospring.FleetServer {
 	b.mu.Lock()
@@ -198,11 +252,14 @@
 	return b.policy.Load() != nil && b.serversRead && len(b.servers) > 0
 }
 
-// SetResidency takes over the leader's word on what model workers hold.
-func (b *Board) SetResidency(residency map[string][]pomelospring.ResidentAdapter, version int64) {
+// SetResidency takes over the leader's word on what model workers hold: of the
+// workers that changed, or of all where whole is set.
+func (b *Board) SetResidency(residency map[string][]pomelospring.ResidentAdapter, whole bool, version int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.residency = make(map[string]map[string]int64, len(residency))
+	if whole {
+		b.residency = make(map[string]map[string]int64, len(residency))
+	}
 	for id, list := range residency {
 		held := make(map[string]int64, len(list))
 		for _, adapter := range list {
--- a/fleet/server_list.go
+++ b/fleet/server_list.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -24,6 +26,7 @@
 	// Decode reads what a server says of itself.
 	Decode func(id string, value []byte) (server pomelospring.FleetServer, err error)
 
+	mu      sync.Mutex
 	servers map[string]pomelospring.FleetServer
 	// missing maps servers whose entry is gone to when they are given up.
 	missing map[string]time.Time
@@ -34,11 +37,10 @@
 // Read takes in records read from the store. whole says that they are all
 // there are; outage is how long the store was not read before.
 func (l *ServerList) Read(records []pomelospring.KeyedRecord, whole bool, _ int64, outage time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	now := l.Clock()
-	if l.servers == nil {
-		l.servers = map[string]pomelospring.FleetServer{}
-		l.missing = map[string]time.Time{}
-	}
+	l.start()
 	if outage > outageLeast {
 		l.returnUntil = now.Add(returnTime)
 	}
@@ -57,11 +59,38 @@
 			l.drop(id, "its entry is gone")
 		}
 	}
-	servers := make(map[string]pomelospring.FleetServer, len(l.servers))
-	for id, server := range l.servers {
-		servers[id] = server
+	l.Board.SetServers(maps.Clone(l.servers), now)
+}
+
+func (l *ServerList) start() {
+	if l.servers == nil {
+		l.servers = map[string]pomelospring.FleetServer{}
+		l.missing = map[string]time.Time{}
 	}
-	l.Board.SetServers(servers)
+}
+
+// Relay takes in what the leader read from the store at heard: the servers
+// that changed and those that went, or all there are where whole is set.
+func (l *ServerList) Relay(changed []pomelospring.FleetServer, gone []string, whole bool, heard time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.start()
+	listed := map[string]bool{}
+	for _, server := range changed {
+		listed[server.ID] = true
+		l.take(server)
+	}
+	for id := range l.servers {
+		if whole && !listed[id] {
+			gone = append(gone, id)
+		}
+	}
+	for _, id := range gone {
+		if _, known := l.servers[id]; known {
+			l.drop(id, "the leader no longer lists it")
+		}
+	}
+	l.Board.SetServers(maps.Clone(l.servers), heard)
 }
 
 func (l *ServerList) dropUnlisted(records []pomelospring.KeyedRecord, now time.Time) {
@@ -102,17 +131,22 @@
 
 func (l *ServerList) listed(record pomelospring.KeyedRecord) {
 	server, err := l.Decode(record.Key, record.Value)
-	before, known := l.servers[record.Key]
 	if err != nil {
 		events.Log(l.Logger, events.ServerSpoiled, log.Fields{
 			"server": record.Key,
 			"error":  err.Error(),
 		})
-		if known {
+		if _, known := l.servers[record.Key]; known {
 			l.drop(record.Key, "its entry can't be read")
 		}
 		return
 	}
+	l.take(server)
+}
+
+// take enters a server unless what is known of it is newer.
+func (l *ServerList) take(server pomelospring.FleetServer) {
+	before, known := l.servers[server.ID]
 	if known && server.Started.Before(before.Started) {
 		// A heartbeat of an earlier incarnation came late.
 		return
@@ -121,8 +155,8 @@
 		// A server that began to leave does not come back without a new start.
 		server.Draining = true
 	}
-	delete(l.missing, record.Key)
-	l.servers[record.Key] = server
+	delete(l.missing, server.ID)
+	l.servers[server.ID] = server
 	if !known || before.Draining != server.Draining || !before.Started.Equal(server.Started) {
 		events.Log(l.Logger, events.ServersListed, log.Fields{
 			"server":   server.ID,
--- a/front/front.go
+++ b/front/front.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -28,12 +30,13 @@
 
 const (
 	// operatorWait is how long one read of operators' records waits at the
-	// store. A silent connection shows after it, within the users' three
-	// seconds of calm.
-	operatorWait = 1400 * time.Millisecond
-	// serverEvery is the time between reads of the server list, within the two
-	// seconds in which a server that leaves must get no more requests.
-	serverEvery = 800 * time.Millisecond
+	// store: what the leader passes on must be under a second old, and a
+	// silent connection shows only after it.
+	operatorWait = 600 * time.Millisecond
+	// serverEvery is the time between reads of the server list. With the way
+	// through the leader it stays within the two seconds in which a server
+	// that leaves must get no more requests.
+	serverEvery = 500 * time.Millisecond
 	// headerTimeout bounds the head of a request.
 	headerTimeout = 10 * time.Second
 	// idleTimeout closes callers' idle connections; the platform's limit is
@@ -56,9 +59,11 @@
 // Front is one instance.
 type Front struct {
 	settings *settings.Front
-	logger   log.Interface
-	clock    pomelospring.Clock
-	lines    *events.BoundedWriter
+	// path is that of the settings file.
+	path   string
+	logger *log.Logger
+	clock  pomelospring.Clock
+	lines  *events.BoundedWriter
 
 	board    *fleet.Board
 	ledger   *quota.Ledger
@@ -78,18 +83,21 @@
 	servers   *fleet.ServerList
 	stopping  context.Context
 	stop      context.CancelFunc
+	// retrySlack is the fleet's; the settings file may change it.
+	retrySlack atomic.Pointer[float64]
 }
 
-// New wires an instance; lines carries its log lines.
-func New(config *settings.Front, logger log.Interface, lines *events.BoundedWriter) *Front {
+// New wires an instance with the settings of a file; lines carries its log lines.
+func New(config *settings.Front, path string, logger *log.Logger, lines *events.BoundedWriter) *Front {
 	clock := time.Now
 	f := &Front{
 		settings: config,
+		path:     path,
 		logger:   logger,
 		clock:    clock,
 		lines:    lines,
 		board:    fleet.NewBoard(config.Domain),
-		ledger:   quota.NewLedger(),
+		ledger:   quota.NewLedger(rand.Float64),
 		store:    platform.NewStore(config.StoreAddr, groupName),
 		backends: platform.NewBackends(),
 		engines:  platform.NewEngines(),
@@ -123,8 +131,9 @@
 		Counters:    f.metrics,
 		RetrySlack:  config.Bounds.RetrySlack / assumedInstances,
 	}
+	f.retrySlack.Store(&config.Bounds.RetrySlack)
 	f.member.Heard = func(instances int) {
-		f.service.SetRetrySlack(config.Bounds.RetrySlack / float64(max(instances, 1)))
+		f.service.SetRetrySlack(*f.retrySlack.Load() / float64(max(instances, 1)))
 	}
 	f.ingress = &platform.Ingress{
 		Serve:  f.service.Serve,
@@ -157,6 +166,7 @@
 		Instance: f.leader.Instance,
 		Board:    f.board,
 		Ledger:   f.ledger,
+		Servers:  f.servers,
 		Leader:   f.leader,
 		Local:    f.server,
 		Peers:    f.peers,
@@ -170,6 +180,8 @@
 		Address: config.Listen.Peers,
 		Logger:  f.logger,
 		Uptime:  uptime,
+
+		ProcessorShare: config.Processor,
 	}
 }
 
@@ -209,8 +221,9 @@
 	})
 	var group run.Group
 	addLoop(&group, f.lines.Run)
-	addLoop(&group, f.follow(platform.OperatorTopic, operatorWait, 0, f.operators.Read).Run)
-	addLoop(&group, f.follow(platform.ServerTopic, 0, serverEvery, f.servers.Read).Run)
+	addLoop(&group, f.operatorFollower().Run)
+	addLoop(&group, f.serverFollower().Run)
+	addLoop(&group, f.watchSettings)
 	addLoop(&group, f.leader.Run)
 	addLoop(&group, f.member.Run)
 	addLoop(&group, func(ctx context.Context) error { return f.server.Run(ctx, peers) })
@@ -224,13 +237,26 @@
 	return errors.Join(err, f.peers.Close(), f.metrics.Close())
 }
 
-func (f *Front) follow(topic string, wait, every time.Duration, apply func([]pomelospring.KeyedRecord, bool, int64, time.Duration)) *platform.Follower {
+func (f *Front) operatorFollower() *platform.Follower {
+	return &platform.Follower{
+		Store:  f.store,
+		Topic:  platform.OperatorTopic,
+		Wait:   operatorWait,
+		Apply:  f.operators.Read,
+		Idle:   f.member.OperatorsRelayed,
+		Known:  f.board.OperatorOffset,
+		Logger: f.logger,
+		Clock:  f.clock,
+	}
+}
+
+func (f *Front) serverFollower() *platform.Follower {
 	return &platform.Follower{
 		Store:  f.store,
-		Topic:  topic,
-		Wait:   wait,
-		Every:  every,
-		Apply:  apply,
+		Topic:  platform.ServerTopic,
+		Every:  serverEvery,
+		Apply:  f.servers.Read,
+		Idle:   f.member.ServersRelayed,
 		Logger: f.logger,
 		Clock:  f.clock,
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -12,10 +12,10 @@
 const (
 	// TimeToLive is how long the platform keeps a silent member's parts. A
 	// machine that is restarted or cut off for some seconds keeps them.
-	TimeToLive = 8 * time.Second
+	TimeToLive = 12 * time.Second
 	// validity is how long the holder trusts its last renewal, from the moment
 	// it was sent; it ends well before TimeToLive.
-	validity = 6500 * time.Millisecond
+	validity = 10500 * time.Millisecond
 	// RenewEvery is the time between renewals.
 	RenewEvery = time.Second
 	// flight bounds how long an order may be under way.
--- a/loading/book.go
+++ b/loading/book.go
@@ -67,6 +67,8 @@
 	modelReadyAt  time.Time
 	waitingTokens int64
 	running       int
+	// version is the book's at the last change of what the worker holds.
+	version int64
 }
 
 type slot struct {
@@ -104,7 +106,7 @@
 				models: map[string]bool{},
 			}
 			b.workers[server.ID] = known
-			b.Version++
+			b.touch(known)
 		}
 		known.server = server
 		known.limits = limits[server.Service]
@@ -112,7 +114,6 @@
 	for id := range b.workers {
 		if !listed[id] {
 			delete(b.workers, id)
-			b.Version++
 		}
 	}
 }
@@ -185,7 +186,7 @@
 		w.slots[loading.Adapter] = s
 	}
 	w.synced = true
-	b.Version++
+	b.touch(w)
 }
 
 func carried(before *slot, version int64, now time.Time) *slot {
@@ -208,10 +209,19 @@
 	w.reportAt = now.Add(reportLag)
 }
 
-// Residency lists what is ready on every worker.
-func (b *Book) Residency(now time.Time) map[string][]pomelospring.ResidentAdapter {
-	residency := make(map[string][]pomelospring.ResidentAdapter, len(b.workers))
+// touch notes a change of what a worker holds.
+func (b *Book) touch(w *worker) {
+	b.Version++
+	w.version = b.Version
+}
+
+// Residency lists what is ready on the workers that changed since a version.
+func (b *Book) Residency(since int64, now time.Time) map[string][]pomelospring.ResidentAdapter {
+	residency := map[string][]pomelospring.ResidentAdapter{}
 	for id, w := range b.workers {
+		if w.version <= since {
+			continue
+		}
 		ready := []pomelospring.ResidentAdapter{}
 		for name, s := range w.slots {
 			if now.Before(s.readyAt) {
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -204,14 +204,14 @@
 		w.sequence++
 		delete(w.slots, adapter)
 		w.hold(adapter, now)
-		b.Version++
+		b.touch(w)
 		return true
 	default:
 		// The unload waits for runs, or its fate is unknown: the next report
 		// tells what the worker holds.
 		delete(w.slots, adapter)
 		w.unsync(now)
-		b.Version++
+		b.touch(w)
 		return false
 	}
 }
@@ -244,7 +244,7 @@
 		cold:     cold,
 	}
 	w.hold(adapter, now)
-	b.Version++
+	b.touch(w)
 	return readyAt, true
 }
 
--- a/loading/upkeep.go
+++ b/loading/upkeep.go
@@ -122,14 +122,13 @@
 	w.reportAt = w.modelReadyAt
 }
 
-// Settle raises the version of the book when an adapter became ready between
-// two times.
+// Settle notes the workers on which an adapter became ready between two times.
 func (b *Book) Settle(from, now time.Time) {
 	for _, w := range b.workers {
 		for _, s := range w.slots {
 			if s.readyAt.After(from) && !s.readyAt.After(now) {
-				b.Version++
-				return
+				b.touch(w)
+				break
 			}
 		}
 	}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -5,6 +5,7 @@
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -12,12 +13,14 @@
 )
 
 const (
-	// contactTime is how long the last word of the others' spending counts;
-	// exchanges come several times a second.
-	contactTime = 1200 * time.Millisecond
-	// shareMemory is the time over which an instance's part of a team's
-	// spending is weighed.
-	shareMemory = 8 * time.Second
+	// contactIntervals is how many intervals between exchanges the last word of
+	// the others' spending counts.
+	contactIntervals = 3
+	// shareMemory is the time over which what is asked of a team is weighed.
+	shareMemory = 3 * time.Second
+	// reservePart bounds the part of a burst that is kept for requests that
+	// cost less.
+	reservePart = 0.25
 	// leastShare is the part, over the number of instances, that one keeps of
 	// a team which it has not served lately.
 	leastShare = 0.3
@@ -30,10 +33,14 @@
 type Ledger struct {
 	mu       sync.Mutex
 	accounts map[string]*account
-	// heardUntil is when the word of the others stops to count.
+	// heardUntil is when the word of the others, of heardAt, stops to count.
+	heardAt    time.Time
 	heardUntil time.Time
+	interval   time.Duration
 	instances  int
 	leader     string
+	// chance draws from 0 to 1.
+	chance func() float64
 }
 
 type account struct {
@@ -42,21 +49,30 @@
 	// level is what may be spent at filled; below 0 it is owed.
 	level  float64
 	filled time.Time
-	// spent is this instance's spending since its start.
-	spent float64
-	// others is the last sum heard.
-	others float64
-	// recentOwn and recentOthers weigh the spending of shareMemory.
+	// own counts since this instance's start; others is the last sum heard.
+	own    Spending
+	others Spending
+	// recentOwn and recentOthers weigh what was asked for in shareMemory.
 	recentOwn    float64
 	recentOthers float64
 	decayed      time.Time
 }
 
-// NewLedger makes a ledger for a fleet of at least one instance.
-func NewLedger() *Ledger {
+// Spending counts the tokens of one team.
+type Spending struct {
+	// Spent tokens were charged and not given back.
+	Spent float64
+	// Asked tokens are those of all requests, the refused ones included.
+	Asked float64
+}
+
+// NewLedger makes a ledger for a fleet of at least one instance; chance draws
+// from 0 to 1.
+func NewLedger(chance func() float64) *Ledger {
 	return &Ledger{
 		accounts:  map[string]*account{},
 		instances: 1,
+		chance:    chance,
 	}
 }
 
@@ -81,10 +97,13 @@
 	}
 }
 
-// Admit charges tokens to a team, or says when the team may spend again. A
-// bucket that is above zero admits a request of any size, so that large ones
-// are not refused more often than small ones.
-func (l *Ledger) Admit(team string, tokens float64, now time.Time) (admitted bool, retryAt time.Time) {
+// Admit charges tokens to a team, or says when the team may spend again.
+//
+// A bucket that is above the reserve admits a request of any size, so that
+// large ones are not refused more often than small ones of their kind. While
+// the whole fleet asks for more than the bucket holds until the next word of
+// the others, requests are admitted in proportion.
+func (l *Ledger) Admit(team string, tokens, reserve float64, now time.Time) (admitted bool, retryAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accounts[team]
@@ -92,13 +111,31 @@
 		return true, time.Time{}
 	}
 	l.fill(a, now)
-	if a.rate > 0 && a.level <= 0 {
-		return false, now.Add(l.wait(a, now))
+	a.own.Asked += tokens
+	a.recentOwn += tokens
+	if a.rate > 0 {
+		room := a.level - min(reserve, reservePart*a.burst)
+		if room <= 0 || room < l.expected(a, now)*l.chance() {
+			return false, now.Add(l.wait(a, reserve, now))
+		}
 	}
 	a.charge(tokens)
 	return true, time.Time{}
 }
 
+// expected is what the fleet will ask of the team until the next word of the
+// others, as far as this instance sees it.
+func (l *Ledger) expected(a *account, now time.Time) float64 {
+	if !now.Before(l.heardUntil) {
+		return 0
+	}
+	if a.recentOthers <= 0 {
+		return 0
+	}
+	span := max(l.interval, now.Sub(l.heardAt))
+	return (a.recentOwn + a.recentOthers) / shareMemory.Seconds() * span.Seconds()
+}
+
 // Refund gives back what was charged for a request that did not run.
 func (l *Ledger) Refund(team string, tokens float64, now time.Time) {
 	l.mu.Lock()
@@ -110,34 +147,36 @@
 	}
 }
 
-// Spending gives this instance's spending by team since its start.
-func (l *Ledger) Spending() map[string]float64 {
+// Spending gives this instance's counts by team since its start.
+func (l *Ledger) Spending() map[string]Spending {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	spending := make(map[string]float64, len(l.accounts))
+	spending := make(map[string]Spending, len(l.accounts))
 	for name, a := range l.accounts {
-		spending[name] = a.spent
+		spending[name] = a.own
 	}
 	return spending
 }
 
-// Learn takes in the sums of the other instances' spending, as a leader adds
-// them up; sums of another leader start anew.
-func (l *Ledger) Learn(leader string, others map[string]float64, instances int, now time.Time) {
+// Learn takes in the sums of the other instances' counts, as a leader adds
+// them up; sums of another leader start anew. interval is the time until the
+// next word.
+func (l *Ledger) Learn(leader string, others map[string]Spending, instances int, interval time.Duration, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, a := range l.accounts {
 		l.fill(a, now)
 		if leader == l.leader {
-			heard := others[name] - a.others
-			a.level -= heard
-			a.recentOthers = max(0, a.recentOthers+heard)
+			a.level -= others[name].Spent - a.others.Spent
+			a.recentOthers = max(0, a.recentOthers+others[name].Asked-a.others.Asked)
 		}
 		a.others = others[name]
 	}
 	l.leader = leader
 	l.instances = max(1, instances)
-	l.heardUntil = now.Add(contactTime)
+	l.interval = interval
+	l.heardAt = now
+	l.heardUntil = now.Add(contactIntervals * interval)
 }
 
 // InContact reports whether the others' spending is known.
@@ -161,8 +200,7 @@
 
 func (a *account) charge(tokens float64) {
 	a.level -= tokens
-	a.spent += tokens
-	a.recentOwn = max(0, a.recentOwn+tokens)
+	a.own.Spent += tokens
 }
 
 // fill lets the bucket run full until now, at the team's whole rate while the
@@ -178,7 +216,7 @@
 		a.filled = now
 	}
 	if passed := now.Sub(a.decayed); passed > 0 {
-		keep := max(0, 1-passed.Seconds()/shareMemory.Seconds())
+		keep := math.Exp(-passed.Seconds() / shareMemory.Seconds())
 		a.recentOwn *= keep
 		a.recentOthers *= keep
 		a.decayed = now
@@ -195,13 +233,13 @@
 	return max(least, (1-leastShare)*a.recentOwn/total+least)
 }
 
-// wait is how long the account stays empty.
-func (l *Ledger) wait(a *account, now time.Time) time.Duration {
+// wait is how long the account stays below the reserve.
+func (l *Ledger) wait(a *account, reserve float64, now time.Time) time.Duration {
 	rate := a.rate
 	if !now.Before(l.heardUntil) {
 		rate *= l.share(a)
 	}
-	wait := time.Duration(-a.level / rate * float64(time.Second))
+	wait := time.Duration((min(reserve, reservePart*a.burst) - a.level) / rate * float64(time.Second))
 	return min(retryMost, max(retryLeast, wait))
 }
 
--- a/settings/front.go
+++ b/settings/front.go
@@ -10,6 +10,7 @@
 	Listen     FrontListen `yaml:"listen" doc:"Addresses to listen on."`
 	StoreAddr  string      `yaml:"storeAddress" validate:"required,hostname_port" doc:"host:port of the platform's metadata store."`
 	GroupParts int         `yaml:"groupParts" validate:"min=1,max=1000" doc:"Partitions that the store gives every topic; the leader holds all of the group's."`
+	Processor  float64     `yaml:"processorShare" validate:"min=0,max=1024" doc:"Part of a core that the instance has; those with more lead sooner."`
 	Bounds     FrontBounds `yaml:"bounds" doc:"What the platform holds instances to."`
 	Logging    Logging     `yaml:"logging" doc:"Logs."`
 }
@@ -34,6 +35,7 @@
 func DefaultFront() *Front {
 	return &Front{
 		GroupParts: 12,
+		Processor:  1,
 		Bounds: FrontBounds{
 			StopWithin:   8 * time.Second,
 			OrderTurn:    3 * time.Second,
