Let each failure domain have a leader of its own

Ruled out: a shorter lease, which cuts of the store of 7 s then outlast. Change: a group, a leader and a book for each failure domain; adapters have a home domain, the other domains' leaders help where it can't.

--- a/coordination/election.go
+++ b/coordination/election.go
@@ -22,6 +22,8 @@
 	// smallWait is what an instance with no processor of its own would wait
 	// before it joins; those with more wait less, so that they lead.
 	smallWait = 800 * time.Millisecond
+	// foreignWait is what an instance of another domain waits on top.
+	foreignWait = 2500 * time.Millisecond
 	// leaveTimeout bounds the word to the group at a stop.
 	leaveTimeout = 700 * time.Millisecond
 	// idleEvery is how often an instance that knows its leader looks whether
@@ -35,8 +37,12 @@
 // instance one when there is none.
 type Election struct {
 	Groups pomelospring.GroupService
-	Leader *Leader
-	Member *Member
+	// Group is the one of the domain's leaders.
+	Group string
+	// Foreign says that the instance runs in another domain than it would lead.
+	Foreign bool
+	Leader  *Leader
+	Member  *Member
 	// Address is this instance's name in the group and its address.
 	Address string
 	Logger  log.Interface
@@ -86,13 +92,13 @@
 
 // look asks for the leader, and joins where there is none.
 func (e *Election) look(ctx context.Context) {
-	owners, err := e.Groups.Owners(ctx)
+	owners, err := e.Groups.Owners(ctx, e.Group)
 	if err == nil && len(owners) == 0 {
 		// Others may see the same; whoever looks first after the wait joins.
 		if pause(ctx, e.joinWait()) != nil {
 			return
 		}
-		owners, err = e.Groups.Owners(ctx)
+		owners, err = e.Groups.Owners(ctx, e.Group)
 	}
 	if err != nil {
 		return
@@ -112,14 +118,19 @@
 	return lookEvery + time.Duration(e.Member.Instances())*lookPerInstance + rand.N(lookSpread)
 }
 
+// joinWait lets instances of the domain, and large ones, join first.
 func (e *Election) joinWait() time.Duration {
-	return time.Duration((1-min(1, e.ProcessorShare))*float64(smallWait)) + rand.N(lookSpread)
+	wait := time.Duration((1-min(1, e.ProcessorShare))*float64(smallWait)) + rand.N(lookSpread)
+	if e.Foreign {
+		wait += foreignWait
+	}
+	return wait
 }
 
 // renew enters the group or stays in it.
 func (e *Election) renew(ctx context.Context) {
 	sent := e.Uptime()
-	membership, err := e.Groups.Join(ctx, e.Address, e.generation, lease.TimeToLive)
+	membership, err := e.Groups.Join(ctx, e.Group, e.Address, e.generation, lease.TimeToLive)
 	if err != nil {
 		events.Log(e.Logger, events.RenewalMissed, log.Fields{
 			"error": err.Error(),
@@ -164,7 +175,7 @@
 	e.stepDown()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if err := e.Groups.Leave(ctx, e.Address); err != nil {
+	if err := e.Groups.Leave(ctx, e.Group, e.Address); err != nil {
 		events.Log(e.Logger, events.RenewalMissed, log.Fields{
 			"error": err.Error(),
 		})
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -39,10 +39,14 @@
 	Holder string
 	// Instance is unique to this start.
 	Instance string
-	Board    *fleet.Board
-	Engine   pomelospring.Engine
-	Logger   log.Interface
-	Clock    pomelospring.Clock
+	// Domain is the failure domain whose model workers it leads; Domains is
+	// how many there are.
+	Domain  string
+	Domains int
+	Board   *fleet.Board
+	Engine  pomelospring.Engine
+	Logger  log.Interface
+	Clock   pomelospring.Clock
 	// Uptime goes on while the process is suspended.
 	Uptime func() time.Duration
 
@@ -60,8 +64,6 @@
 	uses map[string]fleet.Use
 	// heardUntil is when the member stops to count.
 	heardUntil time.Time
-	// operatorOffset is how far it knows the operators' records.
-	operatorOffset int64
 }
 
 // NewLeader makes a leader that does not lead yet. turn is how long no order
@@ -119,7 +121,8 @@
 		l.book.Forget(l.Clock())
 	}
 	events.Log(l.Logger, event, log.Fields{
-		"fence": l.lease.Generation(),
+		"domain": l.Domain,
+		"fence":  l.lease.Generation(),
 	})
 }
 
@@ -179,7 +182,7 @@
 			limits[name] = *service.Engine
 		}
 	}
-	l.book.SetServers(l.Board.Servers(), limits)
+	l.book.SetServers(l.servers(), limits, l.Domains)
 	for adapter, version := range l.Board.Declared() {
 		l.book.Declare(adapter, version)
 	}
@@ -188,10 +191,20 @@
 	l.settledAt = now
 }
 
+// servers lists those of the leader's domain.
+func (l *Leader) servers() (servers []pomelospring.FleetServer) {
+	for _, server := range l.Board.Servers() {
+		if server.Domain == l.Domain {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
 // useAll sums up what all instances have in progress.
 func (l *Leader) useAll(now time.Time) {
 	sums := l.sums("", now)
-	for _, server := range l.Board.Servers() {
+	for _, server := range l.servers() {
 		use := sums[server.ID]
 		adapters := make(map[string]int, len(use.Adapters))
 		for _, adapter := range use.Adapters {
@@ -219,8 +232,8 @@
 	return sums
 }
 
-// due picks the orders to give now: base models one after the other, as the
-// weight store loads one at a time at full speed. The lock is held.
+// due picks the orders to give now: base models one after the other, at this
+// domain's part of the weight store's rate. The lock is held.
 func (l *Leader) due(now time.Time) (orders []loading.Upkeep) {
 	replaced := 0
 	for _, order := range l.book.Upkeep(now) {
@@ -229,7 +242,7 @@
 				continue
 			}
 			rate := l.Board.Policy().Services[order.Server.Service].Engine.LoadsPerSecond
-			l.modelAt = now.Add(time.Duration(float64(time.Second) / max(rate, leastModelRate)))
+			l.modelAt = now.Add(time.Duration(float64(l.Domains) * float64(time.Second) / max(rate, leastModelRate)))
 		} else if replaced++; replaced > upkeepAtOnce {
 			continue
 		}
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -25,6 +25,11 @@
 	exchangeTimeout = 400 * time.Millisecond
 	// missedLimit is how many exchanges may fail before the leader is looked up anew.
 	missedLimit = 4
+	// hintPause is how long an address that failed is not taken from others.
+	hintPause = 2 * time.Second
+	// wordIntervals is how many intervals between exchanges a leader's word on
+	// what workers hold goes before the workers' own, which is older.
+	wordIntervals = 5
 	// relayMargin is how late an exchange may be before an instance reads the
 	// platform's topics itself.
 	relayMargin = 500 * time.Millisecond
@@ -36,8 +41,15 @@
 // errNoLeader says that no instance gives orders at the moment.
 var errNoLeader = errors.New("no leader is known")
 
-// Member is every instance's side of the exchange with the leader.
+// Member is an instance's side of the exchange with the leader of one failure
+// domain.
 type Member struct {
+	// Domain is the one whose leader it exchanges with.
+	Domain string
+	// Relay takes over what the leader read of the store.
+	Relay bool
+	// Budget takes over what teams spend; of one domain's leader only.
+	Budget bool
 	// Address is where other instances reach this one.
 	Address string
 	// Instance is unique to this start.
@@ -49,8 +61,11 @@
 	Peers    *peer.Client
 	Logger   log.Interface
 	Clock    pomelospring.Clock
-	// Heard is told how many instances there are.
-	Heard func(instances int)
+	// Heard is told how many instances there are, and the leaders of other
+	// domains that this one's knows.
+	Heard func(instances int, leaders map[string]string)
+	// LeadsAny reports whether this instance leads any domain.
+	LeadsAny func() bool
 
 	// Servers takes in the leader's list of backend servers.
 	Servers *fleet.ServerList
@@ -59,6 +74,10 @@
 	address   string
 	missed    int
 	instances int
+	// failed is the address that was given up last; hints of it are not
+	// followed for a while.
+	failed      string
+	failedUntil time.Time
 	// leader is the one that the versions held are of.
 	leader        string
 	serverVersion int64
@@ -70,8 +89,6 @@
 	leaderOffset int64
 }
 
-var _ pomelospring.Coordinator = (*Member)(nil)
-
 // Find sets the leader's address; an empty one says that there is none.
 func (m *Member) Find(address string) {
 	m.mu.Lock()
@@ -87,10 +104,22 @@
 		event = events.LeaderLost
 	}
 	events.Log(m.Logger, event, log.Fields{
+		"domain":  m.Domain,
 		"address": address,
 	})
 }
 
+// hint takes over an address that another instance knows, unless it failed
+// here a moment ago.
+func (m *Member) hint(address string) {
+	m.mu.Lock()
+	usable := m.address == "" && (address != m.failed || m.Clock().After(m.failedUntil))
+	m.mu.Unlock()
+	if usable {
+		m.Find(address)
+	}
+}
+
 // Known gives the leader's address; empty where it must be looked up.
 func (m *Member) Known() string {
 	m.mu.Lock()
@@ -137,7 +166,8 @@
 	interval := m.interval()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.address == "" || m.address == m.Address {
+	if m.address == "" || m.LeadsAny() {
+		// Those who lead read for the others.
 		return false
 	}
 	return age() < relayAge && m.Clock().Sub(m.heardAt) < interval+relayMargin
@@ -155,15 +185,21 @@
 	defer cancel()
 	request := &coordinationpb.ExchangeRequest{
 		Instance:         m.Instance,
+		Domain:           m.Domain,
 		Uses:             m.uses(),
-		Spending:         spendingTo(m.Ledger.Spending()),
-		OperatorOffset:   m.Board.OperatorOffset(),
-		ResidencyVersion: m.Board.ResidencyVersion(),
-		ServerVersion:    serverVersion,
+		ResidencyVersion: m.Board.ResidencyVersion(m.Domain),
 		Leader:           leader,
+		Relay:            m.Relay,
 	}
-	if leaderOffset > 0 {
-		request.Records = recordsTo(m.Board.RecordsFrom(leaderOffset))
+	if m.Budget {
+		request.Spending = spendingTo(m.Ledger.Spending())
+	}
+	if m.Relay {
+		request.OperatorOffset = m.Board.OperatorOffset()
+		request.ServerVersion = serverVersion
+		if leaderOffset > 0 {
+			request.Records = recordsTo(m.Board.RecordsFrom(leaderOffset))
+		}
 	}
 	reply, err := m.call(ctx, address, request)
 	if err == nil && !reply.Leading {
@@ -199,6 +235,9 @@
 		"error":   err.Error(),
 	})
 	if gone {
+		m.mu.Lock()
+		m.failed, m.failedUntil = address, m.Clock().Add(hintPause)
+		m.mu.Unlock()
 		m.Find("")
 	}
 }
@@ -224,21 +263,28 @@
 	m.operatorAge = operatorAge
 	m.serverAge = serverAge
 	m.mu.Unlock()
-	m.Ledger.Learn(reply.Leader, spendingFrom(reply.Spending), int(reply.Instances), m.interval(), now)
-	m.Board.SetResidency(residencyFrom(reply.Residency), whole, reply.ResidencyVersion)
-	m.Board.HearLeader(usesFrom(reply.Uses), now)
-	if remote {
+	interval := m.interval()
+	if m.Budget {
+		m.Ledger.Learn(reply.Leader, spendingFrom(reply.Spending), int(reply.Instances), interval, now)
+	}
+	m.Board.SetResidency(m.Domain, residencyFrom(reply.Residency), whole, reply.ResidencyVersion)
+	m.Board.HearLeader(m.Domain, usesFrom(reply.Uses), now.Add(wordIntervals*interval))
+	if m.Relay && remote {
 		m.Local.Absorb(recordsFrom(reply.Records))
 		m.Board.HearOperator(reply.OperatorOffset, now.Add(-operatorAge))
 		if serverAge < relayAge {
 			m.Servers.Relay(serversFrom(reply.Servers), reply.ServersGone, whole || allServers, now.Add(-serverAge))
 		}
 	}
-	m.Heard(int(reply.Instances))
+	leaders := map[string]string{}
+	for _, leader := range reply.Leaders {
+		leaders[leader.Domain] = leader.Address
+	}
+	m.Heard(int(reply.Instances), leaders)
 }
 
 func (m *Member) uses() (list []*coordinationpb.ServerUse) {
-	for id, use := range m.Board.Uses() {
+	for id, use := range m.Board.Uses(m.Domain) {
 		list = append(list, &coordinationpb.ServerUse{
 			Server:        id,
 			Running:       int32(use.Running),
@@ -249,13 +295,8 @@
 	return list
 }
 
-// Place implements pomelospring.Coordinator.
+// Place asks the domain's leader for an adapter.
 func (m *Member) Place(ctx context.Context, wish pomelospring.PlacementWish) (outcome pomelospring.PlacementOutcome, err error) {
-	defer func() {
-		if err == nil && outcome.Server != "" {
-			m.Board.Placed(outcome.Server, wish.Adapter, outcome.Version)
-		}
-	}()
 	address := m.Known()
 	switch address {
 	case "":
@@ -267,6 +308,7 @@
 	ctx, cancel := context.WithDeadline(ctx, wish.Deadline)
 	defer cancel()
 	reply, err := m.client(ctx, address).Place(ctx, &coordinationpb.PlaceRequest{
+		LeaderDomain:     m.Domain,
 		Adapter:          wish.Adapter,
 		Version:          wish.Version,
 		Domain:           wish.Domain,
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -13,9 +13,12 @@
 	"storj.io/drpc/drpcserver"
 )
 
-// Server answers other instances for the leader.
+// Server answers other instances for the leaders in this process.
 type Server struct {
-	Leader *Leader
+	// Leaders are by failure domain.
+	Leaders map[string]*Leader
+	// Known gives the leaders' addresses by domain, as far as known here.
+	Known func() map[string]string
 	// Absorb takes in operators' records that the caller had first.
 	Absorb func(records []pomelospring.KeyedRecord)
 }
@@ -34,8 +37,12 @@
 
 // Place implements the call Place.
 func (s *Server) Place(ctx context.Context, request *coordinationpb.PlaceRequest) (reply *coordinationpb.PlaceReply, err error) {
-	now := s.Leader.Clock()
-	outcome, err := s.Leader.Place(ctx, pomelospring.PlacementWish{
+	leader := s.Leaders[request.LeaderDomain]
+	if leader == nil {
+		return nil, errNotLeading
+	}
+	now := leader.Clock()
+	outcome, err := leader.Place(ctx, pomelospring.PlacementWish{
 		Adapter:  request.Adapter,
 		Version:  request.Version,
 		Domain:   request.Domain,
@@ -52,7 +59,7 @@
 		Version: outcome.Version,
 	}
 	if !outcome.RetryAt.IsZero() {
-		reply.RetryMilliseconds = outcome.RetryAt.Sub(s.Leader.Clock()).Milliseconds()
+		reply.RetryMilliseconds = outcome.RetryAt.Sub(leader.Clock()).Milliseconds()
 	}
 	return reply, nil
 }
@@ -62,7 +69,18 @@
 	if len(request.Records) > 0 {
 		s.Absorb(recordsFrom(request.Records))
 	}
-	return s.Leader.exchange(request), nil
+	leader := s.Leaders[request.Domain]
+	if leader == nil {
+		return &coordinationpb.ExchangeReply{}, nil
+	}
+	reply = leader.exchange(request)
+	for domain, address := range s.Known() {
+		reply.Leaders = append(reply.Leaders, &coordinationpb.DomainLeader{
+			Domain:  domain,
+			Address: address,
+		})
+	}
+	return reply, nil
 }
 
 func (l *Leader) exchange(request *coordinationpb.ExchangeRequest) *coordinationpb.ExchangeReply {
@@ -70,8 +88,6 @@
 	if request.Leader != l.Instance {
 		residencySince, serversSince = 0, 0
 	}
-	offset := l.Board.OperatorOffset()
-	changed, gone, serverVersion := l.Board.ServerChanges(serversSince)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.lease.Holds(l.Uptime()) {
@@ -79,9 +95,8 @@
 	}
 	now := l.Clock()
 	l.members[request.Instance] = &member{
-		uses:           usesFrom(request.Uses),
-		heardUntil:     now.Add(instanceTime),
-		operatorOffset: request.OperatorOffset,
+		uses:       usesFrom(request.Uses),
+		heardUntil: now.Add(instanceTime),
 	}
 	l.totals.Report(request.Instance, spendingFrom(request.Spending))
 	l.book.Settle(l.settledAt, now)
@@ -91,21 +106,28 @@
 		Leader:           l.Instance,
 		Uses:             usesTo(l.sums(request.Instance, now)),
 		Spending:         spendingTo(l.totals.Others(request.Instance)),
-		OperatorOffset:   offset,
-		Records:          recordsTo(l.Board.RecordsFrom(request.OperatorOffset)),
 		ResidencyVersion: l.book.Version,
 		Residency:        residencyTo(l.book.Residency(residencySince, now)),
 		Instances:        l.count(now),
-		ServerVersion:    serverVersion,
-		Servers:          serversTo(changed),
-		ServersGone:      gone,
-
-		OperatorAgeMilliseconds: l.Board.PolicyAge(now).Milliseconds(),
-		ServerAgeMilliseconds:   l.Board.ServersAge(now).Milliseconds(),
+	}
+	if request.Relay {
+		l.relay(request.OperatorOffset, serversSince, reply, now)
 	}
 	return reply
 }
 
+// relay adds what this instance read of the store.
+func (l *Leader) relay(operatorOffset, serversSince int64, reply *coordinationpb.ExchangeReply, now time.Time) {
+	changed, gone, version := l.Board.ServerChanges(serversSince)
+	reply.OperatorOffset = l.Board.OperatorOffset()
+	reply.Records = recordsTo(l.Board.RecordsFrom(operatorOffset))
+	reply.ServerVersion = version
+	reply.Servers = serversTo(changed)
+	reply.ServersGone = gone
+	reply.OperatorAgeMilliseconds = l.Board.PolicyAge(now).Milliseconds()
+	reply.ServerAgeMilliseconds = l.Board.ServersAge(now).Milliseconds()
+}
+
 // count is how many instances exchanged lately; those that ended long ago are forgotten.
 func (l *Leader) count(now time.Time) (instances int32) {
 	for id, m := range l.members {
--- a/fleet.go
+++ b/fleet.go
@@ -216,14 +216,14 @@
 	Parts int
 }
 
-// GroupService hands the parts of a group to its live members.
+// GroupService hands the parts of groups to their live members.
 type GroupService interface {
 	// Join enters or renews a member until its time to live has passed.
-	Join(ctx context.Context, member string, generation int64, timeToLive time.Duration) (membership Membership, err error)
+	Join(ctx context.Context, group, member string, generation int64, timeToLive time.Duration) (membership Membership, err error)
 	// Leave gives a member's parts up.
-	Leave(ctx context.Context, member string) (err error)
+	Leave(ctx context.Context, group, member string) (err error)
 	// Owners lists the members that hold parts, with how many.
-	Owners(ctx context.Context) (owners map[string]int, err error)
+	Owners(ctx context.Context, group string) (owners map[string]int, err error)
 }
 
 // KeyedRecord is a record of one of the platform's keyed topics, as it stands;
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// residencyTime is how long the leader's word on what workers hold goes
-	// before the workers' own, which is older.
-	residencyTime = 1500 * time.Millisecond
 	// versionGrace is how long the former version of an adapter may still
 	// serve after a new one was heard of; the users allow five seconds.
 	versionGrace = 2 * time.Second
@@ -51,12 +48,20 @@
 	// serversHeard is the time of the store's answer that the list rests on.
 	serversHeard time.Time
 
-	residency        map[string]map[string]int64
-	residencyVersion int64
-	residencyUntil   time.Time
+	// domains is what the leader of each failure domain told.
+	domains map[string]*domainWord
+	uses    map[string]*use
+}
 
+// domainWord is a leader's word on the backend servers of its failure domain.
+type domainWord struct {
+	// held maps a worker to the versions of the adapters that it holds.
+	held    map[string]map[string]int64
+	version int64
+	// until is when the word stops to go before the workers' own.
+	until time.Time
+	// others is what the other instances have in progress.
 	others map[string]Use
-	uses   map[string]*use
 }
 
 type declaration struct {
@@ -67,14 +72,13 @@
 // NewBoard makes a board that knows nothing.
 func NewBoard(domain string) *Board {
 	return &Board{
-		Domain:    domain,
-		records:   map[string]pomelospring.KeyedRecord{},
-		declared:  map[string]declaration{},
-		servers:   map[string]pomelospring.FleetServer{},
-		changed:   map[string]int64{},
-		residency: map[string]map[string]int64{},
-		others:    map[string]Use{},
-		uses:      map[string]*use{},
+		Domain:   domain,
+		records:  map[string]pomelospring.KeyedRecord{},
+		declared: map[string]declaration{},
+		servers:  map[string]pomelospring.FleetServer{},
+		changed:  map[string]int64{},
+		domains:  map[string]*domainWord{},
+		uses:     map[string]*use{},
 	}
 }
 
@@ -252,53 +256,75 @@
 	return b.policy.Load() != nil && b.serversRead && len(b.servers) > 0
 }
 
-// SetResidency takes over the leader's word on what model workers hold: of the
+// word is that of a domain's leader. The lock is held.
+func (b *Board) word(domain string) *domainWord {
+	word := b.domains[domain]
+	if word == nil {
+		word = &domainWord{
+			held:   map[string]map[string]int64{},
+			others: map[string]Use{},
+		}
+		b.domains[domain] = word
+	}
+	return word
+}
+
+// SetResidency takes over a leader's word on what model workers hold: of the
 // workers that changed, or of all where whole is set.
-func (b *Board) SetResidency(residency map[string][]pomelospring.ResidentAdapter, whole bool, version int64) {
+func (b *Board) SetResidency(domain string, residency map[string][]pomelospring.ResidentAdapter, whole bool, version int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	word := b.word(domain)
 	if whole {
-		b.residency = make(map[string]map[string]int64, len(residency))
+		word.held = make(map[string]map[string]int64, len(residency))
 	}
 	for id, list := range residency {
 		held := make(map[string]int64, len(list))
 		for _, adapter := range list {
 			held[adapter.Adapter] = adapter.Version
 		}
-		b.residency[id] = held
+		word.held[id] = held
 	}
-	b.residencyVersion = version
+	word.version = version
 }
 
 // ResidencyVersion is that of the leader's word known; 0 without one.
-func (b *Board) ResidencyVersion() int64 {
+func (b *Board) ResidencyVersion(domain string) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.residencyVersion
+	return b.word(domain).version
 }
 
-// HearLeader takes in the others' use of backend servers and lets the
-// residency known count for a while.
-func (b *Board) HearLeader(others map[string]Use, now time.Time) {
+// HearLeader takes in the others' use of a domain's backend servers and lets
+// the residency known count for some time.
+func (b *Board) HearLeader(domain string, others map[string]Use, until time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others = others
-	b.residencyUntil = now.Add(residencyTime)
+	word := b.word(domain)
+	word.others = others
+	word.until = until
 }
 
 // Placed notes that a worker holds an adapter from now on.
 func (b *Board) Placed(server, adapter string, version int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.residency[server] == nil {
-		b.residency[server] = map[string]int64{}
+	listed, known := b.servers[server]
+	if !known {
+		return
 	}
-	b.residency[server][adapter] = version
+	held := b.word(listed.Domain).held
+	if held[server] == nil {
+		held[server] = map[string]int64{}
+	}
+	held[server][adapter] = version
 }
 
 // Missing notes that a worker refused an adapter that it was thought to hold.
 func (b *Board) Missing(server, adapter string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.residency[server], adapter)
+	if listed, known := b.servers[server]; known {
+		delete(b.word(listed.Domain).held[server], adapter)
+	}
 }
--- a/fleet/use.go
+++ b/fleet/use.go
@@ -111,14 +111,14 @@
 	return u.failures * math.Exp2(-now.Sub(u.failedAt).Seconds()/failureHalfLife.Seconds())
 }
 
-// Uses lists what is in progress here, for the leader, and forgets the
-// adapters of calls that have ended.
-func (b *Board) Uses() map[string]Use {
+// Uses lists what is in progress here at the backend servers of a domain, for
+// its leader, and forgets the adapters of calls that have ended.
+func (b *Board) Uses(domain string) map[string]Use {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	uses := map[string]Use{}
 	for id, u := range b.uses {
-		if u.running == 0 && len(u.recent) == 0 {
+		if b.servers[id].Domain != domain || u.running == 0 && len(u.recent) == 0 {
 			continue
 		}
 		listed := Use{
@@ -138,8 +138,7 @@
 	return uses
 }
 
-// Candidates lists the backend servers of a service that can take a call, and
-// the age of the leader's word that it rests on; negative while it counts.
+// Candidates lists the backend servers of a service that can take a call.
 func (b *Board) Candidates(service string, call *pomelospring.Call, avoid map[string]bool, now time.Time) (candidates []dispatch.Candidate) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -152,11 +151,12 @@
 		if !holds || version < least && call.NeedsAdapter() {
 			continue
 		}
+		others := b.word(server.Domain).others[id]
 		candidate := dispatch.Candidate{
 			Server:        server,
 			Version:       version,
-			WaitingTokens: b.others[id].WaitingTokens,
-			Running:       b.others[id].Running,
+			WaitingTokens: others.WaitingTokens,
+			Running:       others.Running,
 		}
 		if u := b.uses[id]; u != nil {
 			candidate.WaitingTokens += u.waitingTokens
@@ -180,8 +180,8 @@
 	if !call.NeedsAdapter() {
 		return 0, true
 	}
-	if now.Before(b.residencyUntil) {
-		version, holds = b.residency[server.ID][call.Adapter]
+	if word := b.word(server.Domain); now.Before(word.until) {
+		version, holds = word.held[server.ID][call.Adapter]
 		return version, holds
 	}
 	for _, resident := range server.Resident {
--- a/front/front.go
+++ b/front/front.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -50,8 +51,9 @@
 	leaveTime = 2500 * time.Millisecond
 	// stopMargin is kept of the time to stop for the last writes.
 	stopMargin = 600 * time.Millisecond
-	// groupName is the platform's group whose holder gives orders.
-	groupName = "pomelospring-orders"
+	// groupPrefix begins the names of the platform's groups whose holders give
+	// orders, one for each failure domain.
+	groupPrefix = "pomelospring-orders-"
 	// collectAt is the garbage collector's target, in percent of the live heap.
 	collectAt = 200
 )
@@ -71,9 +73,14 @@
 	backends *platform.Backends
 	engines  *platform.Engines
 	peers    *peer.Client
-	leader   *coordination.Leader
-	member   *coordination.Member
-	election *coordination.Election
+	// leaders, members and elections have one entry for each failure domain.
+	leaders   []*coordination.Leader
+	members   []*coordination.Member
+	elections []*coordination.Election
+	roster    *coordination.Roster
+	// home is the member of this instance's domain.
+	home     *coordination.Member
+	instance string
 	ingress  *platform.Ingress
 	metrics  *metrics.Metrics
 	service  *entry.Service
@@ -98,7 +105,7 @@
 		lines:    lines,
 		board:    fleet.NewBoard(config.Domain),
 		ledger:   quota.NewLedger(rand.Float64),
-		store:    platform.NewStore(config.StoreAddr, groupName),
+		store:    platform.NewStore(config.StoreAddr),
 		backends: platform.NewBackends(),
 		engines:  platform.NewEngines(),
 		peers:    peer.NewClient(nil),
@@ -124,7 +131,7 @@
 	f.service = &entry.Service{
 		Board:       f.board,
 		Backend:     f.backends,
-		Coordinator: f.member,
+		Coordinator: f.roster,
 		Ledger:      f.ledger,
 		Logger:      logger,
 		Clock:       clock,
@@ -132,9 +139,6 @@
 		RetrySlack:  config.Bounds.RetrySlack / assumedInstances,
 	}
 	f.retrySlack.Store(&config.Bounds.RetrySlack)
-	f.member.Heard = func(instances int) {
-		f.service.SetRetrySlack(*f.retrySlack.Load() / float64(max(instances, 1)))
-	}
 	f.ingress = &platform.Ingress{
 		Serve:  f.service.Serve,
 		Limits: f.limits,
@@ -147,44 +151,91 @@
 // assumedInstances divides the fleet's retries until the leader has counted.
 const assumedInstances = 12
 
+// wireCoordination makes a leader, a member and an election for each failure
+// domain: any instance may lead any domain.
 func (f *Front) wireCoordination() {
 	config := f.settings
-	f.leader = coordination.NewLeader(config.Bounds.OrderTurn, config.GroupParts)
-	f.leader.Holder = config.Listen.Peers
-	f.leader.Instance = config.Name + "/" + uuid.NewString()
-	f.leader.Board = f.board
-	f.leader.Engine = f.engines
-	f.leader.Logger = f.logger
-	f.leader.Clock = f.clock
-	f.leader.Uptime = uptime
+	f.instance = config.Name + "/" + uuid.NewString()
 	f.server = &coordination.Server{
-		Leader: f.leader,
-		Absorb: f.operators.Absorb,
+		Leaders: map[string]*coordination.Leader{},
+		Absorb:  f.operators.Absorb,
+	}
+	domains := slices.Clone(config.Domains)
+	slices.Sort(domains)
+	for i, domain := range domains {
+		f.wireDomain(domain, len(domains), i == 0)
 	}
-	f.member = &coordination.Member{
+	f.roster = &coordination.Roster{
+		Board:   f.board,
+		Members: f.members,
+	}
+	f.server.Known = f.roster.Leaders
+}
+
+func (f *Front) wireDomain(domain string, domains int, budget bool) {
+	config := f.settings
+	leader := coordination.NewLeader(config.Bounds.OrderTurn, config.GroupParts)
+	leader.Holder = config.Listen.Peers
+	leader.Instance = f.instance
+	leader.Domain = domain
+	leader.Domains = domains
+	leader.Board = f.board
+	leader.Engine = f.engines
+	leader.Logger = f.logger
+	leader.Clock = f.clock
+	leader.Uptime = uptime
+	member := &coordination.Member{
+		Domain:   domain,
+		Relay:    domain == config.Domain,
+		Budget:   budget,
 		Address:  config.Listen.Peers,
-		Instance: f.leader.Instance,
+		Instance: f.instance,
 		Board:    f.board,
 		Ledger:   f.ledger,
 		Servers:  f.servers,
-		Leader:   f.leader,
+		Leader:   leader,
 		Local:    f.server,
 		Peers:    f.peers,
 		Logger:   f.logger,
 		Clock:    f.clock,
+		Heard:    f.heard,
+		LeadsAny: f.leadsAny,
 	}
-	f.election = &coordination.Election{
+	f.server.Leaders[domain] = leader
+	f.leaders = append(f.leaders, leader)
+	f.members = append(f.members, member)
+	f.elections = append(f.elections, &coordination.Election{
 		Groups:  f.store,
-		Leader:  f.leader,
-		Member:  f.member,
+		Group:   groupPrefix + domain,
+		Foreign: domain != config.Domain,
+		Leader:  leader,
+		Member:  member,
 		Address: config.Listen.Peers,
 		Logger:  f.logger,
 		Uptime:  uptime,
 
 		ProcessorShare: config.Processor,
+	})
+	if domain == config.Domain {
+		f.home = member
 	}
 }
 
+// heard takes in what a leader said of the fleet.
+func (f *Front) heard(instances int, leaders map[string]string) {
+	f.service.SetRetrySlack(*f.retrySlack.Load() / float64(max(instances, 1)))
+	f.roster.Hear(leaders)
+}
+
+func (f *Front) leadsAny() bool {
+	for _, leader := range f.leaders {
+		if leader.Leading() {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *Front) limits() pomelospring.CallerLimits {
 	policy := f.board.Policy()
 	if policy == nil {
@@ -214,7 +265,7 @@
 		return err
 	}
 	events.Log(f.logger, events.Started, log.Fields{
-		"instance": f.leader.Instance,
+		"instance": f.instance,
 		"domain":   f.settings.Domain,
 		"callers":  f.settings.Listen.Callers,
 		"peers":    f.settings.Listen.Peers,
@@ -224,8 +275,11 @@
 	addLoop(&group, f.operatorFollower().Run)
 	addLoop(&group, f.serverFollower().Run)
 	addLoop(&group, f.watchSettings)
-	addLoop(&group, f.leader.Run)
-	addLoop(&group, f.member.Run)
+	for i := range f.members {
+		addLoop(&group, f.leaders[i].Run)
+		addLoop(&group, f.members[i].Run)
+		addElection(ctx, &group, f.elections[i])
+	}
 	addLoop(&group, func(ctx context.Context) error { return f.server.Run(ctx, peers) })
 	f.addServer(&group, f.readinessServer(), readiness)
 	f.addServer(&group, f.metricsServer(), counters)
@@ -243,7 +297,7 @@
 		Topic:  platform.OperatorTopic,
 		Wait:   operatorWait,
 		Apply:  f.operators.Read,
-		Idle:   f.member.OperatorsRelayed,
+		Idle:   f.home.OperatorsRelayed,
 		Known:  f.board.OperatorOffset,
 		Logger: f.logger,
 		Clock:  f.clock,
@@ -256,7 +310,7 @@
 		Topic:  platform.ServerTopic,
 		Every:  serverEvery,
 		Apply:  f.servers.Read,
-		Idle:   f.member.ServersRelayed,
+		Idle:   f.home.ServersRelayed,
 		Logger: f.logger,
 		Clock:  f.clock,
 	}
@@ -294,7 +348,6 @@
 		MaxHeaderBytes:    headerLimit,
 	}
 	f.addServer(group, server, listener)
-	f.addElection(ctx, group)
 	drained, end := context.WithCancel(context.Background())
 	group.Add(func() error {
 		select {
@@ -309,13 +362,13 @@
 // addElection adds the part that seeks to lead. It gives leadership up when a
 // stop begins, so that the successor's wait begins then, and does not end the
 // other parts with it.
-func (f *Front) addElection(ctx context.Context, group *run.Group) {
+func addElection(ctx context.Context, group *run.Group, election *coordination.Election) {
 	interrupted, interrupt := context.WithCancel(context.Background())
 	group.Add(func() error {
 		leading, end := context.WithCancel(interrupted)
 		defer end()
 		defer context.AfterFunc(ctx, end)()
-		err := f.election.Run(leading)
+		err := election.Run(leading)
 		<-interrupted.Done()
 		return err
 	}, func(error) { interrupt() })
--- a/loading/book.go
+++ b/loading/book.go
@@ -26,7 +26,7 @@
 	useMemory = 500 * time.Millisecond
 	// fullSpeedLeast and fullSpeedPart bound the loads from the weight store
 	// that run at full speed: 8 at a dozen workers, 24 at 60.
-	fullSpeedLeast = 8
+	fullSpeedLeast = 8.0
 	fullSpeedPart  = 0.4
 	// retryPlan is when to look again after nothing could be planned.
 	retryPlan = 20 * time.Millisecond
@@ -48,6 +48,8 @@
 	newest map[string]int64
 	// limits are by service.
 	limits map[string]pomelospring.EngineLimits
+	// domains is how many books share the weight store.
+	domains int
 	// Version rises with each change of what workers hold.
 	Version int64
 }
@@ -82,6 +84,7 @@
 // NewBook makes a book of no workers.
 func NewBook() *Book {
 	return &Book{
+		domains: 1,
 		workers: map[string]*worker{},
 		newest:  map[string]int64{},
 		limits:  map[string]pomelospring.EngineLimits{},
@@ -89,9 +92,10 @@
 }
 
 // SetServers takes over the list of model workers; one that began anew is
-// unknown until it reports.
-func (b *Book) SetServers(servers []pomelospring.FleetServer, limits map[string]pomelospring.EngineLimits) {
+// unknown until it reports. domains is how many books share the weight store.
+func (b *Book) SetServers(servers []pomelospring.FleetServer, limits map[string]pomelospring.EngineLimits, domains int) {
 	b.limits = limits
+	b.domains = domains
 	listed := map[string]bool{}
 	for _, server := range servers {
 		if _, engine := limits[server.Service]; !engine {
@@ -249,6 +253,9 @@
 	return count
 }
 
+// fullSpeed is this book's part of the loads that the weight store serves at
+// full speed.
 func (b *Book) fullSpeed() int {
-	return max(fullSpeedLeast, int(fullSpeedPart*float64(len(b.workers))))
+	whole := max(fullSpeedLeast, fullSpeedPart*float64(len(b.workers)*b.domains))
+	return max(1, int(whole)/b.domains)
 }
--- a/settings/front.go
+++ b/settings/front.go
@@ -7,6 +7,7 @@
 type Front struct {
 	Name       string      `yaml:"name" validate:"required,max=128" doc:"Name of this instance, in logs."`
 	Domain     string      `yaml:"domain" validate:"required,max=64" doc:"Failure domain that the instance runs in."`
+	Domains    []string    `yaml:"domains" validate:"required,dive,required" doc:"All failure domains of the fleet; the same on all instances."`
 	Listen     FrontListen `yaml:"listen" doc:"Addresses to listen on."`
 	StoreAddr  string      `yaml:"storeAddress" validate:"required,hostname_port" doc:"host:port of the platform's metadata store."`
 	GroupParts int         `yaml:"groupParts" validate:"min=1,max=1000" doc:"Partitions that the store gives every topic; the leader holds all of the group's."`
--- a/settings/read.go
+++ b/settings/read.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -53,6 +54,9 @@
 	if err = parse(text, settings); err != nil {
 		return nil, err
 	}
+	if !slices.Contains(settings.Domains, settings.Domain) {
+		return nil, fmt.Errorf("domain is %q: it must be one of domains", settings.Domain)
+	}
 	return settings, nil
 }
 
