Apply uses as they come, and ask each domain for room at once

Cause: the leader learned late which adapters were in use, as a look waited for reports of dead workers (600 ms); it unloaded adapters in use, and a worker takes no other order until those runs end (sequences of 409 on i-902c224484). Copies of hot adapters took slots that others waited for. Change: uses count from the exchange on, looks wait for nothing, protection spans three exchanges, copies only replace what idled for 3 s, a full domain says no at once and the next is asked.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -26,6 +26,9 @@
 	instanceTime = 1500 * time.Millisecond
 	// upkeepAtOnce bounds replacements by new versions that are started in one look.
 	upkeepAtOnce = 4
+	// useIntervals is how many intervals between exchanges an adapter that was
+	// used is kept: a request for it may be under way.
+	useIntervals = 3
 	// retryPlace is when to come back after a wish that was not fulfilled.
 	retryPlace = 300 * time.Millisecond
 )
@@ -160,14 +163,14 @@
 		orders = l.due(now)
 	}
 	l.mu.Unlock()
-	var group sync.WaitGroup
+	// The book keeps a worker from being asked or ordered twice at a time, so
+	// a slow one holds up nothing else.
 	for _, server := range reports {
-		group.Go(func() { l.report(ctx, server) })
+		go l.report(ctx, server)
 	}
 	for _, order := range orders {
-		group.Go(func() { l.keep(ctx, order) })
+		go l.keep(ctx, order)
 	}
-	group.Wait()
 }
 
 // refresh takes over what the board knows. The lock is held.
@@ -183,6 +186,7 @@
 		}
 	}
 	l.book.SetServers(l.servers(), limits, l.Domains)
+	l.book.UseMemory = useIntervals * exchangeInterval(int(l.count(now)))
 	for adapter, version := range l.Board.Declared() {
 		l.book.Declare(adapter, version)
 	}
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -150,7 +150,12 @@
 func (m *Member) interval() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return exchangeLeast + time.Duration(m.instances)*exchangePerInstance
+	return exchangeInterval(m.instances)
+}
+
+// exchangeInterval is the time between exchanges in a fleet of some instances.
+func exchangeInterval(instances int) time.Duration {
+	return exchangeLeast + time.Duration(instances)*exchangePerInstance
 }
 
 // OperatorsRelayed reports whether another instance, the leader, tells what
@@ -314,6 +319,7 @@
 		Domain:           wish.Domain,
 		WaitMilliseconds: wish.Deadline.Sub(now).Milliseconds(),
 		Replica:          wish.Replica,
+		AtOnce:           wish.AtOnce,
 		Avoid:            wish.Avoid,
 	})
 	if err != nil {
--- a/coordination/place.go
+++ b/coordination/place.go
@@ -23,7 +23,7 @@
 		if plan.Kind == loading.PlanLoad {
 			plan = l.load(ctx, plan)
 		}
-		late := plan.At.After(wish.Deadline)
+		late := plan.At.After(wish.Deadline) || plan.Kind == loading.PlanWait && wish.AtOnce && plan.Reason != orderedOtherwise
 		switch {
 		case plan.Kind == loading.PlanNone || late:
 			outcome = pomelospring.PlacementOutcome{
@@ -51,6 +51,9 @@
 	}
 }
 
+// orderedOtherwise says that a plan must be made anew at once.
+const orderedOtherwise = "the worker was ordered otherwise"
+
 func (l *Leader) plan(wish pomelospring.PlacementWish, now time.Time) (plan loading.Plan, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -70,8 +73,9 @@
 // load gives the orders of a plan and turns it into one that says what to wait for.
 func (l *Leader) load(ctx context.Context, plan loading.Plan) loading.Plan {
 	again := loading.Plan{
-		Kind: loading.PlanWait,
-		At:   l.Clock(),
+		Kind:   loading.PlanWait,
+		At:     l.Clock(),
+		Reason: orderedOtherwise,
 	}
 	l.mu.Lock()
 	sequence, ok := l.book.Begin(plan.Server.ID)
--- a/coordination/roster.go
+++ b/coordination/roster.go
@@ -21,26 +21,45 @@
 
 var _ pomelospring.Coordinator = (*Roster)(nil)
 
-// Place implements pomelospring.Coordinator.
+// Place implements pomelospring.Coordinator. Each domain is asked whether it
+// has room at once; only then does the call wait for room in the first that
+// answered.
 func (r *Roster) Place(ctx context.Context, wish pomelospring.PlacementWish) (outcome pomelospring.PlacementOutcome, err error) {
 	err = errNoLeader
+	var waits *Member
 	for _, member := range r.order(wish) {
 		if member.Known() == "" {
 			continue
 		}
-		var failed error
-		outcome, failed = member.Place(ctx, wish)
+		hasty := wish
+		hasty.AtOnce = true
+		answer, failed := member.Place(ctx, hasty)
 		if failed != nil {
 			err = errors.Join(err, failed)
 			continue
 		}
-		err = nil
-		if outcome.Server != "" {
-			r.Board.Placed(outcome.Server, wish.Adapter, outcome.Version)
-			return outcome, nil
+		if answer.Server != "" {
+			return r.placed(wish, answer), nil
 		}
+		if waits == nil {
+			waits, outcome, err = member, answer, nil
+		}
+	}
+	if waits == nil || wish.Replica {
+		return outcome, err
+	}
+	outcome, err = waits.Place(ctx, wish)
+	if err != nil {
+		return pomelospring.PlacementOutcome{}, err
+	}
+	return r.placed(wish, outcome), nil
+}
+
+func (r *Roster) placed(wish pomelospring.PlacementWish, outcome pomelospring.PlacementOutcome) pomelospring.PlacementOutcome {
+	if outcome.Server != "" {
+		r.Board.Placed(outcome.Server, wish.Adapter, outcome.Version)
 	}
-	return outcome, err
+	return outcome
 }
 
 // order lists the domains' members, the adapter's home first; one more worker
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -48,6 +48,7 @@
 		Domain:   request.Domain,
 		Deadline: now.Add(time.Duration(request.WaitMilliseconds) * time.Millisecond),
 		Replica:  request.Replica,
+		AtOnce:   request.AtOnce,
 		Avoid:    request.Avoid,
 	})
 	if err != nil {
@@ -98,6 +99,7 @@
 		uses:       usesFrom(request.Uses),
 		heardUntil: now.Add(instanceTime),
 	}
+	l.useAll(now)
 	l.totals.Report(request.Instance, spendingFrom(request.Spending))
 	l.book.Settle(l.settledAt, now)
 	l.settledAt = now
--- a/entry/run.go
+++ b/entry/run.go
@@ -117,8 +117,10 @@
 	for id := range c.avoid {
 		wish.Avoid = append(wish.Avoid, id)
 	}
+	asked := now
 	outcome, err := c.service.Coordinator.Place(ctx, wish)
 	now = c.service.Clock()
+	c.placed += now.Sub(asked)
 	if err != nil {
 		events.Log(c.service.Logger, events.WishFailed, log.Fields{
 			"request": c.call.ID,
--- a/entry/service.go
+++ b/entry/service.go
@@ -84,8 +84,15 @@
 	runs  int
 	// passedOn is set once a part of an answer reached the caller.
 	passedOn bool
-	// lastEvent is the ID of the last event passed on.
+	// lastEvent is the ID of the last event passed on, firstAt the time of the
+	// first and eventAt that of the last.
 	lastEvent string
+	firstAt   time.Time
+	eventAt   time.Time
+	// longestPause is the longest time between events passed on.
+	longestPause time.Duration
+	// placed is how long the call waited for its adapter.
+	placed time.Duration
 	// resumedAt is the server that a stream goes on at, once that was logged.
 	resumedAt string
 	// failure is a whole answer of a failed try, to be passed on if no other succeeds.
--- a/entry/try.go
+++ b/entry/try.go
@@ -161,7 +161,9 @@
 		c.passedOn = true
 		c.out.Head(answer, answer.Length)
 		c.observeFirst()
-	} else if c.runs > 1 {
+	}
+	c.observeEvent()
+	if c.runs > 1 {
 		c.logResumed(t.server)
 	}
 	return c.write(whole)
@@ -184,6 +186,16 @@
 	}
 }
 
+func (c *session) observeEvent() {
+	now := c.service.Clock()
+	if c.firstAt.IsZero() {
+		c.firstAt = now
+	} else {
+		c.longestPause = max(c.longestPause, now.Sub(c.eventAt))
+	}
+	c.eventAt = now
+}
+
 func (c *session) logResumed(server pomelospring.FleetServer) {
 	if c.resumedAt == server.ID {
 		return
@@ -197,11 +209,18 @@
 }
 
 func (c *session) logServed(server pomelospring.FleetServer, status int) {
-	events.Log(c.service.Logger, events.CallServed, log.Fields{
+	fields := log.Fields{
 		"request": c.call.ID,
 		"server":  server.ID,
+		"route":   c.route.Name,
 		"status":  status,
 		"tookMs":  c.service.Clock().Sub(c.call.Arrived).Milliseconds(),
 		"sends":   c.sends,
-	})
+	}
+	if !c.firstAt.IsZero() {
+		fields["firstMs"] = c.firstAt.Sub(c.call.Arrived).Milliseconds()
+		fields["pauseMs"] = c.longestPause.Milliseconds()
+		fields["placedMs"] = c.placed.Milliseconds()
+	}
+	events.Log(c.service.Logger, events.CallServed, fields)
 }
--- a/fleet.go
+++ b/fleet.go
@@ -251,6 +251,8 @@
 	Deadline time.Time
 	// Replica asks for one more worker than hold the adapter now.
 	Replica bool
+	// AtOnce asks for a no rather than a wait for room.
+	AtOnce bool
 	// Avoid names workers that refused the adapter just now.
 	Avoid []string
 }
--- a/loading/book.go
+++ b/loading/book.go
@@ -21,13 +21,19 @@
 	heldAdapters = 40
 	// transitLimit is how many adapters may be under way to one worker.
 	transitLimit = 4
-	// useMemory protects an adapter that was used so lately that a request for
-	// it may be under way: instances tell their use several times a second.
-	useMemory = 500 * time.Millisecond
+	// defaultUseMemory stands in until the leader knows how often instances
+	// tell their use.
+	defaultUseMemory = 700 * time.Millisecond
+	// replicaIdle is how long an adapter must have been unused to make way for
+	// one more copy of another.
+	replicaIdle = 3 * time.Second
 	// fullSpeedLeast and fullSpeedPart bound the loads from the weight store
 	// that run at full speed: 8 at a dozen workers, 24 at 60.
 	fullSpeedLeast = 8.0
 	fullSpeedPart  = 0.4
+	// othersPart is what another book is taken to load for each load of this
+	// one: wishes come to them unevenly.
+	othersPart = 0.5
 	// retryPlan is when to look again after nothing could be planned.
 	retryPlan = 20 * time.Millisecond
 	// reportLag is how old a worker's report may be.
@@ -50,6 +56,9 @@
 	limits map[string]pomelospring.EngineLimits
 	// domains is how many books share the weight store.
 	domains int
+	// UseMemory protects an adapter that was used so lately that a request for
+	// it may be under way.
+	UseMemory time.Duration
 	// Version rises with each change of what workers hold.
 	Version int64
 }
@@ -84,10 +93,11 @@
 // NewBook makes a book of no workers.
 func NewBook() *Book {
 	return &Book{
-		domains: 1,
-		workers: map[string]*worker{},
-		newest:  map[string]int64{},
-		limits:  map[string]pomelospring.EngineLimits{},
+		domains:   1,
+		UseMemory: defaultUseMemory,
+		workers:   map[string]*worker{},
+		newest:    map[string]int64{},
+		limits:    map[string]pomelospring.EngineLimits{},
 	}
 }
 
@@ -197,7 +207,7 @@
 	s := &slot{
 		version:  version,
 		readyAt:  now,
-		lastUsed: now.Add(-useMemory),
+		lastUsed: now.Add(-replicaIdle),
 	}
 	if before != nil {
 		s.lastUsed = before.lastUsed
@@ -253,9 +263,13 @@
 	return count
 }
 
-// fullSpeed is this book's part of the loads that the weight store serves at
-// full speed.
-func (b *Book) fullSpeed() int {
-	whole := max(fullSpeedLeast, fullSpeedPart*float64(len(b.workers)*b.domains))
-	return max(1, int(whole)/b.domains)
+// fleetLoads estimates the loads from the weight store of all books from those
+// of this one.
+func (b *Book) fleetLoads(own int) float64 {
+	return float64(own) * (1 + othersPart*float64(b.domains-1))
+}
+
+// fullSpeed is how many loads the weight store serves at full speed.
+func (b *Book) fullSpeed() float64 {
+	return max(fullSpeedLeast, fullSpeedPart*float64(len(b.workers)*b.domains))
 }
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -43,6 +43,10 @@
 	if ready, found := b.resident(wish, version, avoid, now); found {
 		return ready
 	}
+	idle := b.UseMemory
+	if wish.Replica {
+		idle = max(idle, replicaIdle)
+	}
 	var best *worker
 	var bestEvict string
 	var bestCost time.Duration
@@ -53,7 +57,7 @@
 		if !usable {
 			continue
 		}
-		evict, room := w.room(now)
+		evict, room := w.room(now, idle)
 		if !room {
 			busy = true
 			continue
@@ -140,14 +144,14 @@
 }
 
 // room finds a free slot or the adapter that makes way: the one unused for the
-// longest time.
-func (w *worker) room(now time.Time) (evict string, found bool) {
+// longest time, idle at least.
+func (w *worker) room(now time.Time, idle time.Duration) (evict string, found bool) {
 	if len(w.slots) < w.limits.AdapterSlots {
 		return "", true
 	}
 	var oldest time.Time
 	for name, s := range w.slots {
-		if s.users > 0 || now.Before(s.readyAt) || now.Sub(s.lastUsed) < useMemory {
+		if s.users > 0 || now.Before(s.readyAt) || now.Sub(s.lastUsed) < idle {
 			continue
 		}
 		if evict == "" || s.lastUsed.Before(oldest) || s.lastUsed.Equal(oldest) && name < evict {
@@ -172,8 +176,8 @@
 	if _, held := w.held[adapter]; held {
 		return warmLoad
 	}
-	loads := b.coldLoads(now) + 1
-	return coldLoad * time.Duration(max(loads, b.fullSpeed())) / time.Duration(b.fullSpeed())
+	slowdown := max(1, b.fleetLoads(b.coldLoads(now)+1)/b.fullSpeed())
+	return time.Duration(float64(coldLoad) * slowdown)
 }
 
 // Begin reserves the worker of a plan while orders are sent to it.
