Keep an adapter's calls on few of its workers, by rank

Cause: the shortest wait spread a hot adapter over all workers that held it, so that all of them stayed in use. Change: candidates rank by a hash of adapter and worker, 100 ms a rank; the guess at prefix affinity goes.

--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -26,9 +26,11 @@
 	distanceCost = 8 * time.Millisecond
 	// plainWork is how long a plain call takes where nothing is known.
 	plainWork = 60 * time.Millisecond
-	// guessedPart is how much of the shared prompt is taken to be kept by the
-	// worker that all instances prefer for it.
-	guessedPart = 0.5
+	// rankCost keeps requests of one adapter on few of the workers that hold
+	// it, in an order that all instances agree on, until the wait there is
+	// longer than that: the others' slots become free, and prompts that were
+	// read are met again.
+	rankCost = 100 * time.Millisecond
 )
 
 // Candidate is a backend server that could take the call.
@@ -51,9 +53,7 @@
 type Need struct {
 	Domain       string
 	PromptTokens int64
-	// SharedTokens of the prompt are asked for by other calls too.
-	SharedTokens int64
-	// Affinity names what calls share; equal on all instances.
+	// Affinity names what calls share, the adapter; empty without one.
 	Affinity string
 	Model    bool
 }
@@ -63,27 +63,49 @@
 	Candidate Candidate
 	Wait      time.Duration
 	Found     bool
+	// cost is the wait with what speaks against the candidate otherwise.
+	cost time.Duration
 }
 
 // Choose picks the candidate that will likely answer first.
 func Choose(candidates []Candidate, need Need) (choice Choice) {
-	preferred := preferredServer(candidates, need)
-	for _, candidate := range candidates {
-		if candidate.Server.ID == preferred {
-			candidate.KeptTokens = max(candidate.KeptTokens, int64(guessedPart*float64(need.SharedTokens)))
-		}
+	ranks := ranksOf(candidates, need)
+	for i, candidate := range candidates {
 		wait := Wait(candidate, need)
-		if !choice.Found || wait < choice.Wait {
+		cost := wait + time.Duration(ranks[i])*rankCost
+		if !choice.Found || cost < choice.cost {
 			choice = Choice{
 				Candidate: candidate,
 				Wait:      wait,
 				Found:     true,
+				cost:      cost,
 			}
 		}
 	}
 	return choice
 }
 
+// ranksOf orders candidates by their hash for what calls share, so that
+// instances agree without a word to each other; without that all rank first.
+func ranksOf(candidates []Candidate, need Need) []int {
+	ranks := make([]int, len(candidates))
+	if need.Affinity == "" {
+		return ranks
+	}
+	hashes := make([]uint64, len(candidates))
+	for i, candidate := range candidates {
+		hashes[i] = xxhash.Sum64String(need.Affinity + "|" + candidate.Server.ID)
+	}
+	for i := range hashes {
+		for j := range hashes {
+			if hashes[j] > hashes[i] {
+				ranks[i]++
+			}
+		}
+	}
+	return ranks
+}
+
 // Wait estimates the time until a candidate gives its first output, with what
 // a failure or the distance costs on top.
 func Wait(candidate Candidate, need Need) time.Duration {
@@ -103,22 +125,6 @@
 		time.Duration(candidate.FailureRate*float64(failureCost))
 }
 
-// preferredServer is the candidate with the highest hash for the call's
-// affinity, so that instances agree without a word to each other.
-func preferredServer(candidates []Candidate, need Need) (preferred string) {
-	if need.Affinity == "" {
-		return ""
-	}
-	var highest uint64
-	for _, candidate := range candidates {
-		hash := xxhash.Sum64String(need.Affinity + "|" + candidate.Server.ID)
-		if preferred == "" || hash > highest {
-			preferred, highest = candidate.Server.ID, hash
-		}
-	}
-	return preferred
-}
-
 // Queued estimates the time until a candidate has read the prompts that wait
 // there already.
 func Queued(candidate Candidate) time.Duration { return readingTime(candidate.WaitingTokens) }
--- a/entry/run.go
+++ b/entry/run.go
@@ -97,12 +97,8 @@
 		PromptTokens: c.call.PromptTokens,
 		Model:        c.limits != nil,
 	}
-	if len(c.call.Parts) > 1 {
-		// The last part is the call's own.
-		for _, part := range c.call.Parts[:len(c.call.Parts)-1] {
-			need.SharedTokens += part.Tokens
-			need.Affinity = c.call.Adapter + "|" + part.ID
-		}
+	if c.call.NeedsAdapter() {
+		need.Affinity = c.call.Adapter
 	}
 	return need
 }
