Share the budget by the first leader in contact; drop what left while turned away

Change: shares stay those of the last word; every domain's leader sums spending, the first in contact counts, at the part of the instances that it hears. Change: entries are held only when a third of the list is missing; the last record of a key alone counts.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -64,6 +64,7 @@
 
 // member is an instance that exchanges with the leader.
 type member struct {
+	name string
 	uses map[string]fleet.Use
 	// heardUntil is when the member stops to count.
 	heardUntil time.Time
@@ -186,7 +187,8 @@
 		}
 	}
 	l.book.SetServers(l.servers(), limits, l.Domains)
-	l.book.UseMemory = useIntervals * exchangeInterval(int(l.count(now)))
+	instances, _ := l.count(now)
+	l.book.UseMemory = useIntervals * exchangeInterval(int(instances))
 	for adapter, version := range l.Board.Declared() {
 		l.book.Declare(adapter, version)
 	}
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -48,8 +48,8 @@
 	Domain string
 	// Relay takes over what the leader read of the store.
 	Relay bool
-	// Budget takes over what teams spend; of one domain's leader only.
-	Budget bool
+	// Index is the leader's place among those that add up what teams spend.
+	Index int
 	// Address is where other instances reach this one.
 	Address string
 	// Instance is unique to this start.
@@ -190,14 +190,13 @@
 	defer cancel()
 	request := &coordinationpb.ExchangeRequest{
 		Instance:         m.Instance,
+		Name:             m.Address,
 		Domain:           m.Domain,
 		Uses:             m.uses(),
 		ResidencyVersion: m.Board.ResidencyVersion(m.Domain),
 		Leader:           leader,
 		Relay:            m.Relay,
-	}
-	if m.Budget {
-		request.Spending = spendingTo(m.Ledger.Spending())
+		Spending:         spendingTo(m.Ledger.Spending()),
 	}
 	if m.Relay {
 		request.OperatorOffset = m.Board.OperatorOffset()
@@ -269,9 +268,13 @@
 	m.serverAge = serverAge
 	m.mu.Unlock()
 	interval := m.interval()
-	if m.Budget {
-		m.Ledger.Learn(reply.Leader, spendingFrom(reply.Spending), int(reply.Instances), interval, now)
-	}
+	m.Ledger.Learn(m.Index, quota.Word{
+		Leader:    reply.Leader,
+		Others:    spendingFrom(reply.Spending),
+		Instances: int(reply.Instances),
+		Known:     int(reply.Known),
+		Interval:  interval,
+	}, now)
 	m.Board.SetResidency(m.Domain, residencyFrom(reply.Residency), whole, reply.ResidencyVersion)
 	m.Board.HearLeader(m.Domain, usesFrom(reply.Uses), now.Add(wordIntervals*interval))
 	if m.Relay && remote {
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -96,6 +96,7 @@
 	}
 	now := l.Clock()
 	l.members[request.Instance] = &member{
+		name:       request.Name,
 		uses:       usesFrom(request.Uses),
 		heardUntil: now.Add(instanceTime),
 	}
@@ -110,8 +111,8 @@
 		Spending:         spendingTo(l.totals.Others(request.Instance)),
 		ResidencyVersion: l.book.Version,
 		Residency:        residencyTo(l.book.Residency(residencySince, now)),
-		Instances:        l.count(now),
 	}
+	reply.Instances, reply.Known = l.count(now)
 	if request.Relay {
 		l.relay(request.OperatorOffset, serversSince, reply, now)
 	}
@@ -130,20 +131,26 @@
 	reply.ServerAgeMilliseconds = l.Board.ServersAge(now).Milliseconds()
 }
 
-// count is how many instances exchanged lately; those that ended long ago are forgotten.
-func (l *Leader) count(now time.Time) (instances int32) {
+// count is how many instances exchanged lately, and how many did within the
+// leader's memory; an instance that was started again counts once.
+func (l *Leader) count(now time.Time) (instances, known int32) {
+	names := map[string]bool{}
 	for id, m := range l.members {
+		if now.Sub(m.heardUntil) > memberMemory {
+			delete(l.members, id)
+			continue
+		}
+		names[m.name] = true
 		if now.Before(m.heardUntil) {
 			instances++
-		} else if now.Sub(m.heardUntil) > memberMemory {
-			delete(l.members, id)
 		}
 	}
-	return instances
+	return instances, int32(len(names))
 }
 
-// memberMemory is how long a silent instance is remembered.
-const memberMemory = time.Minute
+// memberMemory is how long a silent instance is taken to serve its callers
+// still, cut off from the leader; one that ended for good is replaced by then.
+const memberMemory = 20 * time.Second
 
 func usesFrom(list []*coordinationpb.ServerUse) map[string]fleet.Use {
 	uses := make(map[string]fleet.Use, len(list))
--- a/fleet/server_list.go
+++ b/fleet/server_list.go
@@ -14,6 +14,9 @@
 	// outageLeast is the time without an answer of the store after which its
 	// entries may have expired though their servers are well.
 	outageLeast = 2 * time.Second
+	// expiredPart is the part of all servers that must be missing then: a few
+	// have left, many have expired.
+	expiredPart = 1.0 / 3
 	// returnTime is how long such servers have to come back.
 	returnTime = 2 * time.Second
 )
@@ -41,18 +44,18 @@
 	defer l.mu.Unlock()
 	now := l.Clock()
 	l.start()
-	if outage > outageLeast {
+	records = newestOf(records)
+	gone := l.goneIn(records, whole)
+	if outage > outageLeast && float64(len(gone)) >= expiredPart*float64(len(l.servers)) {
 		l.returnUntil = now.Add(returnTime)
 	}
-	if whole {
-		l.dropUnlisted(records, now)
+	for _, id := range gone {
+		l.gone(id, now)
 	}
 	for _, record := range records {
-		if len(record.Value) == 0 {
-			l.gone(record.Key, now)
-			continue
+		if len(record.Value) > 0 {
+			l.listed(record)
 		}
-		l.listed(record)
 	}
 	for id, until := range l.missing {
 		if !now.Before(until) {
@@ -93,16 +96,33 @@
 	l.Board.SetServers(maps.Clone(l.servers), heard)
 }
 
-func (l *ServerList) dropUnlisted(records []pomelospring.KeyedRecord, now time.Time) {
-	listed := make(map[string]bool, len(records))
+// newestOf keeps the last record of each key, in order.
+func newestOf(records []pomelospring.KeyedRecord) (newest []pomelospring.KeyedRecord) {
+	last := make(map[string]int, len(records))
+	for i, record := range records {
+		last[record.Key] = i
+	}
+	for i, record := range records {
+		if last[record.Key] == i {
+			newest = append(newest, record)
+		}
+	}
+	return newest
+}
+
+// goneIn lists the known servers whose entry went: those that the records
+// drop, or do not name where they are whole.
+func (l *ServerList) goneIn(records []pomelospring.KeyedRecord, whole bool) (gone []string) {
+	present := make(map[string]bool, len(records))
 	for _, record := range records {
-		listed[record.Key] = true
+		present[record.Key] = len(record.Value) > 0
 	}
 	for id := range l.servers {
-		if !listed[id] {
-			l.gone(id, now)
+		if listed, named := present[id]; named && !listed || !named && whole {
+			gone = append(gone, id)
 		}
 	}
+	return gone
 }
 
 // gone takes out a server whose entry was removed; after an outage of the
--- a/front/front.go
+++ b/front/front.go
@@ -104,7 +104,7 @@
 		clock:    clock,
 		lines:    lines,
 		board:    fleet.NewBoard(config.Domain),
-		ledger:   quota.NewLedger(rand.Float64),
+		ledger:   quota.NewLedger(len(config.Domains), rand.Float64),
 		store:    platform.NewStore(config.StoreAddr),
 		backends: platform.NewBackends(),
 		engines:  platform.NewEngines(),
@@ -163,7 +163,7 @@
 	domains := slices.Clone(config.Domains)
 	slices.Sort(domains)
 	for i, domain := range domains {
-		f.wireDomain(domain, len(domains), i == 0)
+		f.wireDomain(domain, len(domains), i)
 	}
 	f.roster = &coordination.Roster{
 		Board:   f.board,
@@ -172,7 +172,7 @@
 	f.server.Known = f.roster.Leaders
 }
 
-func (f *Front) wireDomain(domain string, domains int, budget bool) {
+func (f *Front) wireDomain(domain string, domains, index int) {
 	config := f.settings
 	leader := coordination.NewLeader(config.Bounds.OrderTurn, config.GroupParts)
 	leader.Holder = config.Listen.Peers
@@ -187,7 +187,7 @@
 	member := &coordination.Member{
 		Domain:   domain,
 		Relay:    domain == config.Domain,
-		Budget:   budget,
+		Index:    index,
 		Address:  config.Listen.Peers,
 		Instance: f.instance,
 		Board:    f.board,
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -21,9 +21,14 @@
 	// reservePart bounds the part of a burst that is kept for requests that
 	// cost less.
 	reservePart = 0.25
-	// leastShare is the part, over the number of instances, that one keeps of
-	// a team which it has not served lately.
-	leastShare = 0.3
+	// evenShare is the part of a team's rate that instances share evenly while
+	// they hear nothing of each other; the rest goes by what was asked of them.
+	evenShare = 0.5
+	// firstShare is an instance's part before it has heard of any other: the
+	// fleet may be large.
+	firstShare = 0.02
+	// leastRate keeps the time to come back finite, in tokens a second.
+	leastRate = 1
 	// retryLeast and retryMost bound how soon a refused caller may come back.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 5 * time.Second
@@ -33,14 +38,39 @@
 type Ledger struct {
 	mu       sync.Mutex
 	accounts map[string]*account
-	// heardUntil is when the word of the others, of heardAt, stops to count.
+	// sources are leaders that add up all instances' counts, the first one
+	// that is in contact counts.
+	sources []source
+	// chance draws from 0 to 1.
+	chance func() float64
+}
+
+// source is one leader's word.
+type source struct {
+	// leader is the start of the leader; its sums begin anew with it.
+	leader string
+	// others are the sums heard last, by team.
+	others map[string]Spending
+	// heardUntil is when the word of heardAt stops to count.
 	heardAt    time.Time
 	heardUntil time.Time
 	interval   time.Duration
-	instances  int
-	leader     string
-	// chance draws from 0 to 1.
-	chance func() float64
+	// part is how many of the instances known to the leader it has heard of
+	// lately; instances is that number.
+	part      float64
+	instances int
+}
+
+// Word is what a leader says of all instances but the one that hears it.
+type Word struct {
+	// Leader is unique to one start of the leader.
+	Leader string
+	Others map[string]Spending
+	// Instances have told their counts lately, of those Known.
+	Instances int
+	Known     int
+	// Interval is the time until the next word.
+	Interval time.Duration
 }
 
 type account struct {
@@ -49,13 +79,15 @@
 	// level is what may be spent at filled; below 0 it is owed.
 	level  float64
 	filled time.Time
-	// own counts since this instance's start; others is the last sum heard.
-	own    Spending
-	others Spending
+	// own counts since this instance's start.
+	own Spending
 	// recentOwn and recentOthers weigh what was asked for in shareMemory.
 	recentOwn    float64
 	recentOthers float64
 	decayed      time.Time
+	// share is the part of the team's rate that this instance may use while
+	// it hears of no others.
+	share float64
 }
 
 // Spending counts the tokens of one team.
@@ -66,13 +98,13 @@
 	Asked float64
 }
 
-// NewLedger makes a ledger for a fleet of at least one instance; chance draws
-// from 0 to 1.
-func NewLedger(chance func() float64) *Ledger {
+// NewLedger makes a ledger that hears of a number of leaders; chance draws from
+// 0 to 1.
+func NewLedger(sources int, chance func() float64) *Ledger {
 	return &Ledger{
-		accounts:  map[string]*account{},
-		instances: 1,
-		chance:    chance,
+		accounts: map[string]*account{},
+		sources:  make([]source, sources),
+		chance:   chance,
 	}
 }
 
@@ -87,6 +119,7 @@
 			a = &account{
 				filled:  now,
 				decayed: now,
+				share:   firstShare,
 			}
 			l.accounts[name] = a
 		}
@@ -126,16 +159,24 @@
 // expected is what the fleet will ask of the team until the next word of the
 // others, as far as this instance sees it.
 func (l *Ledger) expected(a *account, now time.Time) float64 {
-	if !now.Before(l.heardUntil) {
-		return 0
-	}
-	if a.recentOthers <= 0 {
+	heard := l.current(now)
+	if heard == nil || a.recentOthers <= 0 {
 		return 0
 	}
-	span := max(l.interval, now.Sub(l.heardAt))
+	span := max(heard.interval, now.Sub(heard.heardAt))
 	return (a.recentOwn + a.recentOthers) / shareMemory.Seconds() * span.Seconds()
 }
 
+// current is the word that counts; nil while no leader is in contact.
+func (l *Ledger) current(now time.Time) *source {
+	for i := range l.sources {
+		if now.Before(l.sources[i].heardUntil) {
+			return &l.sources[i]
+		}
+	}
+	return nil
+}
+
 // Refund gives back what was charged for a request that did not run.
 func (l *Ledger) Refund(team string, tokens float64, now time.Time) {
 	l.mu.Lock()
@@ -158,32 +199,43 @@
 	return spending
 }
 
-// Learn takes in the sums of the other instances' counts, as a leader adds
-// them up; sums of another leader start anew. interval is the time until the
-// next word.
-func (l *Ledger) Learn(leader string, others map[string]Spending, instances int, interval time.Duration, now time.Time) {
+// Learn takes in the word of the leader at an index. Only the first leader in
+// contact moves the buckets; the others' words are kept to go on from.
+func (l *Ledger) Learn(index int, word Word, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for name, a := range l.accounts {
+	heard := &l.sources[index]
+	for _, a := range l.accounts {
 		l.fill(a, now)
-		if leader == l.leader {
-			a.level -= others[name].Spent - a.others.Spent
-			a.recentOthers = max(0, a.recentOthers+others[name].Asked-a.others.Asked)
+	}
+	followed := heard.leader == word.Leader
+	before := heard.others
+	*heard = source{
+		leader:     word.Leader,
+		others:     word.Others,
+		heardAt:    now,
+		heardUntil: now.Add(contactIntervals * word.Interval),
+		interval:   word.Interval,
+		part:       min(1, float64(word.Instances)/float64(max(1, word.Known))),
+		instances:  max(1, word.Instances),
+	}
+	if l.current(now) != heard {
+		return
+	}
+	for name, a := range l.accounts {
+		if followed {
+			a.level -= word.Others[name].Spent - before[name].Spent
+			a.recentOthers = max(0, a.recentOthers+word.Others[name].Asked-before[name].Asked)
 		}
-		a.others = others[name]
+		a.share = a.shareOf(heard)
 	}
-	l.leader = leader
-	l.instances = max(1, instances)
-	l.interval = interval
-	l.heardAt = now
-	l.heardUntil = now.Add(contactIntervals * interval)
 }
 
 // InContact reports whether the others' spending is known.
 func (l *Ledger) InContact(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Before(l.heardUntil)
+	return l.current(now) != nil
 }
 
 // Level gives what a team may spend here now.
@@ -203,16 +255,13 @@
 	a.own.Spent += tokens
 }
 
-// fill lets the bucket run full until now, at the team's whole rate while the
-// others' spending is known and at this instance's part of it afterwards.
+// fill lets the bucket run full until now: at the team's rate while a leader
+// hears of all instances, at a part of it while it hears of some, and at this
+// instance's share while no leader is in contact.
 func (l *Ledger) fill(a *account, now time.Time) {
-	if whole := earlier(now, l.heardUntil); whole.After(a.filled) {
-		a.level = min(a.burst, a.level+a.rate*whole.Sub(a.filled).Seconds())
-		a.filled = whole
-	}
-	if now.After(a.filled) {
-		share := l.share(a)
-		a.level = min(a.burst*share, a.level+a.rate*share*now.Sub(a.filled).Seconds())
+	if passed := now.Sub(a.filled); passed > 0 {
+		part := l.part(a, now)
+		a.level = min(a.burst*part, a.level+a.rate*part*passed.Seconds())
 		a.filled = now
 	}
 	if passed := now.Sub(a.decayed); passed > 0 {
@@ -223,29 +272,28 @@
 	}
 }
 
-// share is the part of a team's rate that this instance may use by itself.
-func (l *Ledger) share(a *account) float64 {
-	least := leastShare / float64(l.instances)
+// part is the part of the team's rate that fills the bucket.
+func (l *Ledger) part(a *account, now time.Time) float64 {
+	if heard := l.current(now); heard != nil {
+		return heard.part
+	}
+	return a.share
+}
+
+// shareOf is the part of the team's rate that this instance may use by itself;
+// those of all instances sum up to one.
+func (a *account) shareOf(heard *source) float64 {
+	even := heard.part / float64(heard.instances)
 	total := a.recentOwn + a.recentOthers
 	if total <= 0 {
-		return 1 / float64(l.instances)
+		return even
 	}
-	return max(least, (1-leastShare)*a.recentOwn/total+least)
+	return evenShare*even + (1-evenShare)*heard.part*a.recentOwn/total
 }
 
 // wait is how long the account stays below the reserve.
 func (l *Ledger) wait(a *account, reserve float64, now time.Time) time.Duration {
-	rate := a.rate
-	if !now.Before(l.heardUntil) {
-		rate *= l.share(a)
-	}
+	rate := max(leastRate, a.rate*l.part(a, now))
 	wait := time.Duration((min(reserve, reservePart*a.burst) - a.level) / rate * float64(time.Second))
 	return min(retryMost, max(retryLeast, wait))
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
