--- /dev/null
+++ b/fleet/server_list_test.go
@@ -0,0 +1,225 @@
+package fleet_test
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/fleet"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func quiet() log.Interface {
+	return &log.Logger{
+		Handler: discard.New(),
+		Level:   log.InfoLevel,
+	}
+}
+
+// decode reads "ready", "draining" or "ready2", a second start.
+func decode(id string, value []byte) (server pomelospring.FleetServer, err error) {
+	server = pomelospring.FleetServer{
+		ID:      id,
+		Started: start,
+	}
+	switch string(value) {
+	case "ready":
+	case "draining":
+		server.Draining = true
+	case "ready2":
+		server.Started = start.Add(time.Minute)
+	default:
+		return pomelospring.FleetServer{}, errors.New("spoiled")
+	}
+	return server, nil
+}
+
+func put(key, value string) pomelospring.KeyedRecord {
+	return pomelospring.KeyedRecord{
+		Key:   key,
+		Value: []byte(value),
+	}
+}
+
+func TestServerList(t *testing.T) {
+	type read struct {
+		records []pomelospring.KeyedRecord
+		whole   bool
+		outage  time.Duration
+		// after is the time since the read before.
+		after time.Duration
+	}
+	all := []pomelospring.KeyedRecord{put("a", "ready"), put("b", "ready"), put("c", "ready"), put("d", "ready")}
+	scenarios := []struct {
+		name  string
+		reads []read
+		// want are the servers that take requests.
+		want []string
+	}{
+		{
+			name: "one that drains or is gone takes no more",
+			reads: []read{
+				{records: all, whole: true},
+				{records: []pomelospring.KeyedRecord{put("a", "draining"), put("b", "")}},
+			},
+			want: []string{"c", "d"},
+		},
+		{
+			name: "an entry that can't be read names no server",
+			reads: []read{
+				{records: all, whole: true},
+				{records: []pomelospring.KeyedRecord{put("c", "?")}},
+			},
+			want: []string{"a", "b", "d"},
+		},
+		{
+			name: "a late heartbeat does not undo a leave",
+			reads: []read{
+				{records: all, whole: true},
+				{records: []pomelospring.KeyedRecord{put("a", "draining")}},
+				{records: []pomelospring.KeyedRecord{put("a", "ready")}},
+			},
+			want: []string{"b", "c", "d"},
+		},
+		{
+			name: "a new start under the same name does",
+			reads: []read{
+				{records: all, whole: true},
+				{records: []pomelospring.KeyedRecord{put("a", "draining")}},
+				{records: []pomelospring.KeyedRecord{put("a", "ready2")}},
+				{records: []pomelospring.KeyedRecord{put("a", "draining")}},
+			},
+			want: []string{"a", "b", "c", "d"},
+		},
+		{
+			// lalc-signplat-grown trouble-1, DRAIN after 3644 ms.
+			name: "what left while this machine was turned away is not used again",
+			reads: []read{
+				{records: all, whole: true},
+				{
+					records: []pomelospring.KeyedRecord{put("a", "ready"), put("a", ""), put("b", "ready")},
+					outage:  9 * time.Second,
+				},
+			},
+			want: []string{"b", "c", "d"},
+		},
+		{
+			name: "entries that expired together get a moment to come back",
+			reads: []read{
+				{records: all, whole: true},
+				{
+					records: []pomelospring.KeyedRecord{put("a", ""), put("b", ""), put("c", "")},
+					outage:  9 * time.Second,
+				},
+			},
+			want: []string{"a", "b", "c", "d"},
+		},
+		{
+			name: "but no longer",
+			reads: []read{
+				{records: all, whole: true},
+				{
+					records: []pomelospring.KeyedRecord{put("a", ""), put("b", ""), put("c", "")},
+					outage:  9 * time.Second,
+				},
+				{records: []pomelospring.KeyedRecord{put("b", "ready")}, after: 2 * time.Second},
+			},
+			want: []string{"b", "d"},
+		},
+		{
+			name: "a whole list drops what it does not name",
+			reads: []read{
+				{records: all, whole: true},
+				{records: all[1:], whole: true},
+			},
+			want: []string{"b", "c", "d"},
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			now := start
+			board := fleet.NewBoard("north")
+			list := &fleet.ServerList{
+				Board:  board,
+				Logger: quiet(),
+				Clock:  func() time.Time { return now },
+				Decode: decode,
+			}
+			for _, read := range scenario.reads {
+				now = now.Add(read.after)
+				list.Read(read.records, read.whole, 0, read.outage)
+			}
+			var got []string
+			for _, server := range board.Servers() {
+				if !server.Draining {
+					got = append(got, server.ID)
+				}
+			}
+			slices.Sort(got)
+			if diff := cmp.Diff(scenario.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestServerChangesLeadFromVersionToVersion(t *testing.T) {
+	board := fleet.NewBoard("north")
+	board.SetServers(map[string]pomelospring.FleetServer{
+		"a": {ID: "a"},
+		"b": {ID: "b"},
+	}, start)
+	_, _, first := board.ServerChanges(0)
+	board.SetServers(map[string]pomelospring.FleetServer{
+		"b": {ID: "b", Draining: true},
+		"c": {ID: "c"},
+	}, start)
+	changed, gone, _ := board.ServerChanges(first)
+	var ids []string
+	for _, server := range changed {
+		ids = append(ids, server.ID)
+	}
+	slices.Sort(ids)
+	if diff := cmp.Diff([]string{"b", "c"}, ids); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"a"}, gone); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestAnOldPolicyNeverComesBack(t *testing.T) {
+	board := fleet.NewBoard("north")
+	for _, version := range []int64{3, 7, 5, 7} {
+		board.SetPolicy(&pomelospring.Policy{
+			Version: version,
+		})
+	}
+	if diff := cmp.Diff(int64(7), board.Policy().Version); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestOnlyTheNewVersionServesAfterTheGrace(t *testing.T) {
+	board := fleet.NewBoard("north")
+	board.SetServers(map[string]pomelospring.FleetServer{
+		"old": {ID: "old", Service: "llm", Models: []string{"m"}, Resident: []pomelospring.ResidentAdapter{{Adapter: "m/a", Version: 1}}},
+		"new": {ID: "new", Service: "llm", Models: []string{"m"}, Resident: []pomelospring.ResidentAdapter{{Adapter: "m/a", Version: 2}}},
+	}, start)
+	board.Declare("m/a", 2, start)
+	call := &pomelospring.Call{
+		Adapter: "m/a",
+	}
+	count := func(after time.Duration) int {
+		return len(board.Candidates("llm", call, nil, start.Add(after)))
+	}
+	if diff := cmp.Diff([]int{2, 1}, []int{count(time.Second), count(3 * time.Second)}); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/quota/ledger_test.go
@@ -0,0 +1,300 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/quota"
+)
+
+const (
+	team     = "shop"
+	interval = 200 * time.Millisecond
+	step     = 10 * time.Millisecond
+	window   = 8 * time.Second
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func teams(rate, burst float64) map[string]pomelospring.PolicyTeam {
+	return map[string]pomelospring.PolicyTeam{
+		team: {
+			Name:            team,
+			TokensPerSecond: rate,
+			Burst:           burst,
+		},
+	}
+}
+
+func certain() float64 { return 0 }
+
+// fleet is a number of instances that exchange with leaders.
+type fleet struct {
+	ledgers []*quota.Ledger
+	totals  []*quota.Totals
+	// cut says whether an instance can't reach a leader.
+	cut func(instance, leader int, at time.Duration) bool
+	// spent are the admitted tokens, by step.
+	spent []float64
+	now   time.Time
+}
+
+func newFleet(instances, leaders int, rate, burst float64, seed uint64) *fleet {
+	f := &fleet{
+		now: start,
+	}
+	for range instances {
+		random := rand.New(rand.NewPCG(seed, uint64(len(f.ledgers))))
+		ledger := quota.NewLedger(leaders, random.Float64)
+		ledger.Configure(teams(rate, burst), f.now)
+		f.ledgers = append(f.ledgers, ledger)
+	}
+	for range leaders {
+		f.totals = append(f.totals, quota.NewTotals())
+	}
+	return f
+}
+
+// run lets each instance ask for requests of a size at a rate of tokens.
+func (f *fleet) run(length time.Duration, demand func(instance int, at time.Duration) float64, size float64, random *rand.Rand) {
+	for at := time.Duration(0); at < length; at += step {
+		sum := 0.0
+		for i, ledger := range f.ledgers {
+			if random.Float64() < demand(i, at)*step.Seconds()/size {
+				if admitted, _ := ledger.Admit(team, size, 0, f.now); admitted {
+					sum += size
+				}
+			}
+			if at%interval == 0 {
+				f.exchange(i, at)
+			}
+		}
+		f.spent = append(f.spent, sum)
+		f.now = f.now.Add(step)
+	}
+}
+
+func (f *fleet) exchange(instance int, at time.Duration) {
+	for leader, totals := range f.totals {
+		if f.cut != nil && f.cut(instance, leader, at) {
+			continue
+		}
+		name := fmt.Sprint(instance)
+		totals.Report(name, f.ledgers[instance].Spending())
+		heard := 0
+		for i := range f.ledgers {
+			if f.cut == nil || !f.cut(i, leader, at) {
+				heard++
+			}
+		}
+		f.ledgers[instance].Learn(leader, quota.Word{
+			Leader:    fmt.Sprint("leader", leader),
+			Others:    totals.Others(name),
+			Instances: heard,
+			Known:     len(f.ledgers),
+			Interval:  interval,
+		}, f.now)
+	}
+}
+
+// most is the largest sum over a window that slides.
+func (f *fleet) most() (most float64) {
+	steps := int(window / step)
+	sum := 0.0
+	for i, spent := range f.spent {
+		sum += spent
+		if i >= steps {
+			sum -= f.spent[i-steps]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func (f *fleet) total() (total float64) {
+	for _, spent := range f.spent {
+		total += spent
+	}
+	return total
+}
+
+// The users' bound: (rate x window + burst) x 1.1 + 110,000 tokens.
+func bound(rate, burst float64) float64 {
+	return (rate*window.Seconds()+burst)*1.1 + 110000
+}
+
+func TestTheFleetKeepsATeamWithinItsBound(t *testing.T) {
+	const rate, burst, size = 200000.0, 200000.0, 9000.0
+	scenarios := []struct {
+		name      string
+		instances int
+		demand    func(instance int, at time.Duration) float64
+		cut       func(instance, leader int, at time.Duration) bool
+	}{
+		{
+			name:      "seven times its rate from the start",
+			instances: 6,
+			demand:    func(int, time.Duration) float64 { return 7 * rate / 6 },
+		},
+		{
+			name:      "seven times its rate all of a sudden, at many instances",
+			instances: 79,
+			demand: func(_ int, at time.Duration) float64 {
+				if at < 9*time.Second {
+					return rate / 2 / 79
+				}
+				return 7 * rate / 79
+			},
+		},
+		{
+			// The seed of lgb-grid-grown trouble-3: shares grew while no leader was left.
+			name:      "all leaders are gone for good under a flood",
+			instances: 79,
+			demand:    func(int, time.Duration) float64 { return 4 * rate / 79 },
+			cut:       func(_, _ int, at time.Duration) bool { return at > 10*time.Second },
+		},
+		{
+			name:      "the first leader is gone, the second one goes on",
+			instances: 6,
+			demand:    func(int, time.Duration) float64 { return 4 * rate / 6 },
+			cut:       func(_, leader int, at time.Duration) bool { return leader == 0 && at > 10*time.Second },
+		},
+		{
+			name:      "a cut leaves a leader on each side",
+			instances: 6,
+			demand:    func(int, time.Duration) float64 { return 4 * rate / 6 },
+			cut: func(instance, leader int, at time.Duration) bool {
+				return at > 10*time.Second && instance%2 != leader
+			},
+		},
+		{
+			name:      "exchanges fail by turns",
+			instances: 12,
+			demand:    func(int, time.Duration) float64 { return 5 * rate / 12 },
+			cut: func(instance, _ int, at time.Duration) bool {
+				return int(at/time.Second)%3 == instance%3
+			},
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 5; seed++ {
+				f := newFleet(scenario.instances, 2, rate, burst, seed)
+				f.cut = scenario.cut
+				f.run(40*time.Second, scenario.demand, size, rand.New(rand.NewPCG(seed, 99)))
+				if most := f.most(); most > bound(rate, burst) {
+					t.Errorf("seed %d: %.0f tokens in a window, allowed %.0f", seed, most, bound(rate, burst))
+				}
+			}
+		})
+	}
+}
+
+func TestATeamWithinItsRateIsNotRefused(t *testing.T) {
+	const rate, burst, size = 100000.0, 100000.0, 2000.0
+	f := newFleet(6, 1, rate, burst, 1)
+	f.run(5*time.Second, func(int, time.Duration) float64 { return 0 }, size, rand.New(rand.NewPCG(1, 1)))
+	before := f.total()
+	asked := 0.0
+	random := rand.New(rand.NewPCG(2, 2))
+	f.run(20*time.Second, func(int, time.Duration) float64 { return rate / 2 / 6 }, size, random)
+	for _, ledger := range f.ledgers {
+		asked += ledger.Spending()[team].Asked
+	}
+	if admitted := f.total() - before; admitted < 0.999*asked {
+		t.Errorf("admitted %.0f of %.0f tokens that were inside the rate", admitted, asked)
+	}
+}
+
+func TestAdmit(t *testing.T) {
+	type result struct {
+		Admitted bool
+		Retry    time.Duration
+	}
+	scenarios := []struct {
+		name    string
+		filled  time.Duration
+		tokens  []float64
+		reserve float64
+		want    result
+	}{
+		{
+			name:   "a new bucket is empty",
+			tokens: []float64{1},
+			want: result{
+				Retry: 100 * time.Millisecond,
+			},
+		},
+		{
+			name:   "a filled bucket admits more than it holds once",
+			filled: time.Second,
+			tokens: []float64{5000},
+			want: result{
+				Admitted: true,
+			},
+		},
+		{
+			name:   "a bucket in debt says when it is filled again",
+			filled: time.Second,
+			tokens: []float64{5000, 1},
+			want: result{
+				Retry: 4 * time.Second,
+			},
+		},
+		{
+			name:    "the reserve is kept for cheaper requests",
+			filled:  100 * time.Millisecond,
+			tokens:  []float64{1},
+			reserve: 200,
+			want: result{
+				Retry: 100 * time.Millisecond,
+			},
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			ledger := quota.NewLedger(1, certain)
+			ledger.Configure(teams(1000, 1000), start)
+			ledger.Learn(0, quota.Word{
+				Leader:    "a",
+				Instances: 1,
+				Known:     1,
+				Interval:  time.Hour,
+			}, start)
+			now := start.Add(scenario.filled)
+			var got result
+			for _, tokens := range scenario.tokens {
+				admitted, retryAt := ledger.Admit(team, tokens, scenario.reserve, now)
+				got = result{
+					Admitted: admitted,
+				}
+				if !admitted {
+					got.Retry = retryAt.Sub(now)
+				}
+			}
+			if diff := cmp.Diff(scenario.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestARefundIsNeverMoreThanTheBurst(t *testing.T) {
+	ledger := quota.NewLedger(1, certain)
+	ledger.Configure(teams(1000, 1000), start)
+	ledger.Learn(0, quota.Word{
+		Leader:    "a",
+		Instances: 1,
+		Known:     1,
+		Interval:  time.Hour,
+	}, start)
+	now := start.Add(time.Minute)
+	ledger.Refund(team, 5000, now)
+	if level := ledger.Level(team, now); level != 1000 {
+		t.Errorf("level %v, want the burst of 1000", level)
+	}
+}
