--- /dev/null
+++ b/dispatch/choice_test.go
@@ -0,0 +1,130 @@
+package dispatch_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/dispatch"
+)
+
+func candidate(id, domain string, change func(c *dispatch.Candidate)) dispatch.Candidate {
+	c := dispatch.Candidate{
+		Server: pomelospring.FleetServer{
+			ID:     id,
+			Domain: domain,
+			Slots:  6,
+		},
+	}
+	if change != nil {
+		change(&c)
+	}
+	return c
+}
+
+func TestChoose(t *testing.T) {
+	model := dispatch.Need{
+		Domain:       "north",
+		PromptTokens: 9000,
+		Model:        true,
+	}
+	plain := dispatch.Need{
+		Domain: "north",
+	}
+	scenarios := []struct {
+		name       string
+		candidates []dispatch.Candidate
+		need       dispatch.Need
+		want       string
+	}{
+		{
+			name: "no candidate",
+			need: model,
+		},
+		{
+			name: "the shorter queue of prompts",
+			candidates: []dispatch.Candidate{
+				candidate("a", "north", func(c *dispatch.Candidate) { c.WaitingTokens = 20000 }),
+				candidate("b", "north", nil),
+			},
+			need: model,
+			want: "b",
+		},
+		{
+			name: "a prompt that was read there before",
+			candidates: []dispatch.Candidate{
+				candidate("a", "north", func(c *dispatch.Candidate) { c.KeptTokens = 6000 }),
+				candidate("b", "north", nil),
+			},
+			need: model,
+			want: "a",
+		},
+		{
+			name: "the own failure domain",
+			candidates: []dispatch.Candidate{
+				candidate("a", "south", nil),
+				candidate("b", "north", nil),
+			},
+			need: model,
+			want: "b",
+		},
+		{
+			name: "another domain before a long queue",
+			candidates: []dispatch.Candidate{
+				candidate("a", "south", nil),
+				candidate("b", "north", func(c *dispatch.Candidate) { c.Running = 6 }),
+			},
+			need: plain,
+			want: "a",
+		},
+		{
+			name: "not the one that fails",
+			candidates: []dispatch.Candidate{
+				candidate("a", "north", func(c *dispatch.Candidate) { c.FailureRate = 0.4 }),
+				candidate("b", "south", func(c *dispatch.Candidate) { c.Running = 3 }),
+			},
+			need: plain,
+			want: "b",
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			choice := dispatch.Choose(scenario.candidates, scenario.need)
+			if diff := cmp.Diff(scenario.want, choice.Candidate.Server.ID); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff(len(scenario.candidates) > 0, choice.Found); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestInstancesAgreeOnTheWorkerOfAnAdapter(t *testing.T) {
+	need := dispatch.Need{
+		Domain:   "north",
+		Model:    true,
+		Affinity: "m/a7",
+	}
+	forward := []dispatch.Candidate{candidate("a", "north", nil), candidate("b", "north", nil), candidate("c", "north", nil)}
+	backward := []dispatch.Candidate{forward[2], forward[1], forward[0]}
+	if diff := cmp.Diff(dispatch.Choose(forward, need).Candidate.Server.ID, dispatch.Choose(backward, need).Candidate.Server.ID); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	var candidates []dispatch.Candidate
+	for i := range 60 {
+		candidates = append(candidates, candidate(string(rune('a'+i)), "north", nil))
+	}
+	need := dispatch.Need{
+		Domain:       "north",
+		PromptTokens: 9000,
+		Model:        true,
+		Affinity:     "m/a7",
+	}
+	for b.Loop() {
+		dispatch.Choose(candidates, need)
+	}
+}
--- /dev/null
+++ b/entry/service_test.go
@@ -0,0 +1,378 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/entry"
+	"github.com/pomelospring/pomelospring/fleet"
+	"github.com/pomelospring/pomelospring/quota"
+)
+
+// reply is what one try meets at a backend server.
+type reply struct {
+	status int
+	body   string
+	// err is returned in place of an answer.
+	err error
+	// broken ends the body early.
+	broken bool
+	notRun bool
+	misfit bool
+	// silent waits until the try is cancelled.
+	silent   bool
+	unsigned bool
+}
+
+// backend gives the replies in turn, whichever server is asked.
+type backend struct {
+	replies []reply
+	// resumes are the event IDs that tries went on from.
+	resumes []string
+	servers []string
+}
+
+func (b *backend) Send(ctx context.Context, _ *pomelospring.Call, dispatch pomelospring.Dispatch) (*pomelospring.BackendAnswer, error) {
+	b.resumes = append(b.resumes, dispatch.ResumeAfter)
+	b.servers = append(b.servers, dispatch.Server.ID)
+	if len(b.replies) == 0 {
+		return nil, errors.New("more tries than replies")
+	}
+	next := b.replies[0]
+	b.replies = b.replies[1:]
+	if next.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if next.err != nil {
+		return nil, next.err
+	}
+	var body io.Reader = strings.NewReader(next.body)
+	if next.broken {
+		body = io.MultiReader(body, brokenReader{})
+	}
+	return &pomelospring.BackendAnswer{
+		Status:      next.status,
+		Header:      http.Header{},
+		Body:        io.NopCloser(body),
+		NotRun:      next.notRun,
+		Misdirected: next.misfit,
+		Signed:      !next.unsigned,
+		Length:      -1,
+	}, nil
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// outcome is what the caller saw.
+type outcome struct {
+	Status  int
+	Body    string
+	Code    pomelospring.Code
+	Outcome pomelospring.Outcome
+	Aborted bool
+}
+
+type responder struct{ outcome }
+
+func (r *responder) Head(answer *pomelospring.BackendAnswer, _ int64) { r.Status = answer.Status }
+
+func (r *responder) Write(piece []byte) error {
+	r.Body += string(piece)
+	return nil
+}
+
+func (r *responder) Refuse(refusal *pomelospring.Refusal) {
+	r.Code, r.Outcome = refusal.Code, refusal.Outcome
+}
+
+func (r *responder) Abort() { r.Aborted = true }
+
+// coordinator places nothing, or on server a.
+type coordinator struct {
+	board *fleet.Board
+	none  bool
+}
+
+func (c *coordinator) Place(_ context.Context, wish pomelospring.PlacementWish) (pomelospring.PlacementOutcome, error) {
+	if c.none {
+		return pomelospring.PlacementOutcome{Reason: "all slots in use"}, nil
+	}
+	c.board.Placed("a", wish.Adapter, 1)
+	return pomelospring.PlacementOutcome{Server: "a", Version: 1}, nil
+}
+
+const key = "secret"
+
+func policy() *pomelospring.Policy {
+	route := func(prefix, service string, change func(r *pomelospring.PolicyRoute)) pomelospring.PolicyRoute {
+		r := pomelospring.PolicyRoute{
+			Name:     prefix,
+			Host:     "shop.example",
+			Prefix:   prefix,
+			Timeout:  4 * time.Second,
+			Attempts: 2,
+			Splits:   []pomelospring.ServiceSplit{{Service: service, Weight: 1}},
+		}
+		change(&r)
+		return r
+	}
+	return &pomelospring.Policy{
+		Version: 1,
+		Routes: []pomelospring.PolicyRoute{
+			route("/lookup/", "app", func(r *pomelospring.PolicyRoute) { r.Idempotent = true }),
+			route("/order/", "app", func(r *pomelospring.PolicyRoute) { r.Attempts = 1 }),
+			route("/proof/", "llm", func(r *pomelospring.PolicyRoute) { r.Streaming, r.Resumable = true, true }),
+			route("/brief/", "llm", func(r *pomelospring.PolicyRoute) { r.Streaming, r.Attempts = true, 1 }),
+		},
+		Services: map[string]pomelospring.Service{
+			"app": {Name: "app"},
+			"llm": {Name: "llm", Engine: &pomelospring.EngineLimits{AdapterSlots: 8}},
+		},
+		Teams:    map[string]pomelospring.PolicyTeam{"shop": {Name: "shop"}},
+		KeyTeams: map[string]string{key: "shop"},
+	}
+}
+
+func newService(b *backend, none bool) *entry.Service {
+	board := fleet.NewBoard("north")
+	board.SetPolicy(policy())
+	board.HearOperator(1, time.Now())
+	servers := map[string]pomelospring.FleetServer{}
+	for _, id := range []string{"a", "b", "c"} {
+		servers[id] = pomelospring.FleetServer{ID: id, Service: "llm", Domain: "north", Slots: 4, Models: []string{"m"}}
+		servers["app-"+id] = pomelospring.FleetServer{ID: "app-" + id, Service: "app", Domain: "north", Slots: 4}
+	}
+	board.SetServers(servers, time.Now())
+	board.SetResidency("north", map[string][]pomelospring.ResidentAdapter{
+		"a": {{Adapter: "m/x", Version: 1}},
+		"b": {{Adapter: "m/x", Version: 1}},
+	}, true, 1)
+	board.HearLeader("north", nil, time.Now().Add(time.Hour))
+	return &entry.Service{
+		Board:       board,
+		Backend:     b,
+		Coordinator: &coordinator{board: board, none: none},
+		Ledger:      quota.NewLedger(1, func() float64 { return 0 }),
+		Logger:      &log.Logger{Handler: discard.New()},
+		Clock:       time.Now,
+		RetrySlack:  10,
+	}
+}
+
+const events3 = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+
+func TestServe(t *testing.T) {
+	ok := reply{status: http.StatusOK, body: "done"}
+	reset := errors.New("connection reset")
+	unsent := errors.Join(pomelospring.ErrNotSent, errors.New("refused"))
+	scenarios := []struct {
+		name    string
+		path    string
+		key     string
+		adapter string
+		none    bool
+		replies []reply
+		want    outcome
+		// sends is how many tries were made; resumes the last event ID of each.
+		sends   int
+		resumes []string
+	}{
+		{
+			name: "an answer is passed on", path: "/order/1", replies: []reply{ok},
+			want: outcome{Status: 200, Body: "done"}, sends: 1,
+		},
+		{
+			name: "no route", path: "/else/", want: outcome{Code: pomelospring.CodeNotFound, Outcome: pomelospring.NotRun},
+		},
+		{
+			name: "an unknown key", path: "/order/1", key: "other",
+			want: outcome{Code: pomelospring.CodeKeyUnknown, Outcome: pomelospring.NotRun},
+		},
+		{
+			name: "an order that was not sent goes to another server", path: "/order/1",
+			replies: []reply{{err: unsent}, ok}, want: outcome{Status: 200, Body: "done"}, sends: 2,
+		},
+		{
+			name: "an order that may have run is never sent again", path: "/order/1", replies: []reply{{err: reset}},
+			want: outcome{Code: pomelospring.CodeBackendServerError, Outcome: pomelospring.OutcomeUnknown}, sends: 1,
+		},
+		{
+			name: "an order that a server rejected goes to another one", path: "/order/1",
+			replies: []reply{{status: 503, notRun: true}, ok}, want: outcome{Status: 200, Body: "done"}, sends: 2,
+		},
+		{
+			name: "an order that all reject is truly not run", path: "/order/1",
+			replies: []reply{{status: 503, notRun: true}, {status: 503, notRun: true}, {status: 503, notRun: true}},
+			want:    outcome{Code: pomelospring.CodeOverloaded, Outcome: pomelospring.NotRun}, sends: 3,
+		},
+		{
+			name: "a failed order passes the server's failure on", path: "/order/1",
+			replies: []reply{{status: 500, body: "no"}}, want: outcome{Status: 500, Body: "no"}, sends: 1,
+		},
+		{
+			name: "an order whose answer broke off has an unknown outcome", path: "/order/1",
+			replies: []reply{{status: 200, body: "do", broken: true}},
+			want:    outcome{Code: pomelospring.CodeBackendServerError, Outcome: pomelospring.OutcomeUnknown}, sends: 1,
+		},
+		{
+			name: "a success without a signature is none", path: "/order/1",
+			replies: []reply{{status: 200, body: "done", unsigned: true}},
+			want:    outcome{Code: pomelospring.CodeBackendServerError, Outcome: pomelospring.OutcomeUnknown}, sends: 1,
+		},
+		{
+			name: "a lookup that failed is tried elsewhere", path: "/lookup/1",
+			replies: []reply{{status: 500, body: "no"}, ok}, want: outcome{Status: 200, Body: "done"}, sends: 2,
+		},
+		{
+			name: "a lookup that failed twice passes a failure on", path: "/lookup/1",
+			replies: []reply{{status: 500, body: "no"}, {status: 500, body: "still no"}},
+			want:    outcome{Status: 500, Body: "still no"}, sends: 2,
+		},
+		{
+			name: "a lookup that failed, then met a full server, did run", path: "/lookup/1",
+			replies: []reply{{err: reset}, {status: 503, notRun: true}, {status: 503, notRun: true}},
+			want:    outcome{Code: pomelospring.CodeBackendServerError, Outcome: pomelospring.OutcomeUnknown}, sends: 3,
+		},
+		{
+			name: "a silent lookup is tried elsewhere", path: "/lookup/1",
+			replies: []reply{{silent: true}, ok}, want: outcome{Status: 200, Body: "done"}, sends: 2,
+		},
+		{
+			name: "a silent order is answered at its deadline", path: "/order/1", replies: []reply{{silent: true}},
+			want: outcome{Code: pomelospring.CodeTimeout, Outcome: pomelospring.OutcomeUnknown}, sends: 1,
+		},
+		{
+			name: "a stream is passed on", path: "/proof/1", adapter: "m/x",
+			replies: []reply{{status: 200, body: events3}}, want: outcome{Status: 200, Body: events3}, sends: 1,
+		},
+		{
+			name: "a stream that breaks inside an event goes on after the last whole one", path: "/proof/1", adapter: "m/x",
+			replies: []reply{
+				{status: 200, body: "id: 1\ndata: a\n\nid: 2\nda", broken: true},
+				{status: 200, body: "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"},
+			},
+			want: outcome{Status: 200, Body: events3}, sends: 2, resumes: []string{"", "1"},
+		},
+		{
+			name: "an end inside an event is no end", path: "/proof/1", adapter: "m/x",
+			replies: []reply{
+				{status: 200, body: "id: 1\ndata: a\n\nid: 2\nda"},
+				{status: 200, body: "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"},
+			},
+			want: outcome{Status: 200, Body: events3}, sends: 2, resumes: []string{"", "1"},
+		},
+		{
+			name: "a stream that can't be resumed does not look complete", path: "/brief/1", adapter: "m/x",
+			replies: []reply{{status: 200, body: "id: 1\ndata: a\n\n", broken: true}},
+			want:    outcome{Status: 200, Body: "id: 1\ndata: a\n\n", Aborted: true}, sends: 1,
+		},
+		{
+			name: "a stream that could not be resumed does not end with a failure", path: "/proof/1", adapter: "m/x",
+			replies: []reply{
+				{status: 200, body: "id: 1\ndata: a\n\n", broken: true},
+				{status: 500, body: "no"},
+			},
+			want: outcome{Status: 200, Body: "id: 1\ndata: a\n\n", Aborted: true}, sends: 2,
+		},
+		{
+			name: "a worker that lacks the adapter is left for another", path: "/brief/1", adapter: "m/x",
+			replies: []reply{{status: 421, notRun: true, misfit: true}, {status: 200, body: events3}},
+			want:    outcome{Status: 200, Body: events3}, sends: 2,
+		},
+		{
+			name: "an adapter that no worker holds is loaded first", path: "/brief/1", adapter: "m/new",
+			replies: []reply{{status: 200, body: events3}}, want: outcome{Status: 200, Body: events3}, sends: 1,
+		},
+		{
+			name: "one that finds no room is refused as not run", path: "/brief/1", adapter: "m/new", none: true,
+			want: outcome{Code: pomelospring.CodeOverloaded, Outcome: pomelospring.NotRun},
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := &backend{replies: scenario.replies}
+				service := newService(b, scenario.none)
+				out := &responder{}
+				call := &pomelospring.Call{
+					ID:           "r1",
+					Host:         "shop.example",
+					Path:         scenario.path,
+					Key:          key,
+					Adapter:      scenario.adapter,
+					PromptTokens: 1000,
+					Arrived:      time.Now(),
+				}
+				if scenario.key != "" {
+					call.Key = scenario.key
+				}
+				service.Serve(t.Context(), call, out)
+				if diff := cmp.Diff(scenario.want, out.outcome); diff != "" {
+					t.Error(diff)
+				}
+				if diff := cmp.Diff(scenario.sends, len(b.servers)); diff != "" {
+					t.Errorf("sends: %s", diff)
+				}
+				if scenario.resumes != nil {
+					if diff := cmp.Diff(scenario.resumes, b.resumes); diff != "" {
+						t.Errorf("resumes: %s", diff)
+					}
+				}
+				if len(b.servers) == 2 && b.servers[0] == b.servers[1] {
+					t.Errorf("server %s was tried twice", b.servers[0])
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func TestACallerThatLeftGetsNothingMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &backend{replies: []reply{{silent: true}}}
+		service := newService(b, false)
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, leave)
+		out := &responder{}
+		service.Serve(ctx, &pomelospring.Call{
+			Host:    "shop.example",
+			Path:    "/order/1",
+			Key:     key,
+			Arrived: time.Now(),
+		}, out)
+		if diff := cmp.Diff(outcome{Aborted: true}, out.outcome); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestRefusalsAreNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(&backend{}, true)
+		began := time.Now()
+		out := &responder{}
+		service.Serve(t.Context(), &pomelospring.Call{
+			Host:    "shop.example",
+			Path:    "/brief/1",
+			Key:     key,
+			Adapter: "m/new",
+			Arrived: began,
+		}, out)
+		if held := time.Since(began); held > 50*time.Millisecond {
+			t.Errorf("refused after %s", held)
+		}
+	})
+}
--- /dev/null
+++ b/loading/book_test.go
@@ -0,0 +1,375 @@
+package loading_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/loading"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+const slots = 2
+
+func limits() map[string]pomelospring.EngineLimits {
+	return map[string]pomelospring.EngineLimits{
+		"llm": {
+			AdapterSlots:   slots,
+			LoadsPerSecond: 1,
+			Models: map[string]pomelospring.ModelLimits{
+				"m": {
+					Name:     "m",
+					LoadTime: time.Second,
+				},
+			},
+		},
+	}
+}
+
+func server(id string) pomelospring.FleetServer {
+	return pomelospring.FleetServer{
+		ID:      id,
+		Service: "llm",
+		Domain:  "north",
+		Started: start,
+	}
+}
+
+func report(sequence int64, adapters ...string) pomelospring.EngineReport {
+	report := pomelospring.EngineReport{
+		Sequence: sequence,
+		Started:  start,
+		Models:   []string{"m"},
+	}
+	for _, adapter := range adapters {
+		report.Resident = append(report.Resident, pomelospring.ResidentAdapter{
+			Adapter: adapter,
+			Version: 1,
+		})
+	}
+	return report
+}
+
+// book knows workers a and b, with what they report.
+func book(a, b pomelospring.EngineReport) *loading.Book {
+	k := loading.NewBook()
+	k.SetServers([]pomelospring.FleetServer{server("a"), server("b")}, limits(), 1)
+	k.Reported("a", a, start)
+	k.Reported("b", b, start)
+	return k
+}
+
+func wish(adapter string) pomelospring.PlacementWish {
+	return pomelospring.PlacementWish{
+		Adapter: adapter,
+		Domain:  "north",
+	}
+}
+
+func TestPlan(t *testing.T) {
+	type plan struct {
+		Kind   loading.PlanKind
+		Server string
+		Evict  string
+	}
+	now := start.Add(10 * time.Second)
+	used := func(k *loading.Book, server string, adapters ...string) {
+		counts := map[string]int{}
+		for _, adapter := range adapters {
+			counts[adapter]++
+		}
+		k.Use(server, len(adapters), 0, counts, now)
+	}
+	scenarios := []struct {
+		name    string
+		book    *loading.Book
+		prepare func(k *loading.Book)
+		wish    pomelospring.PlacementWish
+		want    plan
+	}{
+		{
+			name: "what a worker holds is not loaded again",
+			book: book(report(0, "m/x"), report(0)),
+			wish: wish("m/x"),
+			want: plan{Kind: loading.PlanReady, Server: "a"},
+		},
+		{
+			name: "a free slot is taken first",
+			book: book(report(0, "m/x", "m/y"), report(0, "m/z")),
+			prepare: func(k *loading.Book) {
+				used(k, "a", "m/x", "m/y")
+			},
+			wish: wish("m/new"),
+			want: plan{Kind: loading.PlanLoad, Server: "b"},
+		},
+		{
+			name: "an adapter in use never makes way",
+			book: book(report(0, "m/x", "m/y"), report(0, "m/z", "m/w")),
+			prepare: func(k *loading.Book) {
+				used(k, "a", "m/x", "m/y")
+				used(k, "b", "m/z")
+			},
+			wish: wish("m/new"),
+			want: plan{Kind: loading.PlanLoad, Server: "b", Evict: "m/w"},
+		},
+		{
+			name: "with all in use the wish waits",
+			book: book(report(0, "m/x", "m/y"), report(0, "m/z", "m/w")),
+			prepare: func(k *loading.Book) {
+				used(k, "a", "m/x", "m/y")
+				used(k, "b", "m/z", "m/w")
+			},
+			wish: wish("m/new"),
+			want: plan{Kind: loading.PlanWait},
+		},
+		{
+			name: "a worker that is not known exactly is not ordered",
+			book: book(report(0), report(0)),
+			prepare: func(k *loading.Book) {
+				k.Forget(now)
+			},
+			wish: wish("m/new"),
+			want: plan{Kind: loading.PlanWait},
+		},
+		{
+			name: "a worker being ordered is left alone",
+			book: book(report(0), report(0)),
+			prepare: func(k *loading.Book) {
+				k.Begin("a")
+			},
+			wish: wish("m/new"),
+			want: plan{Kind: loading.PlanLoad, Server: "b"},
+		},
+		{
+			name: "a worker that refused the adapter is avoided",
+			book: book(report(0, "m/x"), report(0)),
+			wish: pomelospring.PlacementWish{Adapter: "m/x", Domain: "north", Avoid: []string{"a"}},
+			want: plan{Kind: loading.PlanLoad, Server: "b"},
+		},
+		{
+			name: "an old version does not do",
+			book: book(report(0, "m/x"), report(0)),
+			prepare: func(k *loading.Book) {
+				k.Declare("m/x", 2)
+				used(k, "a", "m/x")
+				used(k, "b")
+			},
+			wish: wish("m/x"),
+			want: plan{Kind: loading.PlanLoad, Server: "a"},
+		},
+		{
+			name: "without the base model nothing can be loaded",
+			book: book(pomelospring.EngineReport{Started: start}, pomelospring.EngineReport{Started: start}),
+			wish: wish("m/x"),
+			want: plan{Kind: loading.PlanNone},
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			if scenario.prepare != nil {
+				scenario.prepare(scenario.book)
+			}
+			made := scenario.book.Plan(scenario.wish, now)
+			got := plan{
+				Kind:   made.Kind,
+				Server: made.Server.ID,
+				Evict:  made.Evict,
+			}
+			if got.Kind == loading.PlanLoad && scenario.name == "an old version does not do" {
+				// Either worker will do.
+				got.Server = scenario.want.Server
+			}
+			if diff := cmp.Diff(scenario.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// engine is a model worker that checks what it is ordered. Orders that are
+// late are carried out seconds after they were given up.
+type engine struct {
+	sequence int64
+	held     map[string]bool
+	runs     map[string]int
+	late     []lateOrder
+	broken   string
+}
+
+type lateOrder struct {
+	order pomelospring.Order
+	at    time.Time
+}
+
+func (e *engine) do(order pomelospring.Order) pomelospring.OrderResult {
+	if order.Sequence != e.sequence {
+		return pomelospring.OrderConflict
+	}
+	e.sequence++
+	if order.Kind == pomelospring.UnloadAdapter {
+		if e.runs[order.Adapter] > 0 {
+			return pomelospring.OrderAccepted
+		}
+		delete(e.held, order.Adapter)
+		return pomelospring.OrderDone
+	}
+	e.held[order.Adapter] = true
+	if len(e.held) > slots {
+		e.broken = fmt.Sprintf("order %d loads %s beyond the slots: %v", order.Sequence, order.Adapter, e.held)
+	}
+	return pomelospring.OrderAccepted
+}
+
+func (e *engine) report() pomelospring.EngineReport {
+	var held []string
+	for adapter := range e.held {
+		held = append(held, adapter)
+	}
+	return report(e.sequence, held...)
+}
+
+// TestNoWorkerIsOrderedBeyondItsSlots plays wishes against workers that leave
+// orders unanswered and carry them out late.
+func TestNoWorkerIsOrderedBeyondItsSlots(t *testing.T) {
+	for seed := uint64(1); seed <= 60; seed++ {
+		random := rand.New(rand.NewPCG(seed, 3))
+		engines := map[string]*engine{}
+		var servers []pomelospring.FleetServer
+		for _, id := range []string{"a", "b", "c"} {
+			engines[id] = &engine{
+				held: map[string]bool{},
+				runs: map[string]int{},
+			}
+			servers = append(servers, server(id))
+		}
+		k := loading.NewBook()
+		k.SetServers(servers, limits(), 1)
+		loads := 0
+		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(20 * time.Millisecond) {
+			for _, due := range k.Reports(now) {
+				if random.Float64() < 0.8 {
+					k.Reported(due.ID, engines[due.ID].report(), now)
+				}
+			}
+			for _, e := range engines {
+				var later []lateOrder
+				for _, late := range e.late {
+					if now.Before(late.at) {
+						later = append(later, late)
+						continue
+					}
+					e.do(late.order)
+				}
+				e.late = later
+			}
+			plan := k.Plan(wish(fmt.Sprintf("m/%d", random.IntN(12))), now)
+			if plan.Kind != loading.PlanLoad {
+				continue
+			}
+			send := func(order pomelospring.Order) pomelospring.OrderResult {
+				e := engines[plan.Server.ID]
+				switch draw := random.Float64(); {
+				case draw < 0.15:
+					e.late = append(e.late, lateOrder{
+						order: order,
+						at:    now.Add(2*time.Second + time.Duration(random.Int64N(int64(10*time.Second)))),
+					})
+					return pomelospring.OrderUnknown
+				case draw < 0.2:
+					e.do(order)
+					return pomelospring.OrderUnknown
+				}
+				return e.do(order)
+			}
+			sequence, ok := k.Begin(plan.Server.ID)
+			if !ok {
+				t.Fatalf("seed %d: a plan for a worker that takes no order", seed)
+			}
+			free := true
+			if plan.Evict != "" {
+				result := send(pomelospring.Order{Kind: pomelospring.UnloadAdapter, Adapter: plan.Evict, Sequence: sequence})
+				free = k.Evicted(plan.Server.ID, plan.Evict, result, now)
+				sequence++
+			}
+			if free {
+				result := send(pomelospring.Order{Kind: pomelospring.LoadAdapter, Adapter: plan.Adapter, Sequence: sequence})
+				if _, ok := k.Loaded(plan.Server.ID, plan.Adapter, plan.Version, result, now); ok {
+					loads++
+				}
+			}
+			k.End(plan.Server.ID)
+		}
+		for id, e := range engines {
+			if e.broken != "" {
+				t.Fatalf("seed %d, worker %s: %s", seed, id, e.broken)
+			}
+		}
+		if loads < 10 {
+			t.Fatalf("seed %d: %d loads only", seed, loads)
+		}
+	}
+}
+
+func TestUpkeep(t *testing.T) {
+	type order struct {
+		Kind    pomelospring.OrderKind
+		Server  string
+		Adapter string
+	}
+	now := start.Add(10 * time.Second)
+	scenarios := []struct {
+		name    string
+		book    *loading.Book
+		prepare func(k *loading.Book)
+		want    []order
+	}{
+		{
+			name: "nothing is due",
+			book: book(report(0, "m/x"), report(0)),
+		},
+		{
+			name: "a worker that came up empty gets its base model",
+			book: book(report(0), pomelospring.EngineReport{Started: start}),
+			want: []order{{Kind: pomelospring.LoadModel, Server: "b", Adapter: "m"}},
+		},
+		{
+			name: "an old version that is not used makes way",
+			book: book(report(0, "m/x"), report(0)),
+			prepare: func(k *loading.Book) {
+				k.Declare("m/x", 2)
+			},
+			want: []order{{Kind: pomelospring.UnloadAdapter, Server: "a", Adapter: "m/x"}},
+		},
+		{
+			name: "one that is used is replaced in place",
+			book: book(report(0, "m/x"), report(0)),
+			prepare: func(k *loading.Book) {
+				k.Declare("m/x", 2)
+				k.Use("a", 1, 0, map[string]int{"m/x": 1}, now)
+			},
+			want: []order{{Kind: pomelospring.LoadAdapter, Server: "a", Adapter: "m/x"}},
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			if scenario.prepare != nil {
+				scenario.prepare(scenario.book)
+			}
+			var got []order
+			for _, due := range scenario.book.Upkeep(now) {
+				got = append(got, order{
+					Kind:    due.Kind,
+					Server:  due.Server.ID,
+					Adapter: due.Adapter,
+				})
+			}
+			if diff := cmp.Diff(scenario.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
