--- a/standin/store.go
+++ b/standin/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -108,6 +109,8 @@
 	s.mu.Unlock()
 	time.Sleep(slow)
 	if silent {
+		// The caller's leave shows only once its body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	}
