Tell late loads from missing adapters, and keep loads within the store's full speed

Ruled out: versions (421 with version 1 declared nowhere), restarted workers. Change: each leader keeps to its part of full speed and learns the slowdown from calls that came too early; the same worker is tried again; versions are ordered by number; a wish that would wait too long is refused at once.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -53,11 +53,13 @@
 	// Uptime goes on while the process is suspended.
 	Uptime func() time.Duration
 
-	mu        sync.Mutex
-	lease     lease.Lease
-	book      *loading.Book
-	totals    *quota.Totals
-	members   map[string]*member
+	mu      sync.Mutex
+	lease   lease.Lease
+	book    *loading.Book
+	totals  *quota.Totals
+	members map[string]*member
+	// waiting counts wishes that wait, by adapter.
+	waiting   map[string]int
 	modelAt   time.Time
 	settledAt time.Time
 }
@@ -81,6 +83,7 @@
 		book:    loading.NewBook(),
 		totals:  quota.NewTotals(),
 		members: map[string]*member{},
+		waiting: map[string]int{},
 	}
 }
 
--- a/coordination/place.go
+++ b/coordination/place.go
@@ -14,6 +14,9 @@
 func (l *Leader) Place(ctx context.Context, wish pomelospring.PlacementWish) (outcome pomelospring.PlacementOutcome, err error) {
 	defer pomelospring.Annotate(&err, "place %s", wish.Adapter)
 	began := l.Clock()
+	if !wish.AtOnce {
+		defer l.wait(wish.Adapter)()
+	}
 	for {
 		now := l.Clock()
 		plan, ok := l.plan(wish, now)
@@ -23,6 +26,10 @@
 		if plan.Kind == loading.PlanLoad {
 			plan = l.load(ctx, plan)
 		}
+		if plan.Kind == loading.PlanWait && !l.waits(wish, now) {
+			plan.Kind = loading.PlanNone
+			plan.Reason += ", with too many before this one"
+		}
 		late := plan.At.After(wish.Deadline) || plan.Kind == loading.PlanWait && wish.AtOnce && plan.Reason != orderedOtherwise
 		switch {
 		case plan.Kind == loading.PlanNone || late:
@@ -54,6 +61,28 @@
 // orderedOtherwise says that a plan must be made anew at once.
 const orderedOtherwise = "the worker was ordered otherwise"
 
+// waits takes a wish among those that wait, unless those before it would take
+// longer than it can wait. A wish is refused at once then.
+func (l *Leader) waits(wish pomelospring.PlacementWish, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Add(l.book.Backlog(len(l.waiting))).Before(wish.Deadline)
+}
+
+// wait counts a wish that waits; the function ends it.
+func (l *Leader) wait(adapter string) (end func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting[adapter]++
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.waiting[adapter]--; l.waiting[adapter] <= 0 {
+			delete(l.waiting, adapter)
+		}
+	}
+}
+
 func (l *Leader) plan(wish pomelospring.PlacementWish, now time.Time) (plan loading.Plan, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -114,7 +143,6 @@
 	}
 	plan.Kind = loading.PlanReady
 	plan.At = readyAt
-	plan.Version = max(1, plan.Version)
 	return plan
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -128,6 +128,8 @@
 	if outcome.Server == "" {
 		return pomelospring.NewRefusal(pomelospring.CodeOverloaded, outcome.RetryAt, "the adapter could not be loaded: %s", outcome.Reason)
 	}
+	// The leader may know that the worker that refused just loads longer.
+	delete(c.avoid, outcome.Server)
 	return nil
 }
 
--- a/loading/book.go
+++ b/loading/book.go
@@ -3,6 +3,7 @@
 package loading
 
 import (
+	"math"
 	"time"
 
 	"github.com/pomelospring/pomelospring"
@@ -34,6 +35,15 @@
 	// othersPart is what another book is taken to load for each load of this
 	// one: wishes come to them unevenly.
 	othersPart = 0.5
+	// lateMemory is how long after an adapter should have been there a worker's
+	// word that it lacks it is taken for a load that takes longer.
+	lateMemory = time.Second
+	// lateLeast is the least time that such a load is given on top.
+	lateLeast = 60 * time.Millisecond
+	// slowdownMost bounds, and slowdownDecay lets fade with each load, what was
+	// learned of the weight store's speed.
+	slowdownMost  = 6
+	slowdownDecay = 0.97
 	// retryPlan is when to look again after nothing could be planned.
 	retryPlan = 20 * time.Millisecond
 	// reportLag is how old a worker's report may be.
@@ -56,6 +66,8 @@
 	limits map[string]pomelospring.EngineLimits
 	// domains is how many books share the weight store.
 	domains int
+	// slowdown is how much longer than at full speed loads were seen to take.
+	slowdown float64
 	// UseMemory protects an adapter that was used so lately that a request for
 	// it may be under way.
 	UseMemory time.Duration
@@ -83,17 +95,20 @@
 }
 
 type slot struct {
-	version  int64
-	readyAt  time.Time
-	lastUsed time.Time
-	users    int
-	cold     bool
+	version int64
+	// orderedAt is zero for adapters that were found at the worker.
+	orderedAt time.Time
+	readyAt   time.Time
+	lastUsed  time.Time
+	users     int
+	cold      bool
 }
 
 // NewBook makes a book of no workers.
 func NewBook() *Book {
 	return &Book{
 		domains:   1,
+		slowdown:  1,
 		UseMemory: defaultUseMemory,
 		workers:   map[string]*worker{},
 		newest:    map[string]int64{},
@@ -269,6 +284,11 @@
 	return float64(own) * (1 + othersPart*float64(b.domains-1))
 }
 
+// ownLoads is this book's part of the loads at full speed.
+func (b *Book) ownLoads() float64 {
+	return max(1, math.Ceil(b.fullSpeed()/float64(b.domains)))
+}
+
 // fullSpeed is how many loads the weight store serves at full speed.
 func (b *Book) fullSpeed() float64 {
 	return max(fullSpeedLeast, fullSpeedPart*float64(len(b.workers)*b.domains))
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -33,16 +33,28 @@
 	Reason  string
 }
 
+// firstVersion is that of an adapter of which operators declared none. It is
+// ordered by number: a worker asked for the newest may know of a newer one
+// sooner than this book.
+const firstVersion = 1
+
 // Plan decides about a wish for an adapter.
 func (b *Book) Plan(wish pomelospring.PlacementWish, now time.Time) Plan {
-	version := max(wish.Version, b.newest[wish.Adapter])
+	version := max(firstVersion, wish.Version, b.newest[wish.Adapter])
 	avoid := map[string]bool{}
 	for _, id := range wish.Avoid {
-		avoid[id] = true
+		avoid[id] = !b.late(id, wish.Adapter, now)
 	}
 	if ready, found := b.resident(wish, version, avoid, now); found {
 		return ready
 	}
+	if b.saturated(wish.Adapter, now) {
+		return Plan{
+			Kind:   PlanWait,
+			At:     now.Add(retryPlan),
+			Reason: "the weight store is busy",
+		}
+	}
 	idle := b.UseMemory
 	if wish.Replica {
 		idle = max(idle, replicaIdle)
@@ -91,6 +103,42 @@
 	}
 }
 
+// late takes in that a worker lacks an adapter, and reports whether its load
+// just takes longer than was thought.
+func (b *Book) late(server, adapter string, now time.Time) bool {
+	w := b.workers[server]
+	if w == nil || w.slots[adapter] == nil {
+		return false
+	}
+	s := w.slots[adapter]
+	if s.orderedAt.IsZero() || now.Sub(s.readyAt) > lateMemory {
+		return false
+	}
+	took := now.Sub(s.orderedAt)
+	if s.cold {
+		b.slowdown = min(slowdownMost, max(b.slowdown, took.Seconds()/coldLoad.Seconds()))
+	}
+	if !now.Before(s.readyAt) {
+		s.readyAt = now.Add(max(lateLeast, took/2))
+		b.touch(w)
+	}
+	return true
+}
+
+// saturated reports whether one more load from the weight store would slow
+// down those under way; an adapter that some worker keeps at hand needs none.
+func (b *Book) saturated(adapter string, now time.Time) bool {
+	if float64(b.coldLoads(now)) < b.ownLoads() {
+		return false
+	}
+	for _, w := range b.workers {
+		if _, held := w.held[adapter]; held && w.synced {
+			return false
+		}
+	}
+	return true
+}
+
 // resident finds a worker that holds the adapter or will soon.
 func (b *Book) resident(wish pomelospring.PlacementWish, version int64, avoid map[string]bool, now time.Time) (plan Plan, found bool) {
 	for id, w := range b.workers {
@@ -176,7 +224,7 @@
 	if _, held := w.held[adapter]; held {
 		return warmLoad
 	}
-	slowdown := max(1, b.fleetLoads(b.coldLoads(now)+1)/b.fullSpeed())
+	slowdown := max(b.slowdown, b.fleetLoads(b.coldLoads(now)+1)/b.fullSpeed())
 	return time.Duration(float64(coldLoad) * slowdown)
 }
 
@@ -230,9 +278,6 @@
 		w.unsync(now)
 		return time.Time{}, false
 	}
-	if version == 0 {
-		version = max(1, b.newest[adapter])
-	}
 	readyAt = now
 	cold := false
 	if result == pomelospring.OrderAccepted {
@@ -242,11 +287,13 @@
 		readyAt = now.Add(b.loadTime(w, adapter, now) + loadMargin)
 	}
 	w.slots[adapter] = &slot{
-		version:  version,
-		readyAt:  readyAt,
-		lastUsed: readyAt,
-		cold:     cold,
+		version:   version,
+		orderedAt: now,
+		readyAt:   readyAt,
+		lastUsed:  readyAt,
+		cold:      cold,
 	}
+	b.slowdown = max(1, b.slowdown*slowdownDecay)
 	w.hold(adapter, now)
 	b.touch(w)
 	return readyAt, true
--- a/loading/upkeep.go
+++ b/loading/upkeep.go
@@ -106,6 +106,12 @@
 	return Upkeep{}, false
 }
 
+// Backlog estimates how long the loads of some adapters take one after the
+// other, as far as the weight store allows.
+func (b *Book) Backlog(adapters int) time.Duration {
+	return time.Duration(float64(adapters) / b.ownLoads() * float64(coldLoad))
+}
+
 // ModelOrdered takes in the answer to a load of a base model.
 func (b *Book) ModelOrdered(server, model string, result pomelospring.OrderResult, now time.Time) {
 	w := b.workers[server]
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -84,7 +84,9 @@
 	// recentOwn and recentOthers weigh what was asked for in shareMemory.
 	recentOwn    float64
 	recentOthers float64
-	decayed      time.Time
+	// recentRefused weighs what this instance refused in shareMemory.
+	recentRefused float64
+	decayed       time.Time
 	// share is the part of the team's rate that this instance may use while
 	// it hears of no others.
 	share float64
@@ -149,7 +151,9 @@
 	if a.rate > 0 {
 		room := a.level - min(reserve, reservePart*a.burst)
 		if room <= 0 || room < l.expected(a, now)*l.chance() {
-			return false, now.Add(l.wait(a, reserve, now))
+			wait := l.wait(a, reserve, now)
+			a.recentRefused += tokens
+			return false, now.Add(wait)
 		}
 	}
 	a.charge(tokens)
@@ -268,6 +272,7 @@
 		keep := math.Exp(-passed.Seconds() / shareMemory.Seconds())
 		a.recentOwn *= keep
 		a.recentOthers *= keep
+		a.recentRefused *= keep
 		a.decayed = now
 	}
 }
@@ -294,6 +299,9 @@
 // wait is how long the account stays below the reserve.
 func (l *Ledger) wait(a *account, reserve float64, now time.Time) time.Duration {
 	rate := max(leastRate, a.rate*l.part(a, now))
+	// Those that were refused here lately come back too.
+	crowd := 1 + a.recentRefused/shareMemory.Seconds()/rate
 	wait := time.Duration((min(reserve, reservePart*a.burst) - a.level) / rate * float64(time.Second))
-	return min(retryMost, max(retryLeast, wait))
+	wait = time.Duration(float64(max(retryLeast, wait)) * crowd)
+	return min(retryMost, wait)
 }
