Spread wishes that come together over workers

Cause: a leader learned of a worker's load only with the next exchange, 0.5 s later in a large fleet, and sent wishes that came together to the same one. Change: a wish counts against its worker until then (half-life 400 ms).

--- a/loading/book.go
+++ b/loading/book.go
@@ -44,6 +44,11 @@
 	// learned of the weight store's speed.
 	slowdownMost  = 6
 	slowdownDecay = 0.97
+	// grantCost is the wait that a wish which was just sent to a worker adds
+	// there, about half a prompt, and grantHalfLife the time until the use that
+	// instances tell shows it.
+	grantCost     = 120 * time.Millisecond
+	grantHalfLife = 400 * time.Millisecond
 	// retryPlan is when to look again after nothing could be planned.
 	retryPlan = 20 * time.Millisecond
 	// reportLag is how old a worker's report may be.
@@ -90,6 +95,10 @@
 	modelReadyAt  time.Time
 	waitingTokens int64
 	running       int
+	// granted weighs wishes that were sent to the worker since its use was
+	// heard of, at grantedAt.
+	granted   float64
+	grantedAt time.Time
 	// version is the book's at the last change of what the worker holds.
 	version int64
 }
@@ -278,6 +287,20 @@
 	return count
 }
 
+// grant notes that a wish is sent to a worker.
+func (w *worker) grant(now time.Time) {
+	w.granted = w.grants(now) + 1
+	w.grantedAt = now
+}
+
+// grants weighs the wishes sent to a worker lately.
+func (w *worker) grants(now time.Time) float64 {
+	if w.granted == 0 {
+		return 0
+	}
+	return w.granted * math.Exp2(-now.Sub(w.grantedAt).Seconds()/grantHalfLife.Seconds())
+}
+
 // fleetLoads estimates the loads from the weight store of all books from those
 // of this one.
 func (b *Book) fleetLoads(own int) float64 {
--- a/loading/book_test.go
+++ b/loading/book_test.go
@@ -150,6 +150,29 @@
 			wish: pomelospring.PlacementWish{Adapter: "m/x", Domain: "north", Avoid: []string{"a"}},
 			want: plan{Kind: loading.PlanLoad, Server: "b"},
 		},
+		{
+			// lgb-grid-grown scale-2: a call that came too early led to one more load.
+			name: "a worker whose load takes longer is not left for another",
+			book: book(report(0), report(0)),
+			prepare: func(k *loading.Book) {
+				k.Begin("a")
+				k.Loaded("a", "m/x", 1, pomelospring.OrderAccepted, now.Add(-300*time.Millisecond))
+				k.End("a")
+			},
+			wish: pomelospring.PlacementWish{Adapter: "m/x", Domain: "north", Avoid: []string{"a"}},
+			want: plan{Kind: loading.PlanReady, Server: "a"},
+		},
+		{
+			name: "one that lacks the adapter long after its load is",
+			book: book(report(0), report(0)),
+			prepare: func(k *loading.Book) {
+				k.Begin("a")
+				k.Loaded("a", "m/x", 1, pomelospring.OrderAccepted, now.Add(-9*time.Second))
+				k.End("a")
+			},
+			wish: pomelospring.PlacementWish{Adapter: "m/x", Domain: "north", Avoid: []string{"a"}},
+			want: plan{Kind: loading.PlanLoad, Server: "b"},
+		},
 		{
 			name: "an old version does not do",
 			book: book(report(0, "m/x"), report(0)),
@@ -190,6 +213,46 @@
 	}
 }
 
+func TestWishesThatComeTogetherAreSpread(t *testing.T) {
+	k := book(report(0), report(0))
+	now := start.Add(10 * time.Second)
+	got := map[string]int{}
+	for i := range 10 {
+		got[k.Plan(wish(fmt.Sprint("m/", i)), now).Server.ID]++
+	}
+	if diff := cmp.Diff(map[string]int{"a": 5, "b": 5}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestLoadsStayWithinTheStoresFullSpeed(t *testing.T) {
+	var servers []pomelospring.FleetServer
+	for i := range 12 {
+		servers = append(servers, server(fmt.Sprint(i)))
+	}
+	k := loading.NewBook()
+	// Three books share the eight loads that run at full speed.
+	k.SetServers(servers, limits(), 3)
+	for _, s := range servers {
+		k.Reported(s.ID, report(0), start)
+	}
+	loads := 0
+	for i := range 12 {
+		adapter := fmt.Sprint("m/", i)
+		plan := k.Plan(wish(adapter), start)
+		if plan.Kind != loading.PlanLoad {
+			continue
+		}
+		k.Begin(plan.Server.ID)
+		k.Loaded(plan.Server.ID, adapter, plan.Version, pomelospring.OrderAccepted, start)
+		k.End(plan.Server.ID)
+		loads++
+	}
+	if loads > 5 {
+		t.Errorf("%d loads under way at once", loads)
+	}
+}
+
 // engine is a model worker that checks what it is ordered. Orders that are
 // late are carried out seconds after they were given up.
 type engine struct {
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -81,6 +81,7 @@
 	}
 	switch {
 	case best != nil:
+		best.grant(now)
 		return Plan{
 			Kind:    PlanLoad,
 			Server:  best.server,
@@ -214,6 +215,7 @@
 	cost := b.loadTime(w, wish.Adapter, now)
 	cost += time.Duration(float64(w.waitingTokens) / readTokensPerSecond * float64(time.Second))
 	cost += time.Duration(w.running) * time.Millisecond
+	cost += time.Duration(w.grants(now) * float64(grantCost))
 	if w.server.Domain != wish.Domain {
 		cost += distanceCost
 	}
