--- a/cmd/pomelospringd/pages.go
+++ b/cmd/pomelospringd/pages.go
@@ -13,7 +13,8 @@
 
 // checkCommand checks a settings file.
 type checkCommand struct {
-	path string
+	path  string
+	front bool
 }
 
 // Name implements subcommands.Command.
@@ -24,8 +25,9 @@
 
 // Usage implements subcommands.Command.
 func (*checkCommand) Usage() string {
-	return `check -settings FILE
-  Says what is wrong with a settings file, by line and field.
+	return `check [-front] -settings FILE
+  Says what is wrong with a settings file, by line and field; -front for one of
+  an instance behind the users' balancer.
   Exit codes: 0 good, 2 bad.
 `
 }
@@ -33,11 +35,12 @@
 // SetFlags implements subcommands.Command.
 func (c *checkCommand) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&c.path, "settings", "", "settings file, YAML")
+	flags.BoolVar(&c.front, "front", false, "the file is for the command front")
 }
 
 // Execute implements subcommands.Command.
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...interface{}) subcommands.ExitStatus {
-	if _, err := settings.Read(c.path); err != nil {
+	if err := c.check(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
@@ -45,6 +48,15 @@
 	return subcommands.ExitSuccess
 }
 
+func (c *checkCommand) check() (err error) {
+	if c.front {
+		_, err = settings.ReadFront(c.path)
+		return err
+	}
+	_, err = settings.Read(c.path)
+	return err
+}
+
 // referenceCommand prints the settings' reference page.
 type referenceCommand struct{}
 
--- a/dispatch/choice_test.go
+++ b/dispatch/choice_test.go
@@ -114,7 +114,7 @@
 }
 
 func BenchmarkChoose(b *testing.B) {
-	var candidates []dispatch.Candidate
+	candidates := make([]dispatch.Candidate, 0, 60)
 	for i := range 60 {
 		candidates = append(candidates, candidate(string(rune('a'+i)), "north", nil))
 	}
--- a/fleet/server_list_test.go
+++ b/fleet/server_list_test.go
@@ -181,7 +181,7 @@
 		"c": {ID: "c"},
 	}, start)
 	changed, gone, _ := board.ServerChanges(first)
-	var ids []string
+	ids := make([]string, 0, len(changed))
 	for _, server := range changed {
 		ids = append(ids, server.ID)
 	}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -77,7 +77,7 @@
 func (w *worker) report(out http.ResponseWriter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	adapters := []string{}
+	adapters := make([]string, 0, len(w.adapters))
 	for name := range w.adapters {
 		adapters = append(adapters, name+"@1")
 	}
@@ -156,11 +156,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
 }
 
 func startInstance(t *testing.T, name, store string) *instance {
+	return start(t, newConfig(t, name, store))
+}
+
+func newConfig(t *testing.T, name, store string) *settings.Front {
 	config := settings.DefaultFront()
 	config.Name = name
 	config.Domain = "north"
@@ -173,6 +177,10 @@
 		Peers:     freeAddress(t),
 		Metrics:   freeAddress(t),
 	}
+	return config
+}
+
+func start(t *testing.T, config *settings.Front) *instance {
 	lines := events.NewBoundedWriter(io.Discard)
 	ctx, stop := context.WithCancel(context.Background())
 	i := &instance{
@@ -188,6 +196,15 @@
 	return i
 }
 
+// end stops the instance as planned and waits until it has.
+func (i *instance) end(t *testing.T) {
+	t.Helper()
+	i.stop()
+	if err := <-i.ended; err != nil {
+		t.Error(err)
+	}
+}
+
 func (i *instance) ready() bool {
 	response, err := http.Get("http://" + i.config.Listen.Readiness + platform.ReadinessPath)
 	if err != nil {
@@ -328,8 +345,7 @@
 	eventually(t, "a leads", func() bool { return a.serves("k1", "a1") })
 	b := startInstance(t, "b", address)
 	eventually(t, "b serves", func() bool { return b.serves("k1", "a1") })
-	a.stop()
-	<-a.ended
+	a.end(t)
 	eventually(t, "b loads a new adapter", func() bool { return b.serves("k1", "a2") })
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -338,6 +354,30 @@
 	}
 }
 
+// TestAMachineLeadsOnAfterAPlannedRestart is what incident inc-6427 lacked:
+// another machine would wait for the turn time first.
+func TestAMachineLeadsOnAfterAPlannedRestart(t *testing.T) {
+	_, address, w := newSite(t)
+	config := newConfig(t, "a", address)
+	config.Bounds.OrderTurn = 4 * time.Second
+	a := start(t, config)
+	eventually(t, "a leads", func() bool { return a.serves("k1", "a1") })
+	b := startInstance(t, "b", address)
+	eventually(t, "b serves", func() bool { return b.serves("k1", "a1") })
+	a.end(t)
+	began := time.Now()
+	a = start(t, config)
+	eventually(t, "a loads a new adapter", func() bool { return a.serves("k1", "a2") })
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("took %s", took)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if diff := cmp.Diff(1, len(w.holders)); diff != "" {
+		t.Errorf("holders: %s", diff)
+	}
+}
+
 func TestServingGoesOnWithoutTheStore(t *testing.T) {
 	scenarios := []struct {
 		name   string
@@ -374,7 +414,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	a.stop()
 	eventually(t, "not ready", func() bool { return !a.ready() })
 	fmt.Fprintf(conn, "GET /none HTTP/1.1\r\nHost: shop.example\r\n\r\n")
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -112,71 +113,101 @@
 	}, true
 }
 
-// TestHoldersNeverTakeTurns plays random cuts, suspensions and restarts, and
-// checks that orders of two holders are the turn time apart and that fencing
-// numbers rise from holder to holder.
+const (
+	step    = 50 * time.Millisecond
+	length  = 10 * time.Minute
+	members = 3
+	// flight is how long an order is under way at the most.
+	flight = 500 * time.Millisecond
+)
+
+// machine is one instance that may lead.
+type machine struct {
+	name    string
+	lease   *lease.Lease
+	renewed time.Duration
+	// blocked and frozen are the ends of a cut from the store and of a suspension.
+	blocked time.Duration
+	frozen  time.Duration
+}
+
+// act plays one step: faults, then a renewal if one is due. It reports whether
+// the machine may order.
+func (m *machine) act(g *group, random *rand.Rand, now time.Duration) bool {
+	if random.Float64() < 0.002 {
+		m.blocked = now + upTo(random, 14*time.Second)
+	}
+	if random.Float64() < 0.001 {
+		m.frozen = now + upTo(random, 14*time.Second)
+	}
+	if now < m.frozen {
+		return false
+	}
+	if now >= m.blocked && now-m.renewed >= lease.RenewEvery {
+		if membership, ok := g.join(m.name, now); ok {
+			m.lease.Joined(membership, now, now, false)
+			m.renewed = now
+		}
+	}
+	return m.lease.MayOrder(now)
+}
+
+// orders is what a worker sees.
+type orders struct {
+	holder *machine
+	at     time.Duration
+	fence  int64
+}
+
+// take checks an order that is sent now against the last of another holder.
+func (o *orders) take(m *machine, arrives, now time.Duration) (problem string) {
+	if o.holder != nil && o.holder != m {
+		if now-o.at < turn {
+			return fmt.Sprintf("%s ordered at %s, another holder's order arrived at %s", m.name, now, o.at)
+		}
+		if m.lease.Generation() <= o.fence {
+			return fmt.Sprintf("fence %d after %d", m.lease.Generation(), o.fence)
+		}
+	}
+	o.holder, o.fence = m, m.lease.Generation()
+	o.at = max(o.at, arrives)
+	return ""
+}
+
+// TestHoldersNeverTakeTurns plays random cuts and suspensions, and checks that
+// orders of two holders are the turn time apart and that fencing numbers rise
+// from holder to holder.
 func TestHoldersNeverTakeTurns(t *testing.T) {
-	const (
-		step    = 50 * time.Millisecond
-		length  = 10 * time.Minute
-		members = 3
-		// flight is how long an order is under way at the most.
-		flight = 500 * time.Millisecond
-	)
 	for seed := uint64(1); seed <= 40; seed++ {
 		random := rand.New(rand.NewPCG(seed, 7))
 		g := &group{}
-		leases := make([]*lease.Lease, members)
-		blocked := make([]time.Duration, members)
-		frozen := make([]time.Duration, members)
-		renewed := make([]time.Duration, members)
-		for i := range leases {
-			leases[i] = &lease.Lease{
-				TurnTime: turn,
-				Parts:    parts,
-			}
+		seen := &orders{}
+		machines := make([]*machine, 0, members)
+		for i := range members {
+			machines = append(machines, &machine{
+				name: string(rune('a' + i)),
+				lease: &lease.Lease{
+					TurnTime: turn,
+					Parts:    parts,
+				},
+			})
 		}
-		lastHolder, lastOrder, lastFence := -1, time.Duration(0), int64(0)
 		for now := time.Duration(0); now < length; now += step {
-			for i, l := range leases {
-				if random.Float64() < 0.002 {
-					blocked[i] = now + rand2(random, 14*time.Second)
-				}
-				if random.Float64() < 0.001 {
-					frozen[i] = now + rand2(random, 14*time.Second)
-				}
-				if now < frozen[i] {
-					continue
-				}
-				name := string(rune('a' + i))
-				if now >= blocked[i] && now-renewed[i] >= lease.RenewEvery {
-					if membership, ok := g.join(name, now); ok {
-						l.Joined(membership, now, now, false)
-						renewed[i] = now
-					}
-				}
-				if !l.MayOrder(now) {
+			for _, m := range machines {
+				if !m.act(g, random, now) {
 					continue
 				}
-				arrives := now + rand2(random, flight)
-				if lastHolder >= 0 && lastHolder != i {
-					if now-lastOrder < turn {
-						t.Fatalf("seed %d: %s ordered at %s, another holder's order arrived at %s", seed, name, now, lastOrder)
-					}
-					if l.Generation() <= lastFence {
-						t.Fatalf("seed %d: fence %d after %d", seed, l.Generation(), lastFence)
-					}
+				if problem := seen.take(m, now+upTo(random, flight), now); problem != "" {
+					t.Fatalf("seed %d: %s", seed, problem)
 				}
-				lastHolder, lastFence = i, l.Generation()
-				lastOrder = max(lastOrder, arrives)
 			}
 		}
-		if lastHolder < 0 {
+		if seen.holder == nil {
 			t.Fatalf("seed %d: nobody ever ordered", seed)
 		}
 	}
 }
 
-func rand2(random *rand.Rand, limit time.Duration) time.Duration {
+func upTo(random *rand.Rand, limit time.Duration) time.Duration {
 	return time.Duration(random.Int64N(int64(limit)))
 }
--- a/loading/book_test.go
+++ b/loading/book_test.go
@@ -226,7 +226,7 @@
 }
 
 func TestLoadsStayWithinTheStoresFullSpeed(t *testing.T) {
-	var servers []pomelospring.FleetServer
+	servers := make([]pomelospring.FleetServer, 0, 12)
 	for i := range 12 {
 		servers = append(servers, server(fmt.Sprint(i)))
 	}
@@ -288,91 +288,120 @@
 }
 
 func (e *engine) report() pomelospring.EngineReport {
-	var held []string
+	held := make([]string, 0, len(e.held))
 	for adapter := range e.held {
 		held = append(held, adapter)
 	}
 	return report(e.sequence, held...)
 }
 
-// TestNoWorkerIsOrderedBeyondItsSlots plays wishes against workers that leave
-// orders unanswered and carry them out late.
-func TestNoWorkerIsOrderedBeyondItsSlots(t *testing.T) {
-	for seed := uint64(1); seed <= 60; seed++ {
-		random := rand.New(rand.NewPCG(seed, 3))
-		engines := map[string]*engine{}
-		var servers []pomelospring.FleetServer
-		for _, id := range []string{"a", "b", "c"} {
-			engines[id] = &engine{
-				held: map[string]bool{},
-				runs: map[string]int{},
-			}
-			servers = append(servers, server(id))
+// shop is a book with model workers that leave orders unanswered and carry
+// them out late.
+type shop struct {
+	book    *loading.Book
+	engines map[string]*engine
+	random  *rand.Rand
+	loads   int
+}
+
+func newShop(seed uint64) *shop {
+	s := &shop{
+		book:    loading.NewBook(),
+		engines: map[string]*engine{},
+		random:  rand.New(rand.NewPCG(seed, 3)),
+	}
+	servers := make([]pomelospring.FleetServer, 0, 3)
+	for _, id := range []string{"a", "b", "c"} {
+		s.engines[id] = &engine{
+			held: map[string]bool{},
+			runs: map[string]int{},
 		}
-		k := loading.NewBook()
-		k.SetServers(servers, limits(), 1)
-		loads := 0
-		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(20 * time.Millisecond) {
-			for _, due := range k.Reports(now) {
-				if random.Float64() < 0.8 {
-					k.Reported(due.ID, engines[due.ID].report(), now)
-				}
-			}
-			for _, e := range engines {
-				var later []lateOrder
-				for _, late := range e.late {
-					if now.Before(late.at) {
-						later = append(later, late)
-						continue
-					}
-					e.do(late.order)
-				}
-				e.late = later
-			}
-			plan := k.Plan(wish(fmt.Sprintf("m/%d", random.IntN(12))), now)
-			if plan.Kind != loading.PlanLoad {
+		servers = append(servers, server(id))
+	}
+	s.book.SetServers(servers, limits(), 1)
+	return s
+}
+
+// report lets most reports that are due come.
+func (s *shop) report(now time.Time) {
+	for _, due := range s.book.Reports(now) {
+		if s.random.Float64() < 0.8 {
+			s.book.Reported(due.ID, s.engines[due.ID].report(), now)
+		}
+	}
+}
+
+// carryOut does the late orders that are due.
+func (s *shop) carryOut(now time.Time) {
+	for _, e := range s.engines {
+		var later []lateOrder
+		for _, late := range e.late {
+			if now.Before(late.at) {
+				later = append(later, late)
 				continue
 			}
-			send := func(order pomelospring.Order) pomelospring.OrderResult {
-				e := engines[plan.Server.ID]
-				switch draw := random.Float64(); {
-				case draw < 0.15:
-					e.late = append(e.late, lateOrder{
-						order: order,
-						at:    now.Add(2*time.Second + time.Duration(random.Int64N(int64(10*time.Second)))),
-					})
-					return pomelospring.OrderUnknown
-				case draw < 0.2:
-					e.do(order)
-					return pomelospring.OrderUnknown
-				}
-				return e.do(order)
-			}
-			sequence, ok := k.Begin(plan.Server.ID)
-			if !ok {
-				t.Fatalf("seed %d: a plan for a worker that takes no order", seed)
-			}
-			free := true
-			if plan.Evict != "" {
-				result := send(pomelospring.Order{Kind: pomelospring.UnloadAdapter, Adapter: plan.Evict, Sequence: sequence})
-				free = k.Evicted(plan.Server.ID, plan.Evict, result, now)
-				sequence++
-			}
-			if free {
-				result := send(pomelospring.Order{Kind: pomelospring.LoadAdapter, Adapter: plan.Adapter, Sequence: sequence})
-				if _, ok := k.Loaded(plan.Server.ID, plan.Adapter, plan.Version, result, now); ok {
-					loads++
-				}
+			e.do(late.order)
+		}
+		e.late = later
+	}
+}
+
+// send gives an order, whose answer or execution may be lost for a while.
+func (s *shop) send(id string, order pomelospring.Order, now time.Time) pomelospring.OrderResult {
+	e := s.engines[id]
+	switch draw := s.random.Float64(); {
+	case draw < 0.15:
+		e.late = append(e.late, lateOrder{
+			order: order,
+			at:    now.Add(2*time.Second + time.Duration(s.random.Int64N(int64(10*time.Second)))),
+		})
+		return pomelospring.OrderUnknown
+	case draw < 0.2:
+		e.do(order)
+		return pomelospring.OrderUnknown
+	}
+	return e.do(order)
+}
+
+// load carries out a plan as a leader does.
+func (s *shop) load(t *testing.T, plan loading.Plan, now time.Time) {
+	id := plan.Server.ID
+	sequence, ok := s.book.Begin(id)
+	if !ok {
+		t.Fatal("a plan for a worker that takes no order")
+	}
+	defer s.book.End(id)
+	if plan.Evict != "" {
+		result := s.send(id, pomelospring.Order{Kind: pomelospring.UnloadAdapter, Adapter: plan.Evict, Sequence: sequence}, now)
+		if !s.book.Evicted(id, plan.Evict, result, now) {
+			return
+		}
+		sequence++
+	}
+	result := s.send(id, pomelospring.Order{Kind: pomelospring.LoadAdapter, Adapter: plan.Adapter, Sequence: sequence}, now)
+	if _, ok := s.book.Loaded(id, plan.Adapter, plan.Version, result, now); ok {
+		s.loads++
+	}
+}
+
+func TestNoWorkerIsOrderedBeyondItsSlots(t *testing.T) {
+	for seed := uint64(1); seed <= 60; seed++ {
+		s := newShop(seed)
+		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(20 * time.Millisecond) {
+			s.report(now)
+			s.carryOut(now)
+			plan := s.book.Plan(wish(fmt.Sprintf("m/%d", s.random.IntN(12))), now)
+			if plan.Kind == loading.PlanLoad {
+				s.load(t, plan, now)
 			}
-			k.End(plan.Server.ID)
 		}
-		for id, e := range engines {
+		for id, e := range s.engines {
 			if e.broken != "" {
 				t.Fatalf("seed %d, worker %s: %s", seed, id, e.broken)
 			}
 		}
-		if loads < 10 {
-			t.Fatalf("seed %d: %d loads only", seed, loads)
+		if s.loads < 10 {
+			t.Fatalf("seed %d: %d loads only", seed, s.loads)
 		}
 	}
 }
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -20,6 +20,16 @@
 | --- | --- | --- | --- |
 `)
 	writeStruct(out, "", reflect.ValueOf(*Default()))
+	_, _ = fmt.Fprint(out, `
+## On the users' platform
+
+For `+"`pomelospringd front`"+`; deploy/settings.yaml is the platform's template of
+this file. `+"`pomelospringd check -front -settings FILE`"+` checks one.
+
+| field | default | allowed | meaning |
+| --- | --- | --- | --- |
+`)
+	writeStruct(out, "", reflect.ValueOf(*DefaultFront()))
 }
 
 func writeStruct(out io.Writer, prefix string, value reflect.Value) {
