Wait for an adapter no longer than the caller waits for a first event

Change: wish and queue are held against the users' patience (2 s, 4 targets or 8 pauses), refused at once beyond it. Logged events are counted as metrics.

--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -119,7 +119,7 @@
 		return queued + distance + time.Duration(candidate.FailureRate*float64(plainFailureCost))
 	}
 	unread := max(0, need.PromptTokens-candidate.KeptTokens)
-	return Queued(candidate) + readingTime(unread) +
+	return Queued(candidate) + ReadingTime(unread) +
 		time.Duration(candidate.Running)*runningCost +
 		distance +
 		time.Duration(candidate.FailureRate*float64(failureCost))
@@ -127,8 +127,9 @@
 
 // Queued estimates the time until a candidate has read the prompts that wait
 // there already.
-func Queued(candidate Candidate) time.Duration { return readingTime(candidate.WaitingTokens) }
+func Queued(candidate Candidate) time.Duration { return ReadingTime(candidate.WaitingTokens) }
 
-func readingTime(tokens int64) time.Duration {
+// ReadingTime estimates how long a model worker takes to read prompts.
+func ReadingTime(tokens int64) time.Duration {
 	return time.Duration(float64(tokens) / readTokensPerSecond * float64(time.Second))
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -24,8 +24,8 @@
 	// silentPart is the part of the time left after which an idempotent plain
 	// call without an answer is sent elsewhere.
 	silentPart = 0.45
-	// placeShare is the part of the time left that a call may wait for its
-	// adapter to be loaded.
+	// placeShare is the part of the time in which a caller waits for a first
+	// event that a call may wait for its adapter to be loaded.
 	placeShare = 0.6
 )
 
@@ -65,8 +65,8 @@
 	if !choice.Found {
 		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeNoBackendServer, comeBack(now), "no backend server can take the call")
 	}
-	if need.Model && now.Add(choice.Wait).After(c.deadline) {
-		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeOverloaded, comeBack(now), "the wait of %s is longer than the call's deadline", choice.Wait)
+	if need.Model && !c.passedOn && now.Add(choice.Wait).After(c.firstBy) {
+		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeOverloaded, comeBack(now), "the wait of %s is longer than the caller's", choice.Wait)
 	}
 	if need.Model && c.call.NeedsAdapter() && dispatch.Queued(choice.Candidate) > replicaWait {
 		s.wishReplica(c.call.Adapter, now)
@@ -108,7 +108,7 @@
 	wish := pomelospring.PlacementWish{
 		Adapter:  c.call.Adapter,
 		Domain:   c.service.Board.Domain,
-		Deadline: now.Add(time.Duration(placeShare * float64(c.deadline.Sub(now)))),
+		Deadline: now.Add(time.Duration(placeShare * float64(c.firstBy.Sub(now)))),
 	}
 	for id := range c.avoid {
 		wish.Avoid = append(wish.Avoid, id)
--- a/entry/service.go
+++ b/entry/service.go
@@ -31,6 +31,11 @@
 	costWeight = 0.05
 	// costMemory bounds the routes whose cost is remembered.
 	costMemory = 5000
+	// Callers leave a stream after a gap of leastPatience, of patienceTargets
+	// times its target or patiencePauses times its pause, whichever is longest.
+	leastPatience   = 2 * time.Second
+	patienceTargets = 4
+	patiencePauses  = 8
 	// notReadyWait is when to come back to an instance that just started.
 	notReadyWait = 300 * time.Millisecond
 )
@@ -75,7 +80,9 @@
 	priority int
 	charged  float64
 	deadline time.Time
-	retries  *retry.Budget
+	// firstBy is when the caller of a stream leaves without a first event.
+	firstBy time.Time
+	retries *retry.Budget
 
 	// avoid names backend servers that failed this call.
 	avoid map[string]bool
@@ -139,6 +146,10 @@
 	if !c.call.Deadline.IsZero() && c.call.Deadline.Before(c.deadline) {
 		c.deadline = c.call.Deadline
 	}
+	c.firstBy = c.deadline
+	if leaves := c.call.Arrived.Add(patience(c.route)); c.route.Streaming && leaves.Before(c.deadline) {
+		c.firstBy = leaves
+	}
 	c.target = pickSplit(c.route.Splits)
 	service := policy.Services[c.target]
 	c.limits = service.Engine
@@ -261,6 +272,12 @@
 	}
 }
 
+// patience is how long callers of a stream wait for its next event, by the
+// users' page.
+func patience(route *pomelospring.PolicyRoute) time.Duration {
+	return max(leastPatience, patienceTargets*route.Target, patiencePauses*route.PauseTarget)
+}
+
 func pickSplit(splits []pomelospring.ServiceSplit) string {
 	if len(splits) == 1 {
 		return splits[0].Service
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -104,9 +104,12 @@
 type coordinator struct {
 	board *fleet.Board
 	none  bool
+	// wishes are those asked for.
+	wishes []pomelospring.PlacementWish
 }
 
 func (c *coordinator) Place(_ context.Context, wish pomelospring.PlacementWish) (pomelospring.PlacementOutcome, error) {
+	c.wishes = append(c.wishes, wish)
 	if c.none {
 		return pomelospring.PlacementOutcome{Reason: "all slots in use"}, nil
 	}
@@ -359,6 +362,60 @@
 	})
 }
 
+// TestAWishWaitsNoLongerThanTheCallerOfAStream: callers of label-check left
+// after 2.4 s while their calls waited up to 9 s (lalc-signplat-grown scale-1).
+func TestAWishWaitsNoLongerThanTheCallerOfAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(&backend{}, true)
+		board := policy()
+		board.Version = 2
+		for i := range board.Routes {
+			board.Routes[i].Timeout = 15 * time.Second
+			board.Routes[i].Target = 600 * time.Millisecond
+		}
+		service.Board.SetPolicy(board)
+		leader := &coordinator{none: true}
+		service.Coordinator = leader
+		began := time.Now()
+		service.Serve(t.Context(), &pomelospring.Call{
+			Host:    "shop.example",
+			Path:    "/brief/1",
+			Key:     key,
+			Adapter: "m/new",
+			Arrived: began,
+		}, &responder{})
+		if len(leader.wishes) != 1 {
+			t.Fatalf("%d wishes", len(leader.wishes))
+		}
+		if wait := leader.wishes[0].Deadline.Sub(began); wait > 2400*time.Millisecond {
+			t.Errorf("the wish waits %s", wait)
+		}
+	})
+}
+
+func TestALongQueueIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(&backend{}, false)
+		for _, server := range []string{"a", "b"} {
+			service.Board.Begin(server, "m/x", 200000)
+		}
+		out := &responder{}
+		service.Serve(t.Context(), &pomelospring.Call{
+			Host:         "shop.example",
+			Path:         "/brief/1",
+			Key:          key,
+			Adapter:      "m/x",
+			PromptTokens: 1000,
+			Arrived:      time.Now(),
+		}, out)
+		want := outcome{Code: pomelospring.CodeOverloaded, Outcome: pomelospring.NotRun}
+		if diff := cmp.Diff(want, out.outcome); diff != "" {
+			t.Error(diff)
+		}
+		synctest.Wait()
+	})
+}
+
 func TestRefusalsAreNotHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		service := newService(&backend{}, true)
--- a/loading/book.go
+++ b/loading/book.go
@@ -55,8 +55,6 @@
 	reportLag = 350 * time.Millisecond
 	// retryReport is when to ask again for a report that did not come.
 	retryReport = time.Second
-	// readTokensPerSecond turns waiting prompts into time.
-	readTokensPerSecond = 32000
 	// distanceCost prefers workers of the domain that asks.
 	distanceCost = 10 * time.Millisecond
 )
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/dispatch"
 )
 
 // PlanKind says what to do about a wish.
@@ -213,7 +214,7 @@
 // cost estimates the time until a first output of the adapter on a worker.
 func (b *Book) cost(w *worker, wish pomelospring.PlacementWish, now time.Time) time.Duration {
 	cost := b.loadTime(w, wish.Adapter, now)
-	cost += time.Duration(float64(w.waitingTokens) / readTokensPerSecond * float64(time.Second))
+	cost += dispatch.ReadingTime(w.waitingTokens)
 	cost += time.Duration(w.running) * time.Millisecond
 	cost += time.Duration(w.grants(now) * float64(grantCost))
 	if w.server.Domain != wish.Domain {
--- /dev/null
+++ b/metrics/counting_handler_test.go
@@ -0,0 +1,35 @@
+package metrics_test
+
+import (
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/pomelospring/pomelospring/events"
+	"github.com/pomelospring/pomelospring/metrics"
+)
+
+func TestLoggedEventsAreCounted(t *testing.T) {
+	m := metrics.New()
+	logger := &log.Logger{
+		Handler: m.Counting(json.New(io.Discard)),
+		Level:   log.InfoLevel,
+	}
+	for range 3 {
+		events.Log(logger, events.StoreLost, log.Fields{})
+	}
+	want := `pomelospring_events{event="storeLost"} 3`
+	// Counts reach the page once a second.
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		page := httptest.NewRecorder()
+		m.Handler().ServeHTTP(page, httptest.NewRequest("GET", "/metrics", nil))
+		if strings.Contains(page.Body.String(), want) {
+			return
+		}
+	}
+	t.Errorf("the page lacks %s", want)
+}
--- a/policy.go
+++ b/policy.go
@@ -33,6 +33,8 @@
 	Timeout time.Duration
 	// Target is the latency at which an answer is on time.
 	Target time.Duration
+	// PauseTarget is the longest pause between events of an answer on time.
+	PauseTarget time.Duration
 	// Attempts is the most backend servers that may run one request.
 	Attempts int
 	// Priority is the rank among routes; 0 goes first.
