--- a/entry/run.go
+++ b/entry/run.go
@@ -18,7 +18,7 @@
 	// replicaWait is the wait behind other prompts above which one more worker
 	// is asked to hold an adapter: a load takes a quarter of a second and is
 	// paid for.
-	replicaWait = 400 * time.Millisecond
+	replicaWait = 700 * time.Millisecond
 	// replicaPause keeps wishes for more workers with one adapter apart.
 	replicaPause = 400 * time.Millisecond
 	// silentPart is the part of the time left after which an idempotent plain
