Keep a configuration and its teams' rates together

Cause (found on reading): records come from the store and from other instances at once, and an older configuration's rates could be set after a newer one's.

--- a/coordination/member.go
+++ b/coordination/member.go
@@ -56,17 +56,18 @@
 	Instance string
 	Board    *fleet.Board
 	Ledger   *quota.Ledger
-	Leader   *Leader
-	Local    *Server
-	Peers    *peer.Client
-	Logger   log.Interface
-	Clock    pomelospring.Clock
+	// Leader is this instance's own, asked without the network while it leads;
+	// Local answers its exchanges.
+	Leader *Leader
+	Local  *Server
+	Peers  *peer.Client
+	Logger log.Interface
+	Clock  pomelospring.Clock
 	// Heard is told how many instances there are, and the leaders of other
 	// domains that this one's knows.
 	Heard func(instances int, leaders map[string]string)
 	// LeadsAny reports whether this instance leads any domain.
 	LeadsAny func() bool
-
 	// Servers takes in the leader's list of backend servers.
 	Servers *fleet.ServerList
 
@@ -160,14 +161,14 @@
 
 // OperatorsRelayed reports whether another instance, the leader, tells what
 // operators wrote, so that it need not be read here.
-func (m *Member) OperatorsRelayed() bool {
-	return m.relayed(func() time.Duration { return m.operatorAge })
-}
+func (m *Member) OperatorsRelayed() bool { return m.relayed(&m.operatorAge) }
 
 // ServersRelayed is the same for the list of backend servers.
-func (m *Member) ServersRelayed() bool { return m.relayed(func() time.Duration { return m.serverAge }) }
+func (m *Member) ServersRelayed() bool { return m.relayed(&m.serverAge) }
 
-func (m *Member) relayed(age func() time.Duration) bool {
+// relayed reports whether the leader's reading was of an age, a field that the
+// lock protects, at which it replaces an own one.
+func (m *Member) relayed(age *time.Duration) bool {
 	interval := m.interval()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -175,7 +176,7 @@
 		// Those who lead read for the others.
 		return false
 	}
-	return age() < relayAge && m.Clock().Sub(m.heardAt) < interval+relayMargin
+	return *age < relayAge && m.Clock().Sub(m.heardAt) < interval+relayMargin
 }
 
 func (m *Member) exchange(ctx context.Context) {
--- a/fleet/operators.go
+++ b/fleet/operators.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -22,6 +23,10 @@
 	// DecodeVersion reads the declaration of an adapter's version; declared is
 	// false for records of other kinds.
 	DecodeVersion func(record pomelospring.KeyedRecord) (adapter string, version int64, declared bool, err error)
+
+	// mu keeps a configuration and its teams' rates together where records come
+	// from the store and from other instances at once.
+	mu sync.Mutex
 }
 
 // Read takes in records read from the store, which is known up to next.
@@ -32,6 +37,8 @@
 
 // Absorb takes in records from any source, newer ones only.
 func (o *Operators) Absorb(records []pomelospring.KeyedRecord) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	for _, record := range records {
 		if !o.Board.Keep(record) {
 			continue
