Write the log lines that come during a blocked flush before the end

Cause: the writer of log lines looked for the end after a flush, and left behind what came while that flush was blocked. Ruled out: load (it fails on an idle machine too).

--- a/events/bounded_writer.go
+++ b/events/bounded_writer.go
@@ -47,10 +47,12 @@
 func (b *BoundedWriter) Run(ctx context.Context) (err error) {
 	var spare bytes.Buffer
 	for {
+		// Lines that came while a flush was blocked go out with one more.
+		last := ctx.Err() != nil
 		if err = b.flush(&spare); err != nil {
 			return fmt.Errorf("write log lines: %w", err)
 		}
-		if ctx.Err() != nil {
+		if last {
 			return nil
 		}
 		select {
