Tell a budget that still fills from a team over its rate

Cause: buckets start empty, and the instance's share of a team's budget is agreed on some seconds after the start. Until then every request of a team that had used nothing was refused with overRate (429): `make run` ended with that, and exited 0.

Ruled out: a bucket that starts full (an instance that starts again would hand out its share twice).

Change: a bucket knows by when it can first be full; a lack of tokens before that is budgetFilling (503, not run, with the time to come back).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -129,6 +129,9 @@
 		missing, _ := c.Bank.Missing(pool, cost, now)
 		retryAt = now.Add(time.Duration(missing / team.Rate * float64(time.Second)))
 	}
+	if c.Bank.Filling(pool, now) {
+		return pomelospring.NewRefusal(pomelospring.CodeBudgetFilling, retryAt, "the budget of team %s is not shared out or still fills after the start of this instance", team.Name)
+	}
 	return pomelospring.NewRefusal(pomelospring.CodeOverRate, retryAt, "team %s is over its rate of %.0f tokens a second", team.Name, team.Rate)
 }
 
--- a/budget/bank.go
+++ b/budget/bank.go
@@ -157,6 +157,18 @@
 	return missing + roundingMargin, a.terms
 }
 
+// Filling says whether a pool's bucket is still on its way from its empty start
+// here; see Bucket.Filling. A pool without a bucket is.
+func (b *Bank) Filling(pool string, now time.Time) bool {
+	a := b.find(pool)
+	if a == nil {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.bucket.Filling(now)
+}
+
 // Lent is the part of a pool that covers what is lent out; see Bucket.Lent.
 func (b *Bank) Lent(pool string, now time.Time) int64 {
 	a := b.find(pool)
--- a/budget/bucket.go
+++ b/budget/bucket.go
@@ -9,6 +9,10 @@
 // loanKept is how long the end of a loan is waited for.
 const loanKept = 15 * time.Minute
 
+// agreementTime is how long a new holder's first share may take: two rounds of
+// claims in the domain and one between domains, each at most a second apart.
+const agreementTime = 3 * time.Second
+
 // Terms are what a bucket fills and empties under.
 type Terms struct {
 	// Rate is the pool's whole rate, in tokens a second.
@@ -33,6 +37,9 @@
 	terms Terms
 	level float64
 	last  time.Time
+	// filledBy is when a bucket that was never spent from would first be full.
+	filledBy time.Time
+	shared   bool
 	// loans are open; each lowers the cap while its tokens may still be spent
 	// elsewhere.
 	loans []loan
@@ -64,7 +71,8 @@
 // NewBucket makes an empty bucket without any share.
 func NewBucket(now time.Time) *Bucket {
 	return &Bucket{
-		last: now,
+		last:     now,
+		filledBy: now.Add(agreementTime),
 	}
 }
 
@@ -72,9 +80,19 @@
 func (b *Bucket) SetTerms(terms Terms, now time.Time) {
 	b.fill(now)
 	b.terms = terms
+	if !b.shared && terms.Rate > 0 && b.live(now) > 0 {
+		b.shared = true
+		b.filledBy = now.Add(time.Duration(terms.Burst / terms.Rate * float64(time.Second)))
+	}
 	b.fill(now)
 }
 
+// Filling says whether the bucket is still on its way from its empty start, so
+// that a lack of tokens says nothing about what its team spent.
+func (b *Bucket) Filling(now time.Time) bool {
+	return now.Before(b.filledBy)
+}
+
 // Level is what could be spent now.
 func (b *Bucket) Level(now time.Time) float64 {
 	b.fill(now)
--- a/caller/answer.go
+++ b/caller/answer.go
@@ -42,6 +42,7 @@
 	pomelospring.CodeAdapterUnknown:     http.StatusNotFound,
 	pomelospring.CodeAdapterNotAllowed:  http.StatusForbidden,
 	pomelospring.CodeOverRate:           http.StatusTooManyRequests,
+	pomelospring.CodeBudgetFilling:      http.StatusServiceUnavailable,
 	pomelospring.CodeLargerThanBurst:    http.StatusBadRequest,
 	pomelospring.CodeOverloaded:         http.StatusServiceUnavailable,
 	pomelospring.CodeNoBackendServer:    http.StatusServiceUnavailable,
--- a/refusal.go
+++ b/refusal.go
@@ -32,6 +32,7 @@
 	CodeAdapterUnknown     Code = "adapterUnknown"
 	CodeAdapterNotAllowed  Code = "adapterNotAllowed"
 	CodeOverRate           Code = "overRate"
+	CodeBudgetFilling      Code = "budgetFilling"
 	CodeLargerThanBurst    Code = "largerThanBurst"
 	CodeOverloaded         Code = "overloaded"
 	CodeNoBackendServer    Code = "noBackendServer"
