Drop what nothing uses; name the wishes' waiting; carry request ids with wishes

A wish no longer counts itself among those before it, and a plan to make anew is a kind of plan of its own, not a text to compare. The leader's line on a wish names the request that waits and its own domain, so that the history of a request spans processes.

--- a/coordination/member.go
+++ b/coordination/member.go
@@ -318,6 +318,7 @@
 	defer cancel()
 	reply, err := m.client(ctx, address).Place(ctx, &coordinationpb.PlaceRequest{
 		LeaderDomain:     m.Domain,
+		Request:          wish.Request,
 		Adapter:          wish.Adapter,
 		Version:          wish.Version,
 		Domain:           wish.Domain,
--- a/coordination/place.go
+++ b/coordination/place.go
@@ -15,7 +15,7 @@
 	defer pomelospring.Annotate(&err, "place %s", wish.Adapter)
 	began := l.Clock()
 	if !wish.AtOnce {
-		defer l.wait(wish.Adapter)()
+		defer l.countWaiting(wish.Adapter)()
 	}
 	for {
 		now := l.Clock()
@@ -26,11 +26,11 @@
 		if plan.Kind == loading.PlanLoad {
 			plan = l.load(ctx, plan)
 		}
-		if plan.Kind == loading.PlanWait && !l.waits(wish, now) {
+		if plan.Kind == loading.PlanWait && !l.worthWaiting(wish, now) {
 			plan.Kind = loading.PlanNone
 			plan.Reason += ", with too many before this one"
 		}
-		late := plan.At.After(wish.Deadline) || plan.Kind == loading.PlanWait && wish.AtOnce && plan.Reason != orderedOtherwise
+		late := plan.At.After(wish.Deadline) || plan.Kind == loading.PlanWait && wish.AtOnce
 		switch {
 		case plan.Kind == loading.PlanNone || late:
 			outcome = pomelospring.PlacementOutcome{
@@ -58,19 +58,16 @@
 	}
 }
 
-// orderedOtherwise says that a plan must be made anew at once.
-const orderedOtherwise = "the worker was ordered otherwise"
-
-// waits takes a wish among those that wait, unless those before it would take
-// longer than it can wait. A wish is refused at once then.
-func (l *Leader) waits(wish pomelospring.PlacementWish, now time.Time) bool {
+// worthWaiting reports whether the wishes before one let it in before its
+// deadline; it is refused at once otherwise.
+func (l *Leader) worthWaiting(wish pomelospring.PlacementWish, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Add(l.book.Backlog(len(l.waiting))).Before(wish.Deadline)
+	return now.Add(l.book.Backlog(len(l.waiting) - 1)).Before(wish.Deadline)
 }
 
-// wait counts a wish that waits; the function ends it.
-func (l *Leader) wait(adapter string) (end func()) {
+// countWaiting counts a wish among those that wait; the function ends it.
+func (l *Leader) countWaiting(adapter string) (end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waiting[adapter]++
@@ -102,9 +99,9 @@
 // load gives the orders of a plan and turns it into one that says what to wait for.
 func (l *Leader) load(ctx context.Context, plan loading.Plan) loading.Plan {
 	again := loading.Plan{
-		Kind:   loading.PlanWait,
+		Kind:   loading.PlanAgain,
 		At:     l.Clock(),
-		Reason: orderedOtherwise,
+		Reason: "the worker was ordered otherwise",
 	}
 	l.mu.Lock()
 	sequence, ok := l.book.Begin(plan.Server.ID)
@@ -148,6 +145,8 @@
 
 func (l *Leader) logAnswer(wish pomelospring.PlacementWish, outcome pomelospring.PlacementOutcome, began time.Time) {
 	events.Log(l.Logger, events.WishAnswered, log.Fields{
+		"request": wish.Request,
+		"domain":  l.Domain,
 		"adapter": wish.Adapter,
 		"version": outcome.Version,
 		"replica": wish.Replica,
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -43,6 +43,7 @@
 	}
 	now := leader.Clock()
 	outcome, err := leader.Place(ctx, pomelospring.PlacementWish{
+		Request:  request.Request,
 		Adapter:  request.Adapter,
 		Version:  request.Version,
 		Domain:   request.Domain,
--- a/fleet.go
+++ b/fleet.go
@@ -115,14 +115,6 @@
 	FreshConnection bool
 }
 
-// BackendLoad is what a backend server says of itself with an answer.
-type BackendLoad struct {
-	Running int
-	Waiting int
-	Slots   int
-	Known   bool
-}
-
 // BackendAnswer is an answer whose body has not been read yet.
 type BackendAnswer struct {
 	Status int
@@ -134,7 +126,6 @@
 	Misdirected bool
 	// Signed says that the answer bears a backend server's signature.
 	Signed bool
-	Load   BackendLoad
 	// Length is the declared length of the body; -1 without one.
 	Length int64
 }
@@ -243,6 +234,8 @@
 
 // PlacementWish asks for an adapter on a model worker.
 type PlacementWish struct {
+	// Request is the call that waits for the adapter; empty for none.
+	Request string
 	Adapter string
 	// Version is 0 for the newest.
 	Version int64
--- a/loading/book.go
+++ b/loading/book.go
@@ -65,8 +65,6 @@
 	workers map[string]*worker
 	// newest are the versions that operators declared.
 	newest map[string]int64
-	// limits are by service.
-	limits map[string]pomelospring.EngineLimits
 	// domains is how many books share the weight store.
 	domains int
 	// slowdown is how much longer than at full speed loads were seen to take.
@@ -119,14 +117,12 @@
 		UseMemory: defaultUseMemory,
 		workers:   map[string]*worker{},
 		newest:    map[string]int64{},
-		limits:    map[string]pomelospring.EngineLimits{},
 	}
 }
 
 // SetServers takes over the list of model workers; one that began anew is
 // unknown until it reports. domains is how many books share the weight store.
 func (b *Book) SetServers(servers []pomelospring.FleetServer, limits map[string]pomelospring.EngineLimits, domains int) {
-	b.limits = limits
 	b.domains = domains
 	listed := map[string]bool{}
 	for _, server := range servers {
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -18,6 +18,8 @@
 	PlanLoad PlanKind = "load"
 	// PlanWait: look again at At.
 	PlanWait PlanKind = "wait"
+	// PlanAgain: plan anew at once, as the worker was ordered otherwise.
+	PlanAgain PlanKind = "again"
 	// PlanNone: no worker can take the adapter.
 	PlanNone PlanKind = "none"
 )
--- a/policy.go
+++ b/policy.go
@@ -56,8 +56,6 @@
 // Service is a group of backend servers that are alike.
 type Service struct {
 	Name string
-	// ConnectionLimit is what each backend server accepts from all callers.
-	ConnectionLimit int
 	// Engine is nil for plain services.
 	Engine *EngineLimits
 }
@@ -76,8 +74,6 @@
 	Name string
 	// LoadTime is how long a load from the weight store takes.
 	LoadTime time.Duration
-	// DiskTime is how long a load from the worker's disk takes.
-	DiskTime time.Duration
 }
 
 // PolicyTeam is a team's part of the shared capacity.
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -235,13 +235,6 @@
 	}
 }
 
-// InContact reports whether the others' spending is known.
-func (l *Ledger) InContact(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.current(now) != nil
-}
-
 // Level gives what a team may spend here now.
 func (l *Ledger) Level(team string, now time.Time) float64 {
 	l.mu.Lock()
