Explain from logs what became of a request

pomelospringctl explain ID FILE... prints the history of a request over any number of processes, what each believed, and the cause of its end; -causes counts the ends of all requests.

Found on the way: a call that ended with a server's failure after a retry had no line for its end; it has one now. Every scenario of TestServe that fails checks that the log alone names the cause.

--- a/cmd/pomelospringctl/main.go
+++ b/cmd/pomelospringctl/main.go
@@ -17,6 +17,7 @@
 	commander.Register(&languageCommand{}, "")
 	commander.Register(&completionCommand{}, "")
 	commander.Register(&tokenCommand{}, "")
+	commander.Register(&explainCommand{}, "")
 	flag.Parse()
 	os.Exit(int(commander.Execute(context.Background())))
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -106,6 +106,7 @@
 // place asks the leader for the call's adapter.
 func (c *session) place(ctx context.Context, now time.Time) *pomelospring.Refusal {
 	wish := pomelospring.PlacementWish{
+		Request:  c.call.ID,
 		Adapter:  c.call.Adapter,
 		Domain:   c.service.Board.Domain,
 		Deadline: now.Add(time.Duration(placeShare * float64(c.firstBy.Sub(now)))),
@@ -308,6 +309,7 @@
 	if c.failure != nil {
 		c.out.Head(c.failure, int64(len(c.failureBody)))
 		c.write(c.failureBody)
+		c.logServed(c.failureServer, c.failure.Status)
 		return
 	}
 	if c.runs > 0 && refusal.Outcome == pomelospring.NotRun {
--- a/entry/service.go
+++ b/entry/service.go
@@ -103,8 +103,9 @@
 	// resumedAt is the server that a stream goes on at, once that was logged.
 	resumedAt string
 	// failure is a whole answer of a failed try, to be passed on if no other succeeds.
-	failure     *pomelospring.BackendAnswer
-	failureBody []byte
+	failure       *pomelospring.BackendAnswer
+	failureBody   []byte
+	failureServer pomelospring.FleetServer
 }
 
 // Serve takes one call to its final answer.
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -12,9 +13,11 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/json"
 	"github.com/google/go-cmp/cmp"
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/entry"
+	"github.com/pomelospring/pomelospring/explanation"
 	"github.com/pomelospring/pomelospring/fleet"
 	"github.com/pomelospring/pomelospring/quota"
 )
@@ -189,6 +192,8 @@
 		none    bool
 		replies []reply
 		want    outcome
+		// why is what the log alone must name as the cause of a failure.
+		why string
 		// sends is how many tries were made; resumes the last event ID of each.
 		sends   int
 		resumes []string
@@ -198,10 +203,10 @@
 			want: outcome{Status: 200, Body: "done"}, sends: 1,
 		},
 		{
-			name: "no route", path: "/else/", want: outcome{Code: pomelospring.CodeNotFound, Outcome: pomelospring.NotRun},
+			name: "no route", why: "notFound: no route for this host and path", path: "/else/", want: outcome{Code: pomelospring.CodeNotFound, Outcome: pomelospring.NotRun},
 		},
 		{
-			name: "an unknown key", path: "/order/1", key: "other",
+			name: "an unknown key", why: "keyUnknown: the key is not known", path: "/order/1", key: "other",
 			want: outcome{Code: pomelospring.CodeKeyUnknown, Outcome: pomelospring.NotRun},
 		},
 		{
@@ -209,7 +214,7 @@
 			replies: []reply{{err: unsent}, ok}, want: outcome{Status: 200, Body: "done"}, sends: 2,
 		},
 		{
-			name: "an order that may have run is never sent again", path: "/order/1", replies: []reply{{err: reset}},
+			name: "an order that may have run is never sent again", why: "connection reset", path: "/order/1", replies: []reply{{err: reset}},
 			want: outcome{Code: pomelospring.CodeBackendServerError, Outcome: pomelospring.OutcomeUnknown}, sends: 1,
 		},
 		{
@@ -217,21 +222,21 @@
 			replies: []reply{{status: 503, notRun: true}, ok}, want: outcome{Status: 200, Body: "done"}, sends: 2,
 		},
 		{
-			name: "an order that all reject is truly not run", path: "/order/1",
+			name: "an order that all reject is truly not run", why: "Service Unavailable", path: "/order/1",
 			replies: []reply{{status: 503, notRun: true}, {status: 503, notRun: true}, {status: 503, notRun: true}},
 			want:    outcome{Code: pomelospring.CodeOverloaded, Outcome: pomelospring.NotRun}, sends: 3,
 		},
 		{
-			name: "a failed order passes the server's failure on", path: "/order/1",
+			name: "a failed order passes the server's failure on", why: "status 500", path: "/order/1",
 			replies: []reply{{status: 500, body: "no"}}, want: outcome{Status: 500, Body: "no"}, sends: 1,
 		},
 		{
-			name: "an order whose answer broke off has an unknown outcome", path: "/order/1",
+			name: "an order whose answer broke off has an unknown outcome", why: "unexpected EOF", path: "/order/1",
 			replies: []reply{{status: 200, body: "do", broken: true}},
 			want:    outcome{Code: pomelospring.CodeBackendServerError, Outcome: pomelospring.OutcomeUnknown}, sends: 1,
 		},
 		{
-			name: "a success without a signature is none", path: "/order/1",
+			name: "a success without a signature is none", why: "the answer bears no signature", path: "/order/1",
 			replies: []reply{{status: 200, body: "done", unsigned: true}},
 			want:    outcome{Code: pomelospring.CodeBackendServerError, Outcome: pomelospring.OutcomeUnknown}, sends: 1,
 		},
@@ -240,12 +245,12 @@
 			replies: []reply{{status: 500, body: "no"}, ok}, want: outcome{Status: 200, Body: "done"}, sends: 2,
 		},
 		{
-			name: "a lookup that failed twice passes a failure on", path: "/lookup/1",
+			name: "a lookup that failed twice passes a failure on", why: "status 500", path: "/lookup/1",
 			replies: []reply{{status: 500, body: "no"}, {status: 500, body: "still no"}},
 			want:    outcome{Status: 500, Body: "still no"}, sends: 2,
 		},
 		{
-			name: "a lookup that failed, then met a full server, did run", path: "/lookup/1",
+			name: "a lookup that failed, then met a full server, did run", why: "connection reset", path: "/lookup/1",
 			replies: []reply{{err: reset}, {status: 503, notRun: true}, {status: 503, notRun: true}},
 			want:    outcome{Code: pomelospring.CodeBackendServerError, Outcome: pomelospring.OutcomeUnknown}, sends: 3,
 		},
@@ -254,7 +259,7 @@
 			replies: []reply{{silent: true}, ok}, want: outcome{Status: 200, Body: "done"}, sends: 2,
 		},
 		{
-			name: "a silent order is answered at its deadline", path: "/order/1", replies: []reply{{silent: true}},
+			name: "a silent order is answered at its deadline", why: "timeout: the time for the call has passed", path: "/order/1", replies: []reply{{silent: true}},
 			want: outcome{Code: pomelospring.CodeTimeout, Outcome: pomelospring.OutcomeUnknown}, sends: 1,
 		},
 		{
@@ -278,12 +283,12 @@
 			want: outcome{Status: 200, Body: events3}, sends: 2, resumes: []string{"", "1"},
 		},
 		{
-			name: "a stream that can't be resumed does not look complete", path: "/brief/1", adapter: "m/x",
+			name: "a stream that can't be resumed does not look complete", why: "unexpected EOF", path: "/brief/1", adapter: "m/x",
 			replies: []reply{{status: 200, body: "id: 1\ndata: a\n\n", broken: true}},
 			want:    outcome{Status: 200, Body: "id: 1\ndata: a\n\n", Aborted: true}, sends: 1,
 		},
 		{
-			name: "a stream that could not be resumed does not end with a failure", path: "/proof/1", adapter: "m/x",
+			name: "a stream that could not be resumed does not end with a failure", why: "unexpected EOF", path: "/proof/1", adapter: "m/x",
 			replies: []reply{
 				{status: 200, body: "id: 1\ndata: a\n\n", broken: true},
 				{status: 500, body: "no"},
@@ -300,7 +305,7 @@
 			replies: []reply{{status: 200, body: events3}}, want: outcome{Status: 200, Body: events3}, sends: 1,
 		},
 		{
-			name: "one that finds no room is refused as not run", path: "/brief/1", adapter: "m/new", none: true,
+			name: "one that finds no room is refused as not run", why: "the adapter could not be loaded: all slots in use", path: "/brief/1", adapter: "m/new", none: true,
 			want: outcome{Code: pomelospring.CodeOverloaded, Outcome: pomelospring.NotRun},
 		},
 	}
@@ -309,6 +314,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := &backend{replies: scenario.replies}
 				service := newService(b, scenario.none)
+				var lines bytes.Buffer
+				service.Logger = &log.Logger{Handler: json.New(&lines)}
 				out := &responder{}
 				call := &pomelospring.Call{
 					ID:           "r1",
@@ -338,11 +345,35 @@
 					t.Errorf("server %s was tried twice", b.servers[0])
 				}
 				synctest.Wait()
+				checkCause(t, lines.String(), out.outcome, scenario.why)
 			})
 		})
 	}
 }
 
+// checkCause has the log alone tell what the caller saw, and why it failed.
+func checkCause(t *testing.T, lines string, seen outcome, why string) {
+	t.Helper()
+	history := explanation.NewLog()
+	if err := history.Read("front", strings.NewReader(lines)); err != nil {
+		t.Fatal(err)
+	}
+	want := explanation.EndServed
+	if seen.Code != "" {
+		want = explanation.EndRefused
+	}
+	if seen.Aborted {
+		want = explanation.EndBroken
+	}
+	cause := history.CauseOf("r1")
+	if cause.End != want || cause.Kind == "" || !strings.Contains(cause.Text, why) {
+		t.Errorf("the log names %q (%s, %q); wanted %s: %q", cause.Text, cause.End, cause.Kind, want, why)
+	}
+	if failed := seen.Code != "" || seen.Aborted || seen.Status >= http.StatusInternalServerError; failed && why == "" {
+		t.Errorf("the scenario fails and names no cause; the log says %q", cause.Text)
+	}
+}
+
 func TestACallerThatLeftGetsNothingMore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &backend{replies: []reply{{silent: true}}}
--- a/entry/try.go
+++ b/entry/try.go
@@ -92,7 +92,7 @@
 	t.end(failed)
 	c.avoid[t.server.ID] = true
 	if failed && !c.passedOn && ctx.Err() == nil && c.mayRetry(false) {
-		c.failure, c.failureBody = answer, body
+		c.failure, c.failureBody, c.failureServer = answer, body, t.server
 		c.logRetry(t.server, http.StatusText(answer.Status), true)
 		return false
 	}
