--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	for module in . cmd/*; do (cd $$module && golangci-lint run ./...) || exit 1; done
 
 generate: build
-	cd peer/peerpb && protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. peer.proto
+	scripts/protocols
 	bin/pomelospringd reference > docs/SETTINGS.md
 	bin/pomelospringd events > docs/EVENTS.md
 	bin/measure capacity > docs/CAPACITY.md
