Give the flooded team's test a bound that its bucket explains

The bound of 0.98 over 8 s was wrong: what a team gets over a while differs from its rate by the change of the bucket's level, up to half a burst here. It is measured over 30 s now and held to that, 0.983 to 1.017. The soak tells a call that met a stopped front from an answer that was cut: what has run must be answered.

--- a/front/soak_test.go
+++ b/front/soak_test.go
@@ -303,7 +303,15 @@
 	defer s.mu.Unlock()
 	switch {
 	case err != nil:
-		s.refused["broken off"]++
+		// A call may meet a front that is between two starts, or cross the end
+		// of a kept connection; one that has run may not.
+		s.refused["no answer"]++
+		s.judge.mu.Lock()
+		runs := s.judge.runs[id]
+		s.judge.mu.Unlock()
+		if runs > 0 {
+			s.judge.breaks("request %s has run and its answer was cut: %v", id, err)
+		}
 	case status == http.StatusOK:
 		s.served[front]++
 		if strings.Count(body, "data: "+adapter+" "+id+"\n") != 3 {
@@ -434,7 +442,4 @@
 	if served == 0 {
 		s.t.Error("nothing was served")
 	}
-	if failed := s.refused["broken off"]; failed > 0 {
-		s.t.Logf("%d answers broke off", failed)
-	}
 }
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -299,14 +299,15 @@
 	}
 }
 
-// TestAFloodedTeamGetsItsWholeRate: on lalc-signplat-grown scale-1 a team that
-// asked for six times its rate got 0.89 of it.
+// TestAFloodedTeamGetsItsWholeRate: a team that asks for six times its rate gets
+// that rate. What it gets over some time differs from it by the change of the
+// bucket's level, which is taken to stay within half a burst.
 func TestAFloodedTeamGetsItsWholeRate(t *testing.T) {
 	const (
 		rate     = 633_000.0
 		size     = 8_000.0
 		warm     = 3 * time.Second
-		measured = 8 * time.Second
+		measured = 30 * time.Second
 	)
 	for seed := range uint64(10) {
 		f := newFleet(58, 1, rate, rate, seed)
@@ -315,10 +316,9 @@
 		f.run(warm, flood, size, random)
 		before := f.total()
 		f.run(measured, flood, size, random)
-		got := (f.total() - before) / (rate * measured.Seconds())
-		t.Logf("seed %d: %.3f of the rate", seed, got)
-		if got < 0.98 || got > 1.02 {
-			t.Errorf("seed %d: the team got %.3f of its rate", seed, got)
+		got, due := f.total()-before, rate*measured.Seconds()
+		if got < due-rate/2 || got > due+rate/2 {
+			t.Errorf("seed %d: the team got %.4f of its rate", seed, got/due)
 		}
 	}
 }
