Exchange every 100 ms + 1.5 ms an instance

Cause: the age of what is known of queues decides on lateness, and 0.2 s of the interval was the same for all sizes.

Change: 0.1 s. A word on spending counts for 0.6 s and one on workers for 1 s at least, so that one exchange that is late does not end it; both are less than what held before with longer intervals.

--- a/coordination/member.go
+++ b/coordination/member.go
@@ -19,7 +19,7 @@
 	// exchangeLeast is the time between exchanges with the leader in a small
 	// fleet, and exchangePerInstance what each instance adds to it, so that the
 	// leader's work stays the same.
-	exchangeLeast       = 200 * time.Millisecond
+	exchangeLeast       = 100 * time.Millisecond
 	exchangePerInstance = 1500 * time.Microsecond
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 400 * time.Millisecond
@@ -30,6 +30,9 @@
 	// wordIntervals is how many intervals between exchanges a leader's word on
 	// what workers hold goes before the workers' own, which is older.
 	wordIntervals = 5
+	// wordLeast is the least time that it goes, so that one exchange that is
+	// late does not end it.
+	wordLeast = time.Second
 	// relayMargin is how late an exchange may be before an instance reads the
 	// platform's topics itself.
 	relayMargin = 500 * time.Millisecond
@@ -334,7 +337,7 @@
 		})
 	}
 	m.Board.SetPace(int(reply.Instances), interval)
-	m.Board.HearLeader(m.Domain, usesFrom(reply.Uses), now.Add(wordIntervals*interval))
+	m.Board.HearLeader(m.Domain, usesFrom(reply.Uses), now.Add(max(wordLeast, wordIntervals*interval)))
 	if relayed {
 		m.Local.Absorb(recordsFrom(reply.Records))
 		m.Board.HearOperator(reply.OperatorOffset, now.Add(-operatorAge))
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -16,6 +16,8 @@
 	// contactIntervals is how many intervals between exchanges the last word of
 	// the others' spending counts.
 	contactIntervals = 3
+	// contactLeast is the least time that it counts: an exchange may take 0.4 s.
+	contactLeast = 600 * time.Millisecond
 	// shareMemory is the time over which what is asked of a team is weighed.
 	shareMemory = 3 * time.Second
 	// reservePart bounds the part of a burst that is kept for requests that
@@ -218,7 +220,7 @@
 		leader:     word.Leader,
 		others:     word.Others,
 		heardAt:    now,
-		heardUntil: now.Add(contactIntervals * word.Interval),
+		heardUntil: now.Add(max(contactLeast, contactIntervals*word.Interval)),
 		interval:   word.Interval,
 		part:       min(1, float64(word.Instances)/float64(max(1, word.Known))),
 		instances:  max(1, word.Instances),
