Keep one type for residency; set a try's watch under its lock

Found on reading: the timer of a watched try was set without the lock under which it is reset, and a watch that ended could be reset once more; loading and fleet had the same type each.

--- a/coordination/election.go
+++ b/coordination/election.go
@@ -124,8 +124,8 @@
 		return idleEvery
 	}
 	// Those who lead tell the others, so they look for the other leaders first.
-	first := e.Foreign && !e.looked && e.Member.LeadsAny()
-	if e.Uptime() < e.lookAt && !first {
+	leads := e.Foreign && !e.looked && e.Member.LeadsAny()
+	if e.Uptime() < e.lookAt && !leads {
 		return idleEvery
 	}
 	e.looked = true
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -398,10 +398,10 @@
 	}, nil
 }
 
-func residencyFrom(list []*coordinationpb.ServerResidency) map[string]fleet.Residency {
-	changes := make(map[string]fleet.Residency, len(list))
+func residencyFrom(list []*coordinationpb.ServerResidency) map[string]pomelospring.Residency {
+	changes := make(map[string]pomelospring.Residency, len(list))
 	for _, server := range list {
-		change := fleet.Residency{
+		change := pomelospring.Residency{
 			Whole: server.Whole,
 			Gone:  server.Gone,
 		}
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -8,7 +8,6 @@
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/coordination/coordinationpb"
 	"github.com/pomelospring/pomelospring/fleet"
-	"github.com/pomelospring/pomelospring/loading"
 	"github.com/pomelospring/pomelospring/quota"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -254,7 +253,7 @@
 	return list
 }
 
-func residencyTo(changes map[string]loading.Residency) (list []*coordinationpb.ServerResidency) {
+func residencyTo(changes map[string]pomelospring.Residency) (list []*coordinationpb.ServerResidency) {
 	for id, change := range changes {
 		entry := &coordinationpb.ServerResidency{
 			Server: id,
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -162,7 +162,7 @@
 		servers["app-"+id] = pomelospring.FleetServer{ID: "app-" + id, Service: "app", Domain: "north", Slots: 4}
 	}
 	board.SetServers(servers, time.Now())
-	board.SetResidency("north", map[string]fleet.Residency{
+	board.SetResidency("north", map[string]pomelospring.Residency{
 		"a": {Whole: true, Ready: []pomelospring.ResidentAdapter{{Adapter: "m/x", Version: 1}}},
 		"b": {Whole: true, Ready: []pomelospring.ResidentAdapter{{Adapter: "m/x", Version: 1}}},
 	}, true, 1)
--- a/entry/try.go
+++ b/entry/try.go
@@ -37,10 +37,13 @@
 	// waiting is the part of the prompt that has no output yet.
 	waiting int64
 	ended   bool
-	timer   *time.Timer
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// stopped says that the watch has ended.
+	stopped bool
 	// silentUntil is when the try is given up unless something of its answer
 	// comes.
-	mu          sync.Mutex
 	silentUntil time.Time
 }
 
@@ -55,6 +58,8 @@
 	if !c.route.Streaming {
 		silence = time.Duration(silentPart * float64(c.deadline.Sub(c.service.Clock())))
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.silentUntil = c.service.Clock().Add(silence)
 	t.timer = time.AfterFunc(min(silence, watchEvery), func() { t.look(cancel) })
 }
@@ -64,6 +69,9 @@
 	now := t.session.service.Clock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.stopped {
+		return
+	}
 	left := t.silentUntil.Sub(now)
 	if left <= 0 || t.session.service.Board.CutOff(t.server.Domain, now) {
 		cancel()
@@ -74,21 +82,18 @@
 
 // heard notes a part of the answer.
 func (t *try) heard() {
-	if t.timer == nil {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.silentUntil = t.session.service.Clock().Add(streamSilence)
 }
 
 func (t *try) stopWatch() {
-	if t.timer == nil {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.timer.Stop()
+	if t.timer != nil {
+		t.timer.Stop()
+		t.stopped = true
+	}
 }
 
 func (t *try) first() {
--- a/fleet.go
+++ b/fleet.go
@@ -17,6 +17,14 @@
 	Version int64
 }
 
+// Residency is what changed on one model worker.
+type Residency struct {
+	// Whole says that Ready lists all that the worker holds.
+	Whole bool
+	Ready []ResidentAdapter
+	Gone  []string
+}
+
 // FleetServer is a backend server as the platform's list tells it.
 type FleetServer struct {
 	// ID changes with most starts of the server.
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -278,17 +278,9 @@
 	return word
 }
 
-// Residency is a leader's word on what changed on one model worker.
-type Residency struct {
-	// Whole says that Ready lists all that the worker holds.
-	Whole bool
-	Ready []pomelospring.ResidentAdapter
-	Gone  []string
-}
-
 // SetResidency takes over a leader's word on what model workers hold: what
 // changed, or all where whole is set.
-func (b *Board) SetResidency(domain string, changes map[string]Residency, whole bool, version int64) {
+func (b *Board) SetResidency(domain string, changes map[string]pomelospring.Residency, whole bool, version int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	word := b.word(domain)
--- a/loading/book_test.go
+++ b/loading/book_test.go
@@ -514,7 +514,7 @@
 	}
 }
 
-func follow(held map[string]map[string]int64, changes map[string]loading.Residency) {
+func follow(held map[string]map[string]int64, changes map[string]pomelospring.Residency) {
 	for id, change := range changes {
 		if held[id] == nil || change.Whole {
 			held[id] = map[string]int64{}
--- a/loading/residency.go
+++ b/loading/residency.go
@@ -10,14 +10,6 @@
 // beyond it the worker is told anew as a whole.
 const tombstones = 64
 
-// Residency is what changed on one worker since a version of the book.
-type Residency struct {
-	// Whole says that Ready lists all that the worker holds.
-	Whole bool
-	Ready []pomelospring.ResidentAdapter
-	Gone  []string
-}
-
 // told is what the book says of an adapter on a worker.
 type told struct {
 	// ready is false once the adapter has gone.
@@ -56,13 +48,13 @@
 }
 
 // Residency lists what changed on the workers since a version of the book.
-func (b *Book) Residency(since int64) map[string]Residency {
-	changes := map[string]Residency{}
+func (b *Book) Residency(since int64) map[string]pomelospring.Residency {
+	changes := map[string]pomelospring.Residency{}
 	for id, w := range b.workers {
 		if w.version <= since {
 			continue
 		}
-		change := Residency{
+		change := pomelospring.Residency{
 			Whole: since < w.wholeAt,
 		}
 		for name, t := range w.told {
