--- a/loading/upkeep_test.go
+++ b/loading/upkeep_test.go
@@ -131,3 +131,63 @@
 		t.Error(diff)
 	}
 }
+
+func TestUpkeep(t *testing.T) {
+	type order struct {
+		Kind    pomelospring.OrderKind
+		Server  string
+		Adapter string
+	}
+	now := start.Add(10 * time.Second)
+	scenarios := []struct {
+		name    string
+		book    *loading.Book
+		prepare func(k *loading.Book)
+		want    []order
+	}{
+		{
+			name: "nothing is due",
+			book: book(report(0, "m/x"), report(0)),
+		},
+		{
+			name: "a worker that came up empty gets its base model",
+			book: book(report(0), pomelospring.EngineReport{Started: start}),
+			want: []order{{Kind: pomelospring.LoadModel, Server: "b", Adapter: "m"}},
+		},
+		{
+			name: "an old version that is not used makes way",
+			book: book(report(0, "m/x"), report(0)),
+			prepare: func(k *loading.Book) {
+				k.Declare("m/x", 2)
+			},
+			want: []order{{Kind: pomelospring.UnloadAdapter, Server: "a", Adapter: "m/x"}},
+		},
+		{
+			name: "one that is used is replaced in place",
+			book: book(report(0, "m/x"), report(0)),
+			prepare: func(k *loading.Book) {
+				k.Declare("m/x", 2)
+				k.Use("a", 1, 0, map[string]int{"m/x": 1}, now)
+			},
+			want: []order{{Kind: pomelospring.LoadAdapter, Server: "a", Adapter: "m/x"}},
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			if scenario.prepare != nil {
+				scenario.prepare(scenario.book)
+			}
+			var got []order
+			for _, due := range scenario.book.Upkeep(now) {
+				got = append(got, order{
+					Kind:    due.Kind,
+					Server:  due.Server.ID,
+					Adapter: due.Adapter,
+				})
+			}
+			if diff := cmp.Diff(scenario.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
