Learn how many adapters may load from the weight store at once

Cause: the number of loads at full speed was a constant per worker of two deployments. Where the store serves three times as many, requests were refused with "the weight store is busy" while it was idle, or waited over 0.3 s; where it serves fewer, all loads slowed down. Ruled out: slots (all slots in use was the reason of under 1 in 50 refusals), workers' memory, the number of leaders. Change: a window learned as in congestion control from loads on time and late.

--- a/loading/maintenance.go
+++ b/loading/maintenance.go
@@ -1,7 +1,6 @@
 package loading
 
 import (
-	"sort"
 	"time"
 
 	"github.com/pomelospring/pomelospring"
@@ -43,8 +42,7 @@
 // can serve while others wait.
 func (t *PlacementTable) Maintenance(now time.Time) (orders []Maintenance) {
 	storeLoads := t.modelLoadsInFlight(now)
-	for _, id := range t.sortedWorkerIDs() {
-		w := t.workers[id]
+	for _, w := range t.sorted {
 		if !w.synced || w.orderInFlight || w.server.Draining || !w.modelLoadSeenAt.IsZero() {
 			continue
 		}
@@ -65,15 +63,6 @@
 	return orders
 }
 
-func (t *PlacementTable) sortedWorkerIDs() []string {
-	ids := make([]string, 0, len(t.workers))
-	for id := range t.workers {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
-}
-
 // baseModelOrder picks for an empty worker the base model that the fewest
 // workers have.
 func (t *PlacementTable) baseModelOrder(w *worker) (order Maintenance, found bool) {
@@ -179,11 +168,18 @@
 // from and up to now.
 func (t *PlacementTable) MarkReady(from, now time.Time) {
 	for _, w := range t.workers {
+		changed := false
 		for _, s := range w.slots {
-			if s.readyAt.After(from) && !s.readyAt.After(now) {
-				t.recordChanges(w, now)
-				break
+			if !s.readyAt.After(from) || s.readyAt.After(now) {
+				continue
 			}
+			changed = true
+			if s.cold && !s.slowed {
+				t.window.recordOnTime(s.orderedAt)
+			}
+		}
+		if changed {
+			t.recordChanges(w, now)
 		}
 	}
 }
--- a/loading/placement_table.go
+++ b/loading/placement_table.go
@@ -5,6 +5,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pomelospring/pomelospring"
@@ -30,15 +32,6 @@
 	// replicaEvictionIdle is how long an adapter must be unused before it may
 	// be evicted for a further replica of another adapter.
 	replicaEvictionIdle = 3 * time.Second
-	// minFullSpeedLoads and fullSpeedLoadsPerWorker give the number of loads
-	// that the weight store serves at full speed: 8 for a dozen workers, 24 for
-	// 60.
-	minFullSpeedLoads       = 8.0
-	fullSpeedLoadsPerWorker = 0.4
-	// otherDomainLoadFraction is the number of loads assumed in each other
-	// domain for each load of this one. It is below 1, as placement requests
-	// spread unevenly over the domains.
-	otherDomainLoadFraction = 0.5
 	// delayedLoadWindow is how long after the expected end of a load the load
 	// counts as delayed, and not as failed, if the worker still lacks the
 	// adapter.
@@ -82,6 +75,18 @@
 	// slowdown is the observed load time from the weight store, as a multiple
 	// of the time at full speed.
 	slowdown float64
+	// window limits the loads from the weight store, and coldLoads are those in
+	// flight, with some that have ended.
+	window    loadWindow
+	coldLoads []*slot
+	// sorted lists the workers by ID, and cursor is where the next search for a
+	// worker starts in it.
+	sorted []*worker
+	cursor int
+	// holders and copies index the workers by the adapters in their slots and by
+	// those that they keep a cached copy of.
+	holders adapterIndex
+	copies  adapterIndex
 	// RecentUseWindow protects adapters from eviction that were used within
 	// this time, as a request for them may be in flight.
 	RecentUseWindow time.Duration
@@ -132,6 +137,8 @@
 	lastUsed  time.Time
 	users     int
 	cold      bool
+	// slowed says that the load took longer than at full speed, or was expected to.
+	slowed bool
 }
 
 // NewPlacementTable returns a table without workers.
@@ -143,6 +150,8 @@
 		workers:         map[string]*worker{},
 		newestVersion:   map[string]int64{},
 		modelsOnDisk:    map[string]bool{},
+		holders:         adapterIndex{},
+		copies:          adapterIndex{},
 	}
 }
 
@@ -159,6 +168,9 @@
 		listed[server.ID] = true
 		known := t.workers[server.ID]
 		if known == nil || !known.server.Started.Equal(server.Started) || known.server.Address != server.Address {
+			if known != nil {
+				t.forget(known)
+			}
 			known = &worker{
 				slots:  map[string]*slot{},
 				cached: map[string]time.Time{},
@@ -170,11 +182,23 @@
 		known.server = server
 		known.limits = limits[server.Service]
 	}
-	for id := range t.workers {
+	for id, w := range t.workers {
 		if !listed[id] {
+			t.forget(w)
 			delete(t.workers, id)
 		}
 	}
+	t.sortWorkers()
+	t.window.initialize(len(t.workers), domains)
+}
+
+// sortWorkers lists the workers by ID.
+func (t *PlacementTable) sortWorkers() {
+	t.sorted = t.sorted[:0]
+	for _, w := range t.workers {
+		t.sorted = append(t.sorted, w)
+	}
+	slices.SortFunc(t.sorted, func(x, y *worker) int { return strings.Compare(x.server.ID, y.server.ID) })
 }
 
 // DeclareVersion records the newest declared version of an adapter.
@@ -244,14 +268,17 @@
 		t.recordOnDisk(w.server.Address, model)
 	}
 	before := w.slots
+	for name := range before {
+		t.holders.remove(name, w)
+	}
 	w.slots = map[string]*slot{}
 	for _, resident := range report.Resident {
-		w.slots[resident.Adapter] = newResidentSlot(before[resident.Adapter], resident.Version, now)
+		t.setSlot(w, resident.Adapter, newResidentSlot(before[resident.Adapter], resident.Version, now))
 	}
 	for _, loading := range report.Loading {
 		s := newResidentSlot(before[loading.Adapter], loading.Version, now)
 		s.readyAt = now.Add(coldLoadTime)
-		w.slots[loading.Adapter] = s
+		t.setSlot(w, loading.Adapter, s)
 	}
 	w.synced = true
 	t.recordChanges(w, now)
@@ -278,15 +305,36 @@
 }
 
 // coldLoadsInFlight counts the loads from the weight store that are in flight.
-func (t *PlacementTable) coldLoadsInFlight(now time.Time) (count int) {
-	for _, w := range t.workers {
-		for _, s := range w.slots {
-			if s.cold && now.Before(s.readyAt) {
-				count++
-			}
-		}
+func (t *PlacementTable) coldLoadsInFlight(now time.Time) int {
+	t.coldLoads = t.endedLoadsRemoved(now)
+	return len(t.coldLoads)
+}
+
+// endedLoadsRemoved returns coldLoads without those that have ended.
+func (t *PlacementTable) endedLoadsRemoved(now time.Time) []*slot {
+	return slices.DeleteFunc(t.coldLoads, func(s *slot) bool { return !now.Before(s.readyAt) })
+}
+
+// setSlot records that an adapter occupies a slot of a worker.
+func (t *PlacementTable) setSlot(w *worker, adapter string, s *slot) {
+	w.slots[adapter] = s
+	t.holders.add(adapter, w)
+}
+
+// removeSlot records that an adapter no longer occupies a slot of a worker.
+func (t *PlacementTable) removeSlot(w *worker, adapter string) {
+	delete(w.slots, adapter)
+	t.holders.remove(adapter, w)
+}
+
+// forget removes a worker from the indexes.
+func (t *PlacementTable) forget(w *worker) {
+	for name := range w.slots {
+		t.holders.remove(name, w)
+	}
+	for name := range w.cached {
+		t.copies.remove(name, w)
 	}
-	return count
 }
 
 // recordAssignment records that a request is assigned to the worker.
@@ -303,22 +351,8 @@
 	return w.recentAssignments * math.Exp2(-now.Sub(w.assignedAt).Seconds()/assignmentHalfLife.Seconds())
 }
 
-// estimateFleetLoads estimates the number of loads from the weight store in all
-// domains from the number in this one.
-func (t *PlacementTable) estimateFleetLoads(own int) float64 {
-	return float64(own) * (1 + otherDomainLoadFraction*float64(t.domains-1))
-}
-
-// maxColdLoads is this domain's share of the loads at full speed.
+// maxColdLoads is how many loads from the weight store this domain may have in
+// flight.
 func (t *PlacementTable) maxColdLoads() float64 {
-	loaders := t.domains
-	if t.ActiveLeaders > 0 {
-		loaders = min(t.ActiveLeaders, t.domains)
-	}
-	return max(1, math.Ceil(t.fullSpeedLoads()/float64(loaders)))
-}
-
-// fullSpeedLoads is how many loads the weight store serves at full speed.
-func (t *PlacementTable) fullSpeedLoads() float64 {
-	return max(minFullSpeedLoads, fullSpeedLoadsPerWorker*float64(len(t.workers)*t.domains))
+	return t.window.limit(t.domains, t.ActiveLeaders)
 }
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -60,37 +60,14 @@
 			Reason: "the weight store is busy",
 		}
 	}
-	idle := t.RecentUseWindow
-	if request.Replica {
-		idle = max(idle, replicaEvictionIdle)
-	}
-	var best *worker
-	var bestEvict string
-	var bestCost time.Duration
-	busy := false
-	for _, w := range t.workers {
-		usable, retryable := w.canLoad(request.Adapter, avoid, now)
-		busy = busy || retryable
-		if !usable {
-			continue
-		}
-		evict, freeSlot := w.freeSlot(now, idle)
-		if !freeSlot {
-			busy = true
-			continue
-		}
-		cost := t.cost(w, request, now)
-		if best == nil || cost < bestCost {
-			best, bestEvict, bestCost = w, evict, cost
-		}
-	}
+	best, evict, busy := t.cheapestWorker(request, avoid, now)
 	switch {
 	case best != nil:
 		best.recordAssignment(now)
 		return Plan{
 			Kind:    PlanLoad,
 			Server:  best.server,
-			Evict:   bestEvict,
+			Evict:   evict,
 			Adapter: request.Adapter,
 			Version: version,
 			Reason:  "cheapest",
@@ -109,6 +86,52 @@
 	}
 }
 
+// maxCandidates bounds how many workers that can load an adapter are compared
+// for one placement request. The cheapest of so many is about as good as the
+// cheapest of all.
+const maxCandidates = 64
+
+// cheapestWorker finds the worker with the lowest cost that can load an adapter,
+// and the adapter to evict there. Those with a cached copy are compared first,
+// then others, from a different start each time. busy reports whether a worker
+// that can't load it now may soon.
+func (t *PlacementTable) cheapestWorker(request pomelospring.PlacementRequest, avoid map[string]bool, now time.Time) (best *worker, bestEvict string, busy bool) {
+	idle := t.RecentUseWindow
+	if request.Replica {
+		idle = max(idle, replicaEvictionIdle)
+	}
+	candidates := 0
+	var bestCost time.Duration
+	consider := func(w *worker) {
+		usable, retryable := w.canLoad(request.Adapter, avoid, now)
+		busy = busy || retryable
+		if !usable {
+			return
+		}
+		evict, freeSlot := w.freeSlot(now, idle)
+		if !freeSlot {
+			busy = true
+			return
+		}
+		candidates++
+		cost := t.cost(w, request, now)
+		if best == nil || cost < bestCost || cost == bestCost && w.server.ID < best.server.ID {
+			best, bestEvict, bestCost = w, evict, cost
+		}
+	}
+	for w := range t.copies[request.Adapter] {
+		consider(w)
+	}
+	for i := range t.sorted {
+		if candidates >= maxCandidates {
+			t.cursor += i
+			break
+		}
+		consider(t.sorted[(t.cursor+i)%len(t.sorted)])
+	}
+	return best, bestEvict, busy
+}
+
 // extendDelayedLoad handles a request that found an adapter missing on a
 // worker. It reports whether the load of the adapter is delayed, and then
 // postpones the expected end of the load.
@@ -123,9 +146,14 @@
 	}
 	took := now.Sub(s.orderedAt)
 	if s.cold {
+		t.window.recordLate(s.orderedAt, now)
+		s.slowed = true
 		t.slowdown = min(maxSlowdown, max(t.slowdown, took.Seconds()/coldLoadTime.Seconds()))
 	}
 	if !now.Before(s.readyAt) {
+		if s.cold {
+			t.coldLoads = append(t.endedLoadsRemoved(now), s)
+		}
 		s.readyAt = now.Add(max(minLoadExtension, took/2))
 		t.recordChanges(w, now)
 	}
@@ -139,20 +167,21 @@
 	if float64(t.coldLoadsInFlight(now)) < t.maxColdLoads() {
 		return false
 	}
-	for _, w := range t.workers {
-		if _, cached := w.cached[adapter]; cached && w.synced {
+	for w := range t.copies[adapter] {
+		if w.synced {
 			return false
 		}
 	}
+	t.window.fullAt = now
 	return true
 }
 
 // findResident finds the worker on which the adapter is resident or will be
 // soonest.
 func (t *PlacementTable) findResident(request pomelospring.PlacementRequest, version int64, avoid map[string]bool, now time.Time) (plan Plan, found bool) {
-	for id, w := range t.workers {
+	for w := range t.holders[request.Adapter] {
 		s := w.slots[request.Adapter]
-		if s == nil || avoid[id] || w.server.Draining || s.version < version {
+		if avoid[w.server.ID] || w.server.Draining || s.version < version {
 			continue
 		}
 		if request.Replica && !now.Before(s.readyAt) {
@@ -223,7 +252,7 @@
 
 // cost estimates the time until the first output of the adapter on a worker.
 func (t *PlacementTable) cost(w *worker, request pomelospring.PlacementRequest, now time.Time) time.Duration {
-	cost := t.loadTime(w, request.Adapter, now)
+	cost := t.loadTime(w, request.Adapter)
 	cost += dispatch.PrefillTime(w.waitingTokens)
 	cost += time.Duration(w.running) * time.Millisecond
 	cost += time.Duration(w.assignmentWeight(now) * float64(assignmentCost))
@@ -233,12 +262,11 @@
 	return cost
 }
 
-func (t *PlacementTable) loadTime(w *worker, adapter string, now time.Time) time.Duration {
+func (t *PlacementTable) loadTime(w *worker, adapter string) time.Duration {
 	if _, cached := w.cached[adapter]; cached {
 		return warmLoadTime
 	}
-	slowdown := max(t.slowdown, t.estimateFleetLoads(t.coldLoadsInFlight(now)+1)/t.fullSpeedLoads())
-	return time.Duration(float64(coldLoadTime) * slowdown)
+	return time.Duration(float64(coldLoadTime) * t.slowdown)
 }
 
 // BeginOrder reserves a worker while orders are sent to it, and returns the
@@ -269,14 +297,14 @@
 	switch result {
 	case pomelospring.OrderDone:
 		w.sequence++
-		delete(w.slots, adapter)
-		w.markCached(adapter, now)
+		t.removeSlot(w, adapter)
+		t.markCached(w, adapter, now)
 		t.recordChanges(w, now)
 		return true
 	default:
 		// The unload waits for running requests, or its result is unknown: the
 		// next report shows which adapters are resident.
-		delete(w.slots, adapter)
+		t.removeSlot(w, adapter)
 		w.markUnsynced(now)
 		t.recordChanges(w, now)
 		return false
@@ -300,24 +328,30 @@
 		w.sequence++
 		_, cached := w.cached[adapter]
 		cold = !cached
-		readyAt = now.Add(t.loadTime(w, adapter, now) + loadMargin)
+		readyAt = now.Add(t.loadTime(w, adapter) + loadMargin)
 	}
-	w.slots[adapter] = &slot{
+	loaded := &slot{
 		version:   version,
 		orderedAt: now,
 		readyAt:   readyAt,
 		lastUsed:  readyAt,
 		cold:      cold,
+		slowed:    t.slowdown > 1,
+	}
+	t.setSlot(w, adapter, loaded)
+	if cold {
+		t.coldLoads = append(t.coldLoads, loaded)
 	}
 	t.slowdown = max(1, t.slowdown*slowdownDecay)
-	w.markCached(adapter, now)
+	t.markCached(w, adapter, now)
 	t.recordChanges(w, now)
 	return readyAt, true
 }
 
 // markCached records that the worker has a cached copy of the adapter.
-func (w *worker) markCached(adapter string, now time.Time) {
+func (t *PlacementTable) markCached(w *worker, adapter string, now time.Time) {
 	w.cached[adapter] = now
+	t.copies.add(adapter, w)
 	if len(w.cached) <= maxCachedAdapters {
 		return
 	}
@@ -328,6 +362,7 @@
 		}
 	}
 	delete(w.cached, oldest)
+	t.copies.remove(oldest, w)
 }
 
 func baseModelOf(adapter string) string {
