Tell late loads from failed calls, and shrink exchanges between instances

(2) Calls gave up after three refused connections though no server had got them. (3) Each exchange summed the loads of all instances anew, and carried the spending of all teams to every domain's leader: with 62 instances about 36 KB a second for each. (4) A relayed server list older than the one known brought back a server that had left. The scenarios of the table that play a delayed load name the worker in Missing now; the same with Avoid is a new scenario.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -55,17 +55,24 @@
 	Domains          int
 	AnsweringDomains func() int
 	Board            *fleet.Board
+	Servers          *fleet.ServerList
 	Engine           pomelospring.Engine
 	Logger           log.Interface
 	Clock            pomelospring.Clock
 	// Uptime is a clock that keeps running while the process is suspended.
 	Uptime func() time.Duration
 
-	mu      sync.Mutex
-	lease   lease.Lease
-	table   *loading.PlacementTable
-	totals  *quota.Totals
+	mu     sync.Mutex
+	lease  lease.Lease
+	table  *loading.PlacementTable
+	totals *quota.Totals
+	loads  *fleet.LoadTotals
+	// slots has the number of slots of the domain's servers.
+	slots   map[string]int
 	members map[string]*member
+	// live and known are the members counted last, at countedAt.
+	live, known int32
+	countedAt   time.Time
 	// waiting counts the placement requests that wait, by adapter.
 	waiting map[string]int
 	// nextModelLoadAt is when the next base model load may start.
@@ -77,8 +84,7 @@
 // member is the leader's record of an instance that exchanges with it.
 type member struct {
 	// name is the same for all starts of the instance.
-	name        string
-	serverLoads map[string]fleet.ServerLoad
+	name string
 	// expiresAt is when the member's report expires.
 	expiresAt time.Time
 }
@@ -94,6 +100,7 @@
 		},
 		table:   loading.NewPlacementTable(),
 		totals:  quota.NewTotals(),
+		loads:   fleet.NewLoadTotals(),
 		members: map[string]*member{},
 		waiting: map[string]int{},
 	}
@@ -139,7 +146,9 @@
 	if leading {
 		event = events.LeadershipTaken
 		l.totals = quota.NewTotals()
+		l.loads = fleet.NewLoadTotals()
 		l.members = map[string]*member{}
+		l.countedAt = time.Time{}
 		l.table.Invalidate(l.Clock())
 	}
 	events.Log(l.Logger, event, log.Fields{
@@ -209,8 +218,14 @@
 			limits[name] = *service.Engine
 		}
 	}
-	l.table.SetServers(l.domainServers(), limits, l.Domains)
+	servers := l.domainServers()
+	l.slots = make(map[string]int, len(servers))
+	for i := range servers {
+		l.slots[servers[i].ID] = servers[i].Slots
+	}
+	l.table.SetServers(servers, limits, l.Domains)
 	l.table.ActiveLeaders = l.AnsweringDomains()
+	l.table.Speeds = l.Board.Speeds("")
 	instances, _ := l.countInstances(now)
 	l.table.RecentUseWindow = recentUseIntervals * exchangeInterval(int(instances))
 	for adapter, version := range l.Board.DeclaredVersions() {
@@ -231,37 +246,22 @@
 	return domainServers
 }
 
-// updateServerLoads sets each server's load in the placement table to the sum
-// over all instances. The lock is held.
+// updateServerLoads sets the load of all the domain's servers in the placement
+// table to the sum over all instances. The lock is held.
 func (l *Leader) updateServerLoads(now time.Time) {
-	summedLoads := l.summedLoads("", now)
+	l.loads.Expire(now)
 	for _, server := range l.domainServers() {
-		load := summedLoads[server.ID]
-		adapters := make(map[string]int, len(load.Adapters))
-		for _, adapter := range load.Adapters {
-			adapters[adapter]++
-		}
-		l.table.SetServerLoad(server.ID, load.Running, load.WaitingTokens, adapters, now)
+		l.updateServerLoad(server.ID, now)
 	}
 }
 
-// summedLoads adds up the server loads that all instances but one reported.
-// The lock is held.
-func (l *Leader) summedLoads(except string, now time.Time) map[string]fleet.ServerLoad {
-	summedLoads := map[string]fleet.ServerLoad{}
-	for id, m := range l.members {
-		if id == except || now.After(m.expiresAt) {
-			continue
-		}
-		for server, load := range m.serverLoads {
-			sum := summedLoads[server]
-			sum.Running += load.Running
-			sum.WaitingTokens += load.WaitingTokens
-			sum.Adapters = append(sum.Adapters, load.Adapters...)
-			summedLoads[server] = sum
-		}
+// updateServerLoad is updateServerLoads for one server.
+func (l *Leader) updateServerLoad(server string, now time.Time) {
+	if load := l.loads.Total(server); load != nil {
+		l.table.SetServerLoad(server, load.Running, load.WaitingTokens, load.Adapters, now)
+		return
 	}
-	return summedLoads
+	l.table.SetServerLoad(server, 0, 0, nil, now)
 }
 
 // dueOrders returns the maintenance orders to send now. Base model loads start one
@@ -296,6 +296,9 @@
 			"server": server.ID,
 			"error":  err.Error(),
 		})
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.table.RecordUnreachable(server.ID, l.Clock())
 		return
 	}
 	l.mu.Lock()
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -103,6 +103,8 @@
 	// leaderOperatorOffset is the offset up to which the leader has the operators'
 	// records.
 	leaderOperatorOffset int64
+	// exchanges counts the exchanges since the last one with spending.
+	exchanges int
 }
 
 // SetLeader sets the leader's address; an empty one means that none is known.
@@ -246,7 +248,10 @@
 		ResidencyVersion: m.Board.ResidencyVersion(m.Domain),
 		Leader:           leader,
 		Relay:            relayRequested,
-		Spending:         spendingToProto(m.Ledger.Spending()),
+		WithSpending:     m.spendingIsDue(),
+	}
+	if request.WithSpending {
+		request.Spending = spendingToProto(m.Ledger.Spending())
 	}
 	if relayRequested {
 		request.OperatorOffset = m.Board.OperatorOffset()
@@ -263,9 +268,47 @@
 		m.recordFailure(address, err)
 		return
 	}
+	if request.WithSpending {
+		m.applySpending(reply)
+	}
 	m.applyReply(reply, relayRequested && address != m.Address, serverVersion == 0)
 }
 
+// standbySpendingExchanges is how many exchanges with a leader that doesn't keep
+// the ledger's current report pass for one with spending, so that its report can
+// take over.
+const standbySpendingExchanges = 3
+
+// spendingIsDue reports whether the next exchange includes spending: always with
+// the leader whose report the ledger uses, else now and then.
+func (m *Member) spendingIsDue() bool {
+	active := m.Ledger.ActiveLeader(m.Clock())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.exchanges++
+	if active >= 0 && active != m.LeaderIndex && m.exchanges < standbySpendingExchanges {
+		return false
+	}
+	m.exchanges = 0
+	return true
+}
+
+// applySpending applies the spending of the other instances.
+func (m *Member) applySpending(reply *coordinationpb.ExchangeReply) {
+	interval := exchangeInterval(int(reply.Instances))
+	now := m.Clock()
+	if active := m.Ledger.ActiveLeader(now); active >= 0 && active != m.LeaderIndex {
+		interval *= standbySpendingExchanges
+	}
+	m.Ledger.ApplyReport(m.LeaderIndex, quota.LeaderReport{
+		Leader:    reply.Leader,
+		Others:    spendingFromProto(reply.Spending),
+		Instances: int(reply.Instances),
+		Known:     int(reply.Known),
+		Interval:  interval,
+	}, now)
+}
+
 // storeStateIsStale reports whether the last read of the operators' records or the
 // server list is older than maxRelayAge.
 func (m *Member) storeStateIsStale() bool {
@@ -332,13 +375,6 @@
 	m.serverAge = serverAge
 	m.mu.Unlock()
 	interval := m.interval()
-	m.Ledger.ApplyReport(m.LeaderIndex, quota.LeaderReport{
-		Leader:    reply.Leader,
-		Others:    spendingFromProto(reply.Spending),
-		Instances: int(reply.Instances),
-		Known:     int(reply.Known),
-		Interval:  interval,
-	}, now)
 	m.Board.SetResidency(m.Domain, residencyFromProto(reply.Residency), full, reply.ResidencyVersion)
 	if m.Board.RecordContact(m.Domain, now) {
 		events.Log(m.Logger, events.DomainReached, log.Fields{
@@ -352,7 +388,7 @@
 		m.Local.AddRecords(recordsFromProto(reply.Records))
 		m.Board.ConfirmOperatorOffset(reply.OperatorOffset, now.Add(-operatorAge))
 		if serverAge < maxRelayAge {
-			m.Servers.Relay(serversFromProto(reply.Servers), reply.ServersGone, full || allServers, now.Add(-serverAge))
+			m.Servers.Relay(serversFromProto(reply.Servers), reply.ServersGone, full || allServers, reply.ServerOffset, now.Add(-serverAge))
 		}
 	}
 	leaders := map[string]string{}
@@ -395,8 +431,10 @@
 		Domain:           request.Domain,
 		WaitMilliseconds: request.Deadline.Sub(now).Milliseconds(),
 		Replica:          request.Replica,
+		Optional:         request.Optional,
 		AtOnce:           request.AtOnce,
 		Avoid:            request.Avoid,
+		Missing:          request.Missing,
 	})
 	if err != nil {
 		return pomelospring.PlacementOutcome{}, err
--- a/coordination/placement_coordinator.go
+++ b/coordination/placement_coordinator.go
@@ -14,7 +14,7 @@
 // PlacementCoordinator sends placement requests to the leaders of the failure
 // domains. Each adapter has a home domain that is asked first, so that it is
 // resident on few workers; if its leader can't place the adapter, the others are
-// asked.
+// asked. Copies beyond the first go to the domain that asks.
 type PlacementCoordinator struct {
 	Board *fleet.Board
 	// Members has one member for each domain, in the same order on all instances.
@@ -30,6 +30,9 @@
 	err = errNoLeader
 	var fallback *Member
 	for _, member := range c.membersByPreference(request) {
+		if request.OwnDomain && member.Domain != request.Domain {
+			break
+		}
 		if !member.LeaderAnswers() {
 			continue
 		}
@@ -48,7 +51,7 @@
 			fallback, outcome, err = member, answer, nil
 		}
 	}
-	if fallback == nil || request.Replica {
+	if fallback == nil || request.Replica || request.Optional {
 		return outcome, err
 	}
 	outcome, err = fallback.Place(ctx, request)
@@ -80,11 +83,11 @@
 }
 
 // membersByPreference lists the domains' members, the adapter's home domain
-// first. For a replica it starts with the domain after the home.
+// first. For a further copy it starts with the domain of the request.
 func (c *PlacementCoordinator) membersByPreference(request pomelospring.PlacementRequest) []*Member {
 	first := int(xxhash.Sum64String(request.Adapter) % uint64(len(c.Members)))
-	if request.Replica {
-		first = (first + 1) % len(c.Members)
+	if request.Replica || request.OwnDomain {
+		first = max(0, slices.IndexFunc(c.Members, func(m *Member) bool { return m.Domain == request.Domain }))
 	}
 	return append(slices.Clone(c.Members[first:]), c.Members[:first]...)
 }
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"time"
 
@@ -51,8 +52,10 @@
 		Domain:   request.Domain,
 		Deadline: now.Add(time.Duration(request.WaitMilliseconds) * time.Millisecond),
 		Replica:  request.Replica,
+		Optional: request.Optional,
 		AtOnce:   request.AtOnce,
 		Avoid:    request.Avoid,
+		Missing:  request.Missing,
 	})
 	if err != nil {
 		return nil, err
@@ -78,6 +81,9 @@
 		return &coordinationpb.ExchangeReply{}, nil
 	}
 	reply = leader.serveExchange(request)
+	if !request.Relay {
+		return reply, nil
+	}
 	for domain, address := range s.Known() {
 		reply.Leaders = append(reply.Leaders, &coordinationpb.DomainLeader{
 			Domain:  domain,
@@ -100,23 +106,33 @@
 		return &coordinationpb.ExchangeReply{}
 	}
 	now := l.Clock()
+	if l.members[request.Instance] == nil {
+		l.countedAt = time.Time{}
+	}
 	l.members[request.Instance] = &member{
-		name:        request.Name,
-		serverLoads: serverLoadsFromProto(request.Uses),
-		expiresAt:   now.Add(instanceTimeout),
+		name:      request.Name,
+		expiresAt: now.Add(instanceTimeout),
+	}
+	loads := serverLoadsFromProto(request.Uses)
+	l.loads.Report(request.Instance, loads, now.Add(instanceTimeout))
+	for server := range loads {
+		l.updateServerLoad(server, now)
+	}
+	if request.WithSpending {
+		l.totals.Report(request.Instance, spendingFromProto(request.Spending))
 	}
-	l.updateServerLoads(now)
-	l.totals.Report(request.Instance, spendingFromProto(request.Spending))
 	l.table.MarkReady(l.readyMarkedAt, now)
 	l.readyMarkedAt = now
 	reply := &coordinationpb.ExchangeReply{
 		Leading:          true,
 		Leader:           l.Instance,
-		Uses:             serverLoadsToProto(l.summedLoads(request.Instance, now)),
-		Spending:         spendingToProto(l.totals.Others(request.Instance)),
+		Uses:             serverLoadsToProto(l.noticeableLoads(request.Instance)),
 		ResidencyVersion: l.table.Revision,
 		Residency:        residencyToProto(l.table.Residency(residencySince)),
 	}
+	if request.WithSpending {
+		reply.Spending = spendingToProto(l.totals.Others(request.Instance))
+	}
 	reply.Instances, reply.Known = l.countInstances(now)
 	if request.Relay {
 		l.addRelay(request.OperatorOffset, serversSince, reply, now)
@@ -124,13 +140,28 @@
 	return reply
 }
 
+// noticeableFraction is the fraction of a server's slots from which the calls of
+// the other instances are worth telling, where no prompt waits.
+const noticeableFraction = 0.25
+
+// noticeableLoads lists the other instances' load on servers where it changes the
+// choice of a server. The lock is held.
+func (l *Leader) noticeableLoads(instance string) map[string]fleet.ServerLoad {
+	loads := l.loads.Others(instance)
+	maps.DeleteFunc(loads, func(server string, load fleet.ServerLoad) bool {
+		return load.WaitingTokens == 0 && float64(load.Running) < noticeableFraction*float64(l.slots[server])
+	})
+	return loads
+}
+
 // addRelay adds to a reply the operators' records and the server list that this
 // instance read from the store. The lock is held.
 func (l *Leader) addRelay(operatorOffset, serversSince int64, reply *coordinationpb.ExchangeReply, now time.Time) {
-	changed, removed, version := l.Board.ServerChanges(serversSince)
+	changed, removed, version, readTo := l.Servers.Changes(serversSince)
 	reply.OperatorOffset = l.Board.OperatorOffset()
 	reply.Records = recordsToProto(l.Board.RecordsFrom(operatorOffset))
 	reply.ServerVersion = version
+	reply.ServerOffset = readTo
 	reply.Servers = serversToProto(changed)
 	reply.ServersGone = removed
 	reply.OperatorAgeMilliseconds = l.Board.PolicyAge(now).Milliseconds()
@@ -139,8 +170,13 @@
 
 // countInstances returns the number of live instances, and that of known ones,
 // which exchanged within memberRetention of their expiry. A restarted instance
-// counts once among the known. Older members are deleted. The lock is held.
+// counts once among the known. Older members are deleted. The count is renewed
+// once per maintenance check and when an instance joins, as each exchange needs
+// it. The lock is held.
 func (l *Leader) countInstances(now time.Time) (instances, known int32) {
+	if now.Sub(l.countedAt) < maintenanceInterval {
+		return l.live, l.known
+	}
 	names := map[string]bool{}
 	for id, m := range l.members {
 		if now.Sub(m.expiresAt) > memberRetention {
@@ -152,7 +188,8 @@
 			instances++
 		}
 	}
-	return instances, int32(len(names))
+	l.live, l.known, l.countedAt = instances, int32(len(names)), now
+	return l.live, l.known
 }
 
 // memberRetention is how long an instance whose report expired is assumed to be
--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,9 +12,6 @@
 )
 
 const (
-	// prefillTokensPerSecond is a model worker's prefill rate while it runs other
-	// calls; for a single call the platform documents 38,700.
-	prefillTokensPerSecond = 32000
 	// runningCallCost is what each running call adds to the wait: a step takes a
 	// little longer, and prefill is interleaved with steps.
 	runningCallCost = 2 * time.Millisecond
@@ -25,11 +23,9 @@
 	// crossDomainCost prefers servers of the instance's own failure domain, since
 	// traffic between domains is charged.
 	crossDomainCost = 8 * time.Millisecond
-	// plainCallTime is the assumed duration of a call to a service without a model.
-	plainCallTime = 60 * time.Millisecond
-	// rankCost is added per rank, in an order that all instances agree on. It
-	// keeps calls of one adapter on few of its workers until the wait there is
-	// longer: this frees slots on the others and raises prefix cache hits.
+	// rankCost is added per rank, in an order that all instances of a domain agree
+	// on. It keeps calls of one adapter on few of its workers until the wait there
+	// is longer: this frees slots on the others and raises prefix cache hits.
 	rankCost = 100 * time.Millisecond
 )
 
@@ -59,8 +55,11 @@
 	Affinity string
 	// Model is set if the service runs a model, so that prefill determines the wait.
 	Model bool
+	// Speeds are those of the service's servers.
+	Speeds Speeds
 	// UnreportedLoad is the load, as prefill time, of calls with the same affinity
-	// that other instances sent and that is not reported here yet.
+	// that the other instances of all domains sent and that is not reported here
+	// yet.
 	UnreportedLoad time.Duration
 	// HashPosition, from 0 to 1, spreads calls over candidates; calls that share a
 	// part of their prompt have the same position.
@@ -95,7 +94,7 @@
 		}
 	}
 	if requirements.UnreportedLoad > 0 && requirements.Affinity != "" {
-		best = chooseByHash(costs, ranks, requirements)
+		best = chooseByHash(costs, ranks, sharedLoad(candidates, requirements), requirements)
 	}
 	return Choice{
 		Candidate: candidates[best],
@@ -104,16 +103,29 @@
 	}
 }
 
+// sharedLoad returns the part of the unreported load that competes for the same
+// candidates: where several domains have some, each domain uses its own first.
+func sharedLoad(candidates []Candidate, requirements Requirements) time.Duration {
+	domains := map[string]bool{}
+	for i := range candidates {
+		domains[candidates[i].Server.Domain] = true
+	}
+	if !domains[requirements.Domain] {
+		return requirements.UnreportedLoad
+	}
+	return requirements.UnreportedLoad / time.Duration(len(domains))
+}
+
 // chooseByHash lays the candidates' shares of the unreported load end to end, in
-// the rank order that all instances agree on, and returns the candidate whose share
-// covers the hash position.
-func chooseByHash(costs []time.Duration, ranks []int, requirements Requirements) (best int) {
-	level := waterLevel(costs, requirements.UnreportedLoad)
+// the rank order that all instances of a domain agree on, and returns the
+// candidate whose share covers the hash position.
+func chooseByHash(costs []time.Duration, ranks []int, work time.Duration, requirements Requirements) (best int) {
+	level := waterLevel(costs, work)
 	byRank := make([]int, len(ranks))
 	for i, rank := range ranks {
 		byRank[rank] = i
 	}
-	position := time.Duration(requirements.HashPosition * float64(requirements.UnreportedLoad))
+	position := time.Duration(requirements.HashPosition * float64(work))
 	for _, i := range byRank {
 		share := max(0, level-costs[i])
 		if share > 0 {
@@ -142,8 +154,9 @@
 	return level
 }
 
-// rankCandidates ranks candidates by a hash of the affinity and the server, so
-// that instances agree without communicating; without affinity all ranks are 0.
+// rankCandidates ranks the candidates of the own domain before the others, and
+// each group by a hash of the affinity and the server, so that the instances of a
+// domain agree without communicating; without affinity all ranks are 0.
 func rankCandidates(candidates []Candidate, requirements Requirements) []int {
 	ranks := make([]int, len(candidates))
 	if requirements.Affinity == "" {
@@ -153,12 +166,22 @@
 	for i, candidate := range candidates {
 		hashes[i] = xxhash.Sum64String(requirements.Affinity + "|" + candidate.Server.ID)
 	}
-	for i := range hashes {
-		for j := range hashes {
-			if hashes[j] > hashes[i] || hashes[j] == hashes[i] && j < i {
-				ranks[i]++
+	order := make([]int, len(candidates))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(x, y int) int {
+		xLocal, yLocal := candidates[x].Server.Domain == requirements.Domain, candidates[y].Server.Domain == requirements.Domain
+		if xLocal != yLocal {
+			if xLocal {
+				return -1
 			}
+			return 1
 		}
+		return cmp.Or(cmp.Compare(hashes[y], hashes[x]), cmp.Compare(x, y))
+	})
+	for rank, i := range order {
+		ranks[i] = rank
 	}
 	return ranks
 }
@@ -172,25 +195,16 @@
 	}
 	if !requirements.Model {
 		slots := max(1, candidate.Server.Slots)
-		queued := time.Duration(float64(plainCallTime) * float64(candidate.Running+1) / float64(slots))
+		queued := time.Duration(float64(requirements.Speeds.PlainCallTime()) * float64(candidate.Running+1) / float64(slots))
 		return queued + distance + time.Duration(candidate.FailureRate*float64(plainFailureCost))
 	}
 	uncached := max(0, requirements.PromptTokens-candidate.CachedTokens)
-	return QueueTime(candidate) + PrefillTime(uncached) +
+	return requirements.Speeds.PrefillTime(candidate.WaitingTokens+uncached) +
 		time.Duration(candidate.Running)*runningCallCost +
 		distance +
 		time.Duration(candidate.FailureRate*float64(failureCost))
 }
 
-// QueueTime estimates the time until a candidate has prefilled the prompts that
-// already wait there.
-func QueueTime(candidate Candidate) time.Duration { return PrefillTime(candidate.WaitingTokens) }
-
-// PrefillTime estimates how long a model worker takes to prefill a prompt.
-func PrefillTime(tokens int64) time.Duration {
-	return time.Duration(float64(tokens) / prefillTokensPerSecond * float64(time.Second))
-}
-
 // hashPositionBits is how many bits of a hash a float64 represents exactly.
 const hashPositionBits = 53
 
--- a/dispatch/choice_test.go
+++ b/dispatch/choice_test.go
@@ -149,7 +149,7 @@
 			PromptTokens:   prompt,
 			Affinity:       "m/a7",
 			Model:          true,
-			UnreportedLoad: 20 * dispatch.PrefillTime(prompt),
+			UnreportedLoad: 20 * dispatch.Speeds{}.PrefillTime(prompt),
 			HashPosition:   float64(call) / 20,
 		})
 		sent[choice.Candidate.Server.ID]++
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -38,7 +38,11 @@
 	// prefillTokens is the uncached part of the prompt until the first output, then
 	// zero.
 	prefillTokens int64
-	ended         bool
+	// sentAt is when the call was sent, and queued says that others waited for the
+	// server then, so that the time it takes shows no speed.
+	sentAt time.Time
+	queued bool
+	ended  bool
 
 	mu              sync.Mutex
 	timer           *time.Timer
@@ -100,6 +104,9 @@
 
 // recordFirstOutput records that the prefill is done.
 func (a *attempt) recordFirstOutput() {
+	if !a.queued {
+		a.session.service.Board.RecordPrefill(a.prefillTokens, a.session.service.Clock().Sub(a.sentAt))
+	}
 	a.session.service.Board.RecordFirstOutput(a.server.ID, a.session.call.Adapter, a.prefillTokens, a.session.call.Parts, a.session.service.Clock())
 	a.prefillTokens = 0
 }
@@ -134,6 +141,9 @@
 		return c.handleBrokenAnswer(ctx, a.server, err)
 	}
 	failed := answer.Status >= http.StatusInternalServerError
+	if !failed && !a.queued && c.limits == nil {
+		c.service.Board.RecordPlainCall(c.targetService, c.service.Clock().Sub(a.sentAt))
+	}
 	a.end(failed)
 	c.avoid[a.server.ID] = true
 	if failed && !c.forwarded && ctx.Err() == nil && c.mayRetry(false) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -16,10 +16,19 @@
 	// maxAttempts bounds the attempts of one call after rejections and failed
 	// connections.
 	maxAttempts = 3
+	// maxUnreachable bounds the further servers tried after connections that
+	// failed. A call that was not sent costs no backend server anything, so the
+	// bound is what a caller can wait for where connections time out.
+	maxUnreachable = 6
 	// replicaQueueThreshold is the queue time above which another replica of an
 	// adapter is requested. It is well above the quarter of a second that a load
 	// takes, because every load is paid for.
 	replicaQueueThreshold = 700 * time.Millisecond
+	// localCopyDemand is the demand of this domain, in calls per second, from which
+	// an adapter of another domain gets a copy here. Within the time that an
+	// adapter in use stays resident, the calls then save more bytes between domains
+	// and more delay than the load costs.
+	localCopyDemand = 4.0
 	// replicaRequestInterval is the minimum time between requests for replicas of
 	// one adapter.
 	replicaRequestInterval = 400 * time.Millisecond
@@ -78,8 +87,8 @@
 	if requirements.Model && !c.forwarded && now.Add(choice.Wait).After(c.firstEventDeadline) {
 		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(now), "the wait of %s exceeds the caller's timeout", choice.Wait)
 	}
-	if requirements.Model && c.call.NeedsAdapter() && dispatch.QueueTime(choice.Candidate) > replicaQueueThreshold {
-		s.requestReplica(c.call.Adapter, now)
+	if requirements.Model && c.call.NeedsAdapter() {
+		s.requestCopies(c.call.Adapter, choice, now)
 	}
 	events.Log(s.Logger, events.CallRouted, log.Fields{
 		"request":    c.call.ID,
@@ -108,6 +117,7 @@
 		Domain:       c.service.Board.Domain,
 		PromptTokens: c.call.PromptTokens,
 		Model:        c.limits != nil,
+		Speeds:       c.service.Board.Speeds(c.targetService),
 	}
 	if c.call.NeedsAdapter() {
 		requirements.Affinity = c.call.Adapter
@@ -126,7 +136,11 @@
 		Deadline: now.Add(time.Duration(placementTimeFraction * float64(c.firstEventDeadline.Sub(now)))),
 	}
 	for id := range c.avoid {
-		request.Avoid = append(request.Avoid, id)
+		if c.missing[id] {
+			request.Missing = append(request.Missing, id)
+		} else {
+			request.Avoid = append(request.Avoid, id)
+		}
 	}
 	requestedAt := now
 	outcome, err := c.service.Coordinator.Place(ctx, request)
@@ -149,9 +163,30 @@
 	return nil
 }
 
-// requestReplica asks the leader for another replica of an adapter and doesn't
-// wait for it.
-func (s *Service) requestReplica(adapter string, now time.Time) {
+// requestCopies asks for one more copy of an adapter that is resident: if its
+// queue is long, or if this domain has none and calls often enough.
+//
+// For load: an adapter in demand beyond one worker, or in several domains.
+func (s *Service) requestCopies(adapter string, choice dispatch.Choice, now time.Time) {
+	request := pomelospring.PlacementRequest{
+		Adapter:  adapter,
+		Domain:   s.Board.Domain,
+		Deadline: now.Add(replicaRequestTimeout),
+	}
+	switch {
+	case s.Board.Speeds("").PrefillTime(choice.Candidate.WaitingTokens) > replicaQueueThreshold:
+		request.Replica = true
+	case choice.Candidate.Server.Domain != s.Board.Domain && s.Board.DomainDemand(adapter, now) > localCopyDemand:
+		request.Optional, request.OwnDomain, request.AtOnce = true, true, true
+	default:
+		return
+	}
+	s.requestCopy(request, now)
+}
+
+// requestCopy sends a placement request that no call waits for.
+func (s *Service) requestCopy(request pomelospring.PlacementRequest, now time.Time) {
+	adapter := request.Adapter
 	s.mu.Lock()
 	if s.nextReplicaRequests == nil {
 		s.nextReplicaRequests = map[string]time.Time{}
@@ -168,16 +203,10 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), replicaRequestTimeout)
 		defer cancel()
-		_, err := s.Coordinator.Place(ctx, pomelospring.PlacementRequest{
-			Adapter:  adapter,
-			Domain:   s.Board.Domain,
-			Deadline: now.Add(replicaRequestTimeout),
-			Replica:  true,
-		})
-		if err != nil {
+		if _, err := s.Coordinator.Place(ctx, request); err != nil {
 			events.Log(s.Logger, events.PlacementFailed, log.Fields{
 				"adapter": adapter,
-				"replica": true,
+				"replica": request.Replica,
 				"error":   err.Error(),
 			})
 		}
@@ -202,6 +231,8 @@
 		session:       c,
 		server:        server,
 		prefillTokens: uncachedTokens,
+		sentAt:        s.Clock(),
+		queued:        choice.Candidate.WaitingTokens > 0 || c.limits == nil && choice.Candidate.Running >= server.Slots,
 	}
 	attemptContext, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -247,6 +278,7 @@
 	c.avoid[server.ID] = true
 	notSent := errors.Is(err, pomelospring.ErrNotSent)
 	if notSent {
+		c.unreachable++
 		c.service.Board.RecordUnreachable(server.ID, c.service.Clock())
 		c.service.recordConnectTimeout(server, err)
 	} else {
@@ -293,6 +325,7 @@
 func (c *session) handleRejection(server pomelospring.FleetServer, answer *pomelospring.BackendAnswer) (done bool) {
 	c.avoid[server.ID] = true
 	if answer.Misdirected && c.call.NeedsAdapter() {
+		c.missing[server.ID] = true
 		c.service.Board.RemoveResident(server.ID, c.call.Adapter)
 	}
 	willRetry := c.attemptsSent < maxAttempts && c.retries.Take()
@@ -309,7 +342,7 @@
 // is sent again only if its route is repeatable and has attempts left.
 func (c *session) mayRetry(notSent bool) bool {
 	if notSent {
-		return len(c.avoid) < maxAttempts
+		return c.unreachable <= maxUnreachable && c.service.Clock().Before(c.firstEventDeadline)
 	}
 	return c.route.Repeatable() && c.attemptsExecuted < c.route.Attempts && c.retries.Take()
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -97,8 +97,12 @@
 	unreportedLoad time.Duration
 	hashPosition   float64
 
-	// avoid has the IDs of backend servers that failed this call.
-	avoid map[string]bool
+	// avoid has the IDs of backend servers that failed this call; missing says of
+	// some that they answered to lack its adapter.
+	avoid   map[string]bool
+	missing map[string]bool
+	// unreachable counts the backend servers that no connection could be made to.
+	unreachable int
 	// attemptsSent counts attempts that reached a backend server, and
 	// attemptsExecuted those of them that may have been executed.
 	attemptsSent     int
@@ -130,6 +134,7 @@
 		call:        call,
 		out:         out,
 		avoid:       map[string]bool{},
+		missing:     map[string]bool{},
 		lastEventID: call.ResumeAfter,
 		priority:    -1,
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -284,10 +284,17 @@
 	// Replica asks for a worker in addition to those that already hold the
 	// adapter.
 	Replica bool
+	// Optional says that no call waits for the adapter: only adapters unused for
+	// long are evicted for it.
+	Optional bool
+	// OwnDomain asks for a worker in Domain only.
+	OwnDomain bool
 	// AtOnce asks to fail rather than to wait for a free slot.
 	AtOnce bool
-	// Avoid lists workers that have just refused the adapter.
-	Avoid []string
+	// Avoid lists workers that have just failed the call, and Missing those that
+	// answered that they lack the adapter.
+	Avoid   []string
+	Missing []string
 }
 
 // PlacementOutcome is the result of a placement request.
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/dispatch"
 )
 
 const (
@@ -53,6 +54,10 @@
 	demands       map[string]demand
 	// evidence is kept by failure domain.
 	evidence map[string]*cutOffEvidence
+	// prefill has the learned speed of model workers, and plainCalls the learned
+	// duration of a call by service.
+	prefill    dispatch.Speeds
+	plainCalls map[string]time.Duration
 	// instances is how many instances share the backend servers; reportAge is
 	// the average age of what they report of their load.
 	instances int
@@ -90,6 +95,7 @@
 		ownLoads:      map[string]*ownLoad{},
 		demands:       map[string]demand{},
 		evidence:      map[string]*cutOffEvidence{},
+		plainCalls:    map[string]time.Duration{},
 	}
 }
 
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/pomelospring/pomelospring/dispatch"
 )
 
 const (
@@ -15,19 +13,27 @@
 	maxDemands = 2000
 )
 
-// demand is an exponentially decayed count of the prompt tokens of one adapter's
-// calls at this instance.
+// demand is an exponentially decayed count of one adapter's calls at this
+// instance, and of their prompt tokens.
 type demand struct {
+	calls  float64
 	tokens float64
 	at     time.Time
 }
 
-// rate returns the demand at now in tokens per second.
-func (d demand) rate(now time.Time) float64 {
-	decayed := d.tokens * math.Exp2(-now.Sub(d.at).Seconds()/demandHalfLife.Seconds())
-	return decayed * math.Ln2 / demandHalfLife.Seconds()
+// decayed returns the demand as of now.
+func (d demand) decayed(now time.Time) demand {
+	factor := math.Exp2(-now.Sub(d.at).Seconds() / demandHalfLife.Seconds())
+	return demand{
+		calls:  d.calls * factor,
+		tokens: d.tokens * factor,
+		at:     now,
+	}
 }
 
+// perSecond converts a decayed count to a rate.
+func perSecond(count float64) float64 { return count * math.Ln2 / demandHalfLife.Seconds() }
+
 // RecordDemand adds the prompt tokens of a call to its adapter's demand.
 func (b *Board) RecordDemand(adapter string, tokens int64, now time.Time) {
 	if adapter == "" {
@@ -42,14 +48,24 @@
 			}
 		}
 	}
-	known := b.demands[adapter]
-	if !known.at.IsZero() {
-		known.tokens *= math.Exp2(-now.Sub(known.at).Seconds() / demandHalfLife.Seconds())
-	}
-	b.demands[adapter] = demand{
-		tokens: known.tokens + float64(tokens),
-		at:     now,
+	counted := b.demands[adapter].decayed(now)
+	counted.calls++
+	counted.tokens += float64(tokens)
+	b.demands[adapter] = counted
+}
+
+// DomainDemand estimates the calls for an adapter at all instances of this
+// domain, per second. The load balancer assigns callers by hash, so this
+// instance's demand is representative.
+func (b *Board) DomainDemand(adapter string, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	domains := map[string]bool{}
+	for _, server := range b.servers {
+		domains[server.Domain] = true
 	}
+	instances := float64(max(1, b.instances)) / float64(max(1, len(domains)))
+	return perSecond(b.demands[adapter].decayed(now).calls) * max(1, instances)
 }
 
 // SetReportStaleness sets the number of instances and the average age of their
@@ -71,6 +87,6 @@
 	if !known || b.instances < 2 {
 		return 0
 	}
-	tokens := demanded.rate(now) * float64(b.instances-1) * b.reportAge.Seconds()
-	return dispatch.PrefillTime(int64(tokens))
+	tokens := perSecond(demanded.decayed(now).tokens) * float64(b.instances-1) * b.reportAge.Seconds()
+	return b.prefill.PrefillTime(int64(tokens))
 }
--- a/fleet/server_list.go
+++ b/fleet/server_list.go
@@ -32,6 +32,10 @@
 
 	mu      sync.Mutex
 	servers map[string]pomelospring.FleetServer
+	// readTo is the offset in the store up to which the list was read. Several
+	// leaders relay it, and reads of this instance may be under way meanwhile, so
+	// an older state may arrive after a newer one.
+	readTo int64
 	// missing maps servers whose entry was removed to the time at which they are
 	// dropped.
 	missing map[string]time.Time
@@ -40,13 +44,18 @@
 	returnDeadline time.Time
 }
 
-// ApplyRead applies records read from the store. full says that they are all
-// records; outage is how long the store was unreachable before this read.
-func (l *ServerList) ApplyRead(records []pomelospring.KeyedRecord, full bool, _ int64, outage time.Duration) {
+// ApplyRead applies records read from the store up to the offset next. full says
+// that they are all records; outage is how long the store was unreachable before
+// this read.
+func (l *ServerList) ApplyRead(records []pomelospring.KeyedRecord, full bool, next int64, outage time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock()
 	l.initialize()
+	if next < l.readTo {
+		return
+	}
+	l.readTo = next
 	records = latestRecords(records)
 	removed := l.removedIn(records, full)
 	if outage > minExpiryOutage && float64(len(removed)) >= minExpiredFraction*float64(len(l.servers)) {
@@ -76,12 +85,18 @@
 	}
 }
 
-// Relay applies what the leader read from the store at readAt: the servers that
-// changed and those removed, or the complete list if full is set.
-func (l *ServerList) Relay(changed []pomelospring.FleetServer, removed []string, full bool, readAt time.Time) {
+// Relay applies what the leader read from the store at readAt up to the offset
+// readTo: the servers that changed and those removed, or the complete list if full
+// is set. A state older than the one known is ignored, as it would bring back
+// servers that have left.
+func (l *ServerList) Relay(changed []pomelospring.FleetServer, removed []string, full bool, readTo int64, readAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.initialize()
+	if readTo < l.readTo {
+		return
+	}
+	l.readTo = readTo
 	listed := map[string]bool{}
 	for _, server := range changed {
 		listed[server.ID] = true
@@ -100,6 +115,16 @@
 	l.Board.SetServers(maps.Clone(l.servers), readAt)
 }
 
+// Changes lists the servers that changed or were removed after a version of the
+// list, and returns the current version with the offset in the store up to which
+// it was read.
+func (l *ServerList) Changes(since int64) (changed []pomelospring.FleetServer, removed []string, version, readTo int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed, removed, version = l.Board.ServerChanges(since)
+	return changed, removed, version, l.readTo
+}
+
 // latestRecords returns the last record of each key, in order.
 func latestRecords(records []pomelospring.KeyedRecord) (newest []pomelospring.KeyedRecord) {
 	last := make(map[string]int, len(records))
--- a/front/front.go
+++ b/front/front.go
@@ -159,11 +159,15 @@
 // until a leader reports the actual number.
 const assumedInstances = 12
 
+// startIDLength is the number of random hexadecimal digits that tell the starts of
+// one instance apart. Every exchange carries the result twice.
+const startIDLength = 8
+
 // wireCoordination creates a leader, a member and an election for each failure
 // domain, since any instance may lead any domain.
 func (f *Front) wireCoordination() {
 	config := f.settings
-	f.instance = config.Name + "/" + uuid.NewString()
+	f.instance = config.Name + "/" + uuid.NewString()[:startIDLength]
 	f.server = &coordination.Server{
 		Leaders:    map[string]*coordination.Leader{},
 		AddRecords: f.operators.AddRecords,
@@ -197,6 +201,7 @@
 	leader.Domains = domains
 	leader.AnsweringDomains = func() int { return f.coordinator.AnsweringDomains() }
 	leader.Board = f.board
+	leader.Servers = f.servers
 	leader.Engine = f.engines
 	leader.Logger = f.logger
 	leader.Clock = f.clock
--- a/loading/load_window_test.go
+++ b/loading/load_window_test.go
@@ -71,6 +71,29 @@
 	}
 }
 
+// TestFailedCallsDontShrinkTheWindow plays workers that crash while they load. Only
+// calls that a worker answers without the adapter show that a load is late.
+func TestFailedCallsDontShrinkTheWindow(t *testing.T) {
+	table := tableOf(12, slots, 1)
+	concurrent := func(from int, now time.Time) (loads int) {
+		for i := range 20 {
+			if place(table, request(fmt.Sprint("m/", from+i)), now).Kind == loading.PlanLoad {
+				loads++
+			}
+		}
+		return loads
+	}
+	before := concurrent(0, start)
+	for i := range before {
+		failed := request(fmt.Sprint("m/", i))
+		failed.Avoid = []string{table.Plan(failed, start).Server.ID}
+		table.Plan(failed, start.Add(300*time.Millisecond))
+	}
+	if after := concurrent(100, start.Add(2*time.Second)); after < before {
+		t.Errorf("%d loads at once after failed calls, %d before", after, before)
+	}
+}
+
 const (
 	storeStep = 5 * time.Millisecond
 	// fullSpeedLoadTime is how long the simulated weight store takes for a load.
@@ -128,7 +151,7 @@
 					if store.remaining[adapter] > 0 {
 						// The worker rejects the call, as it lacks the adapter.
 						again := request(adapter)
-						again.Avoid = []string{plan.Server.ID}
+						again.Missing = []string{plan.Server.ID}
 						store.sent[adapter] = place(table, again, now)
 						continue
 					}
--- a/loading/placement_table.go
+++ b/loading/placement_table.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/dispatch"
 )
 
 const (
@@ -53,6 +54,9 @@
 	planRetryDelay = 20 * time.Millisecond
 	// maxReportAge is how old the content of a worker's report may be.
 	maxReportAge = 350 * time.Millisecond
+	// suspicionInterval is the shortest time between reports that are asked of a
+	// worker because calls failed there.
+	suspicionInterval = time.Second
 	// reportRetryDelay is the time until a missing report is requested again.
 	reportRetryDelay = time.Second
 	// remoteDomainCost is added for workers outside the request's domain, so that
@@ -93,6 +97,8 @@
 	// ActiveLeaders is the number of domain leaders that can give orders at the
 	// moment; 0 for all.
 	ActiveLeaders int
+	// Speeds are the learned speeds of the workers.
+	Speeds dispatch.Speeds
 	// Revision increases with each change of the workers' residency.
 	Revision int64
 }
@@ -101,8 +107,15 @@
 	server pomelospring.FleetServer
 	limits pomelospring.EngineLimits
 	// synced is set while sequence and slots match the worker exactly.
-	synced        bool
-	nextReportAt  time.Time
+	synced       bool
+	nextReportAt time.Time
+	// orderedAt is when the last order ended, and checkedAt when the worker was
+	// last suspected and asked for a report because of that.
+	orderedAt time.Time
+	checkedAt time.Time
+	// unreachable says that the worker's last report could not be read. Its
+	// adapters are not published until one is.
+	unreachable   bool
 	sequence      int64
 	orderInFlight bool
 	slots         map[string]*slot
@@ -281,6 +294,7 @@
 		t.setSlot(w, loading.Adapter, s)
 	}
 	w.synced = true
+	w.unreachable = false
 	t.recordChanges(w, now)
 }
 
@@ -297,6 +311,31 @@
 	return s
 }
 
+// suspect handles the failure of a call on a worker: its report shows whether it
+// is still there, before other instances send their calls to it.
+func (t *PlacementTable) suspect(server string, now time.Time) {
+	w := t.workers[server]
+	if w == nil || !w.synced || w.orderInFlight || now.Sub(w.checkedAt) < suspicionInterval {
+		return
+	}
+	w.checkedAt = now
+	w.synced = false
+	w.nextReportAt = now
+	if newer := w.orderedAt.Add(maxReportAge); newer.After(now) {
+		w.nextReportAt = newer
+	}
+}
+
+// RecordUnreachable records that a worker's report could not be read.
+func (t *PlacementTable) RecordUnreachable(server string, now time.Time) {
+	w := t.workers[server]
+	if w == nil || w.synced || w.unreachable {
+		return
+	}
+	w.unreachable = true
+	t.recordChanges(w, now)
+}
+
 // markUnsynced marks a worker as unsynced until its next report. The delay
 // ensures that the report is newer than the last order.
 func (w *worker) markUnsynced(now time.Time) {
--- a/loading/placement_table_test.go
+++ b/loading/placement_table_test.go
@@ -159,7 +159,7 @@
 				table.ApplyLoad("a", "m/x", 1, pomelospring.OrderAccepted, now.Add(-300*time.Millisecond))
 				table.EndOrder("a")
 			},
-			request: pomelospring.PlacementRequest{Adapter: "m/x", Domain: "north", Avoid: []string{"a"}},
+			request: pomelospring.PlacementRequest{Adapter: "m/x", Domain: "north", Missing: []string{"a"}},
 			want:    plan{Kind: loading.PlanReady, Server: "a"},
 		},
 		{
@@ -170,9 +170,40 @@
 				table.ApplyLoad("a", "m/x", 1, pomelospring.OrderAccepted, now.Add(-9*time.Second))
 				table.EndOrder("a")
 			},
+			request: pomelospring.PlacementRequest{Adapter: "m/x", Domain: "north", Missing: []string{"a"}},
+			want:    plan{Kind: loading.PlanLoad, Server: "b"},
+		},
+		{
+			name:    "a worker that failed the call is avoided although its load seems delayed",
+			workers: workers(report(0), report(0)),
+			prepare: func(table *loading.PlacementTable) {
+				table.BeginOrder("a")
+				table.ApplyLoad("a", "m/x", 1, pomelospring.OrderAccepted, now.Add(-300*time.Millisecond))
+				table.EndOrder("a")
+			},
 			request: pomelospring.PlacementRequest{Adapter: "m/x", Domain: "north", Avoid: []string{"a"}},
 			want:    plan{Kind: loading.PlanLoad, Server: "b"},
 		},
+		{
+			name:    "an adapter on an unreachable worker is loaded elsewhere",
+			workers: workers(report(0, "m/x"), report(0)),
+			prepare: func(table *loading.PlacementTable) {
+				table.Plan(pomelospring.PlacementRequest{Adapter: "m/y", Domain: "north", Avoid: []string{"a"}}, now)
+				table.RecordUnreachable("a", now)
+			},
+			request: request("m/x"),
+			want:    plan{Kind: loading.PlanLoad, Server: "b"},
+		},
+		{
+			name:    "an adapter on a worker that failed a call and reports well is used",
+			workers: workers(report(0, "m/x"), report(0)),
+			prepare: func(table *loading.PlacementTable) {
+				table.Plan(pomelospring.PlacementRequest{Adapter: "m/y", Domain: "north", Avoid: []string{"a"}}, now)
+				table.ApplyReport("a", report(0, "m/x"), now)
+			},
+			request: request("m/x"),
+			want:    plan{Kind: loading.PlanReady, Server: "a"},
+		},
 		{
 			name:    "an outdated version is not used",
 			workers: workers(report(0, "m/x"), report(0)),
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/pomelospring/pomelospring"
-	"github.com/pomelospring/pomelospring/dispatch"
 )
 
 // PlanKind is the kind of decision on a placement request.
@@ -48,6 +47,10 @@
 	version := max(firstVersion, request.Version, t.newestVersion[request.Adapter])
 	avoid := map[string]bool{}
 	for _, id := range request.Avoid {
+		avoid[id] = true
+		t.suspect(id, now)
+	}
+	for _, id := range request.Missing {
 		avoid[id] = !t.extendDelayedLoad(id, request.Adapter, now)
 	}
 	if ready, found := t.findResident(request, version, avoid, now); found {
@@ -97,7 +100,7 @@
 // that can't load it now may soon.
 func (t *PlacementTable) cheapestWorker(request pomelospring.PlacementRequest, avoid map[string]bool, now time.Time) (best *worker, bestEvict string, busy bool) {
 	idle := t.RecentUseWindow
-	if request.Replica {
+	if request.Replica || request.Optional {
 		idle = max(idle, replicaEvictionIdle)
 	}
 	candidates := 0
@@ -181,7 +184,7 @@
 func (t *PlacementTable) findResident(request pomelospring.PlacementRequest, version int64, avoid map[string]bool, now time.Time) (plan Plan, found bool) {
 	for w := range t.holders[request.Adapter] {
 		s := w.slots[request.Adapter]
-		if avoid[w.server.ID] || w.server.Draining || s.version < version {
+		if avoid[w.server.ID] || w.unreachable || w.server.Draining || s.version < version {
 			continue
 		}
 		if request.Replica && !now.Before(s.readyAt) {
@@ -253,7 +256,7 @@
 // cost estimates the time until the first output of the adapter on a worker.
 func (t *PlacementTable) cost(w *worker, request pomelospring.PlacementRequest, now time.Time) time.Duration {
 	cost := t.loadTime(w, request.Adapter)
-	cost += dispatch.PrefillTime(w.waitingTokens)
+	cost += t.Speeds.PrefillTime(w.waitingTokens)
 	cost += time.Duration(w.running) * time.Millisecond
 	cost += time.Duration(w.assignmentWeight(now) * float64(assignmentCost))
 	if w.server.Domain != request.Domain {
@@ -294,6 +297,7 @@
 	if w == nil {
 		return false
 	}
+	w.orderedAt = now
 	switch result {
 	case pomelospring.OrderDone:
 		w.sequence++
@@ -318,6 +322,7 @@
 	if w == nil {
 		return time.Time{}, false
 	}
+	w.orderedAt = now
 	if result != pomelospring.OrderAccepted && result != pomelospring.OrderDone {
 		w.markUnsynced(now)
 		return time.Time{}, false
--- a/loading/residency.go
+++ b/loading/residency.go
@@ -30,7 +30,7 @@
 	}
 	for name, s := range w.slots {
 		before := w.published[name]
-		ready := !now.Before(s.readyAt)
+		ready := !now.Before(s.readyAt) && !w.unreachable
 		if before.ready != ready || ready && before.version != s.version {
 			w.published[name] = published{
 				ready:    ready,
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -193,6 +193,20 @@
 	return nil
 }
 
+// ActiveLeader returns the index of the leader whose report is in use; -1 without
+// one.
+func (l *Ledger) ActiveLeader(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	active := l.activeLeader(now)
+	for i := range l.leaders {
+		if &l.leaders[i] == active {
+			return i
+		}
+	}
+	return -1
+}
+
 // Refund returns the tokens charged for a request that did not run.
 func (l *Ledger) Refund(team string, tokens float64, now time.Time) {
 	l.mu.Lock()
