--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -14,23 +15,29 @@
 )
 
 const (
-	// maxBodyBytes bounds an answer that isn't streamed, which is buffered until it
-	// is complete.
+	// maxBodyBytes bounds how much of an answer that isn't streamed is buffered. A
+	// longer one is forwarded as it arrives, and can't be replaced by another
+	// attempt's.
 	maxBodyBytes = 8 << 20
 	// readBufferBytes is how much of a stream is read at once.
 	readBufferBytes = 4 << 10
-	// streamIdleTimeout is the pause between events after which a stream is
-	// resumed on another server. Callers leave after two seconds at the earliest;
-	// see minClientTimeout.
-	streamIdleTimeout = 1100 * time.Millisecond
-	// firstEventTimeout is the same for the first event, whose prompt may wait in
-	// the engine's queue.
-	firstEventTimeout = 2500 * time.Millisecond
+	// A stream is resumed on another server after a pause of minStreamIdleTimeout, or
+	// streamIdlePauses times the route's target for pauses if that is longer. Callers
+	// leave after two seconds at the earliest; see minClientTimeout.
+	minStreamIdleTimeout = 1100 * time.Millisecond
+	streamIdlePauses     = 2.5
+	// minFirstEventTimeout and firstEventTargets are the same for the first event,
+	// whose prompt may wait in the engine's queue, and the route's latency target.
+	minFirstEventTimeout = 2500 * time.Millisecond
+	firstEventTargets    = 2.5
 	// watchdogInterval is how often an attempt checks whether its server's failure
 	// domain has been cut off.
 	watchdogInterval = 400 * time.Millisecond
 )
 
+// errEventTooLong reports a stream of bytes that don't end as an event.
+var errEventTooLong = fmt.Errorf("an event exceeds %d bytes", maxEventBytes)
+
 // attempt is one send of a call to one backend server.
 type attempt struct {
 	session *session
@@ -60,7 +67,7 @@
 	if !c.route.Repeatable() || c.attemptsExecuted+1 >= c.route.Attempts {
 		return
 	}
-	idleTimeout := firstEventTimeout
+	idleTimeout := max(minFirstEventTimeout, time.Duration(firstEventTargets*float64(c.route.Target)))
 	if !c.route.Streaming {
 		idleTimeout = time.Duration(idleTimeoutFraction * float64(c.deadline.Sub(c.service.Clock())))
 	}
@@ -90,7 +97,8 @@
 func (a *attempt) extendIdleDeadline() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.idleDeadline = a.session.service.Clock().Add(streamIdleTimeout)
+	timeout := max(minStreamIdleTimeout, time.Duration(streamIdlePauses*float64(a.session.route.PauseTarget)))
+	a.idleDeadline = a.session.service.Clock().Add(timeout)
 }
 
 func (a *attempt) stopWatchdog() {
@@ -132,7 +140,7 @@
 // forwardComplete forwards an answer once it is complete.
 func (a *attempt) forwardComplete(ctx context.Context, answer *pomelospring.BackendAnswer) (done bool) {
 	c := a.session
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBodyBytes+1))
 	if err == nil && answer.Status < http.StatusMultipleChoices && !answer.Signed {
 		err = errors.New("the answer has no signature")
 	}
@@ -146,6 +154,9 @@
 	}
 	a.end(failed)
 	c.avoid[a.server.ID] = true
+	if len(body) > maxBodyBytes && !c.forwarded {
+		return a.forwardLong(ctx, answer, body)
+	}
 	if failed && !c.forwarded && ctx.Err() == nil && c.mayRetry(false) {
 		c.failure, c.failureBody, c.failureServer = answer, body, a.server
 		c.logRetry(a.server, http.StatusText(answer.Status), true)
@@ -162,6 +173,31 @@
 	return true
 }
 
+// forwardLong forwards an answer of which only the beginning could be buffered. If
+// it breaks off, or doesn't end before the call's deadline, the caller sees that
+// it is incomplete.
+func (a *attempt) forwardLong(ctx context.Context, answer *pomelospring.BackendAnswer, beginning []byte) (done bool) {
+	c := a.session
+	c.forwarded = true
+	c.out.Head(answer, answer.Length)
+	if !c.write(beginning) {
+		c.giveUp(ctx, c.unansweredRefusal())
+		return true
+	}
+	buffer := make([]byte, readBufferBytes)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 && !c.write(buffer[:n]) || err != nil && !errors.Is(err, io.EOF) {
+			c.giveUp(ctx, c.unansweredRefusal())
+			return true
+		}
+		if err != nil {
+			c.logServed(a.server, answer.Status)
+			return true
+		}
+	}
+}
+
 // handleBrokenAnswer handles an answer that can't be used, such as one that
 // ended early, and reports whether the call has ended.
 func (c *session) handleBrokenAnswer(ctx context.Context, server pomelospring.FleetServer, err error) (done bool) {
@@ -193,6 +229,10 @@
 				return true
 			}
 			c.lastEventID = scanner.lastID(c.lastEventID)
+			if scanner.tooLong() {
+				a.end(true)
+				return c.handleBrokenAnswer(ctx, a.server, errEventTooLong)
+			}
 		}
 		if errors.Is(err, io.EOF) && scanner.empty() {
 			return a.finishStream(answer)
--- a/entry/event_scanner.go
+++ b/entry/event_scanner.go
@@ -9,25 +9,41 @@
 	id      string
 }
 
+// maxEventBytes bounds an incomplete event; events hold a few tokens each.
+const maxEventBytes = 256 << 10
+
 var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
+	eventEnd     = []byte("\n\n")
+	eventEndCRLF = []byte("\r\n\r\n")
+	idField      = []byte("id:")
 )
 
 // add appends a chunk and returns the events that are now complete.
 func (e *eventScanner) add(chunk []byte) (complete []byte) {
 	e.pending = append(e.pending, chunk...)
-	end := bytes.LastIndex(e.pending, eventEnd)
+	end := max(endOfLast(e.pending, eventEnd), endOfLast(e.pending, eventEndCRLF))
 	if end < 0 {
 		return nil
 	}
-	end += len(eventEnd)
 	complete = bytes.Clone(e.pending[:end])
 	e.pending = append(e.pending[:0], e.pending[end:]...)
 	e.scanID(complete)
 	return complete
 }
 
+// endOfLast returns the position after the last occurrence of a separator; -1
+// without one.
+func endOfLast(text, separator []byte) int {
+	at := bytes.LastIndex(text, separator)
+	if at < 0 {
+		return -1
+	}
+	return at + len(separator)
+}
+
+// tooLong reports whether the pending event exceeds maxEventBytes.
+func (e *eventScanner) tooLong() bool { return len(e.pending) > maxEventBytes }
+
 // scanID stores the last ID of complete events.
 func (e *eventScanner) scanID(complete []byte) {
 	for at := bytes.LastIndex(complete, idField); at >= 0; at = bytes.LastIndex(complete[:at], idField) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -249,7 +249,7 @@
 	if answer.NotRun {
 		_ = answer.Body.Close()
 		a.end(!answer.Misdirected)
-		return c.handleRejection(server, answer)
+		return c.handleRejection(ctx, server, answer)
 	}
 	c.attemptsExecuted++
 	return a.forward(ctx, answer)
@@ -322,18 +322,18 @@
 
 // handleRejection handles the answer of a backend server that did not run the
 // call, and reports whether the call has ended.
-func (c *session) handleRejection(server pomelospring.FleetServer, answer *pomelospring.BackendAnswer) (done bool) {
+func (c *session) handleRejection(ctx context.Context, server pomelospring.FleetServer, answer *pomelospring.BackendAnswer) (done bool) {
 	c.avoid[server.ID] = true
 	if answer.Misdirected && c.call.NeedsAdapter() {
 		c.missing[server.ID] = true
 		c.service.Board.RemoveResident(server.ID, c.call.Adapter)
 	}
-	willRetry := c.attemptsSent < maxAttempts && c.retries.Take()
+	willRetry := ctx.Err() == nil && c.attemptsSent < maxAttempts && c.retries.Take()
 	c.logRetry(server, http.StatusText(answer.Status), willRetry)
 	if willRetry {
 		return false
 	}
-	c.giveUp(context.Background(), pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(c.service.Clock()), "backend servers rejected the call"))
+	c.giveUp(ctx, pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(c.service.Clock()), "backend servers rejected the call"))
 	return true
 }
 
