Give loans more time while a bucket fills, and reserve test ports

Change: loans of 0.8 s while the bucket fills, with a test that failed first; both packages of whole-path tests take ports below those of outgoing connections and hold them. Ruled out: the waits of the tests, which are as before.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -69,7 +69,7 @@
 // LoanClient borrows tokens from other instances.
 type LoanClient interface {
 	// Borrow borrows up to an amount.
-	Borrow(ctx context.Context, pool string, amount float64) (loans lending.Loans)
+	Borrow(ctx context.Context, pool string, amount float64, loanTime time.Duration) (loans lending.Loans)
 	// Spent reports to the lenders that their tokens were spent.
 	Spent(loans lending.Loans)
 	// Close ends loans and returns unused tokens to the lenders, up to the
@@ -117,7 +117,11 @@
 	charge.Pool = pool
 	charge.Reservation = c.Bank.SpendUpTo(pool, cost, c.Clock())
 	missing := cost - charge.Reservation.Charged
-	charge.Loans = c.LoanClient.Borrow(ctx, pool, missing)
+	loanTime := lending.LoanTime
+	if c.Bank.Filling(pool, c.Clock()) {
+		loanTime = lending.FillingLoanTime
+	}
+	charge.Loans = c.LoanClient.Borrow(ctx, pool, missing, loanTime)
 	now := c.Clock()
 	if charge.Loans.Amount < missing || now.After(charge.Loans.Deadline) {
 		c.LoanClient.Close(charge.Loans, charge.Loans.Amount)
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -25,10 +25,12 @@
 	expired  bool
 	spent    bool
 	returned float64
+	loanTime time.Duration
 }
 
 // Borrow implements admission.LoanClient.
-func (l *loanClient) Borrow(_ context.Context, pool string, amount float64) lending.Loans {
+func (l *loanClient) Borrow(_ context.Context, pool string, amount float64, loanTime time.Duration) lending.Loans {
+	l.loanTime = loanTime
 	loans := lending.Loans{
 		Pool:     pool,
 		Amount:   min(amount, l.amount),
@@ -198,13 +200,13 @@
 }
 
 // Borrow implements admission.LoanClient.
-func (n *nestedLoanClient) Borrow(ctx context.Context, pool string, amount float64) lending.Loans {
+func (n *nestedLoanClient) Borrow(ctx context.Context, pool string, amount float64, loanTime time.Duration) lending.Loans {
 	during := n.during
 	n.during = nil
 	if during != nil {
 		during()
 	}
-	return n.loanClient.Borrow(ctx, pool, amount)
+	return n.loanClient.Borrow(ctx, pool, amount, loanTime)
 }
 
 func near(a, b float64) bool { return a-b < 1e-6 && b-a < 1e-6 }
@@ -338,3 +340,35 @@
 		})
 	}
 }
+
+// TestLoansTakeLongerWhileTheBucketFills checks the loan time of an instance that
+// has just started, and of one whose team has spent its budget.
+func TestLoansTakeLongerWhileTheBucketFills(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		running time.Duration
+		want    time.Duration
+	}{
+		{name: "just started", want: lending.FillingLoanTime},
+		{name: "a full bucket was spent", running: time.Minute, want: lending.LoanTime},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			client := &loanClient{amount: 600}
+			charger := newCharger(client, 0)
+			charger.Bank = budget.NewBank()
+			charger.Bank.SetTerms("team/red", budget.Terms{
+				Rate:           100,
+				Burst:          1000,
+				Share:          budget.Share{Leased: budget.FullShare / 2},
+				LeasedDeadline: now.Add(time.Hour),
+			}, now.Add(-scenario.running))
+			if _, refusal := charger.Charge(t.Context(), pomelospring.Team{Name: "red", Rate: 100, Burst: 1000}, 600); refusal != nil {
+				t.Fatal(refusal)
+			}
+			if diff := cmp.Diff(scenario.want, client.loanTime); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -160,12 +160,13 @@
 }
 
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	address, release, err := standin.ReserveAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Cleanup(release)
+	return address
 }
 
 func startInstance(t *testing.T, name, store string) *instance {
--- a/lending/borrower.go
+++ b/lending/borrower.go
@@ -17,10 +17,13 @@
 )
 
 const (
-	// loanDuration is how long a borrower may take to spend a loan.
-	loanDuration = 200 * time.Millisecond
-	// callTimeout bounds one call to a lender; it is shorter than loanDuration.
-	callTimeout = 100 * time.Millisecond
+	// LoanTime is how long a borrower may take to borrow and to spend a loan.
+	LoanTime = 200 * time.Millisecond
+	// FillingLoanTime is the same while the borrower's bucket fills after a start:
+	// all instances may lend to it at once then, and it has nothing to fall back on.
+	FillingLoanTime = 800 * time.Millisecond
+	// callTimeFraction bounds one call to a lender, as a fraction of the loan time.
+	callTimeFraction = 0.5
 	// maxLenders bounds the lenders called for one request.
 	maxLenders = 8
 	// exhaustedBackoff is how long a lender without tokens is not called again
@@ -83,14 +86,15 @@
 	}
 }
 
-// Borrow borrows up to an amount of a pool from other instances. The caller
-// must close the loans, also when they do not suffice: an open loan lowers the
+// Borrow borrows up to an amount of a pool from other instances within a loan
+// time. The caller must close the loans, also when they do not suffice: an open loan lowers the
 // cap of its lender.
-func (b *Borrower) Borrow(ctx context.Context, pool string, amount float64) (loans Loans) {
+func (b *Borrower) Borrow(ctx context.Context, pool string, amount float64, loanTime time.Duration) (loans Loans) {
 	loans = Loans{
 		Pool:     pool,
-		Deadline: b.Clock().Add(loanDuration),
+		Deadline: b.Clock().Add(loanTime),
 	}
+	callTimeout := time.Duration(callTimeFraction * float64(loanTime))
 	if b.exhausted(pool) {
 		return loans
 	}
@@ -98,7 +102,9 @@
 		if loans.Amount >= amount || b.Clock().Add(callTimeout).After(loans.Deadline) {
 			break
 		}
-		b.borrowFrom(ctx, lender, amount-loans.Amount, &loans)
+		callContext, cancel := context.WithTimeout(ctx, callTimeout)
+		b.borrowFrom(callContext, lender, amount-loans.Amount, &loans)
+		cancel()
 	}
 	if b.Clock().After(loans.Deadline) {
 		loans.Amount = 0
@@ -147,8 +153,6 @@
 // borrowFrom borrows from one lender and adds the loan to loans. A lender that
 // fails to answer counts as exhausted.
 func (b *Borrower) borrowFrom(ctx context.Context, lender pomelospring.Instance, amount float64, loans *Loans) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	id := uuid.NewString()
 	reply, err := b.Client.At(ctx, lender.PeerAddress).Lend(ctx, &peerpb.LendRequest{
 		Pool:     loans.Pool,
--- a/lending/loads.go
+++ b/lending/loads.go
@@ -52,7 +52,7 @@
 	if shortfall <= 0 {
 		return
 	}
-	loans := l.Borrower.Borrow(ctx, PoolLoads, shortfall)
+	loans := l.Borrower.Borrow(ctx, PoolLoads, shortfall, LoanTime)
 	enough := loans.Amount >= shortfall && l.Clock().Before(loans.Deadline)
 	if enough {
 		l.Bank.Deposit(PoolLoads, loans.Amount, l.Clock())
--- a/wholepath/fleet_test.go
+++ b/wholepath/fleet_test.go
@@ -187,32 +187,16 @@
 	return server.Listener.Addr().String()
 }
 
-// nextPort counts up through ports below the range of outgoing connections, so
-// that none of these takes a port before the daemon listens on it. Test processes
-// start at different ports, by their process ids.
-var nextPort = 20000 + os.Getpid()%1000*10
-
 // freeAddress returns a loopback address that nothing listens on, and reserves it
 // for this test run.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range 1000 {
-		nextPort++
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		// Holding the UDP port of the same number keeps other test runs on this
-		// machine from choosing the port until the daemon there has exited.
-		reserved, err := net.ListenPacket("udp", address)
-		if err != nil {
-			continue
-		}
-		t.Cleanup(func() { _ = reserved.Close() })
-		if listener, err := net.Listen("tcp", address); err == nil {
-			_ = listener.Close()
-			return address
-		}
+	address, release, err := standin.ReserveAddress()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port found")
-	return ""
+	t.Cleanup(release)
+	return address
 }
 
 // launch starts a daemon in the given failure domain and kills it at the end of
