Query for the leader once at the first start of a fleet

Change: instances ask over two seconds, the largest first, and wait longer for a relay before they read themselves; only where the whole fleet starts.

--- a/caller/requests_test.go
+++ b/caller/requests_test.go
@@ -27,7 +27,9 @@
 type noPeers struct{}
 
 // Borrow implements admission.LoanClient.
-func (noPeers) Borrow(context.Context, string, float64, time.Duration) lending.Loans { return lending.Loans{} }
+func (noPeers) Borrow(context.Context, string, float64, time.Duration) lending.Loans {
+	return lending.Loans{}
+}
 
 // Spent implements admission.LoanClient.
 func (noPeers) Spent(lending.Loans) {}
--- a/coordination/election.go
+++ b/coordination/election.go
@@ -22,7 +22,11 @@
 	// the first start of the whole fleet. The leader of its own domain usually
 	// reports them earlier, in the first exchange.
 	otherDomainDelay           = 700 * time.Millisecond
-	otherDomainFirstStartDelay = 2500 * time.Millisecond
+	otherDomainFirstStartDelay = 4 * time.Second
+	// firstStartSpread is the time over which the instances of a domain first query
+	// for their leader when the whole fleet starts, those with the largest processor
+	// share first. One of these then leads before most others ask.
+	firstStartSpread = 2 * time.Second
 	// otherDomainPollInterval is the shortest time between queries for the leader of
 	// another domain while some domain's leader answers, since that leader
 	// reports the others.
@@ -96,11 +100,7 @@
 // Run takes part in the election until the context ends, then retains the
 // partitions for a restart of the instance.
 func (e *Election) Run(ctx context.Context) error {
-	if e.OtherDomain && e.FirstFleetStart {
-		e.nextPollAt = e.Uptime() + otherDomainFirstStartDelay
-	} else if e.OtherDomain {
-		e.nextPollAt = e.Uptime() + otherDomainDelay
-	}
+	e.nextPollAt = e.Uptime() + e.firstPollDelay()
 	for ctx.Err() == nil {
 		wait := e.step(ctx)
 		if sleep(ctx, wait) != nil {
@@ -111,6 +111,20 @@
 	return nil
 }
 
+// firstPollDelay returns the time from the start to the first poll.
+func (e *Election) firstPollDelay() time.Duration {
+	switch {
+	case e.OtherDomain && e.FirstFleetStart:
+		return otherDomainFirstStartDelay
+	case e.OtherDomain:
+		return otherDomainDelay
+	case e.FirstFleetStart:
+		return time.Duration((1-min(1, e.ProcessorShare))*float64(firstStartSpread)) + rand.N(pollJitter)
+	default:
+		return 0
+	}
+}
+
 // retainPartitionsForRestart releases this process's lease but keeps the
 // partitions for restartTimeToLive. After a planned restart the instance leads
 // again at once, whereas another would have to wait for the handover time.
--- a/front/front.go
+++ b/front/front.go
@@ -349,7 +349,7 @@
 	// firstRelayWait is how long an instance waits for a leader's relay before it
 	// reads the store itself, when the whole fleet starts for the first time. An
 	// instance that restarts reads the store at once, because callers wait for it.
-	firstRelayWait = 1200 * time.Millisecond
+	firstRelayWait = 3500 * time.Millisecond
 	// relayGrace is how long an instance whose relay ended waits for the relay of
 	// another domain's leader before it reads the store itself. Together with the
 	// maximum age of relayed records, a second, it stays below the two seconds
