--- a/fleet/server_list_relay_test.go
+++ b/fleet/server_list_relay_test.go
@@ -71,7 +71,7 @@
 				Clock:  func() time.Time { return start },
 				Decode: decode,
 			})
-			var got []string
+			got := make([]string, 0, len(scenario.want))
 			for _, server := range board.Servers() {
 				got = append(got, server.ID)
 			}
