--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -9,6 +9,9 @@
 	// demandHalfLife is the half-life of an adapter's demand; demand moves to
 	// other adapters within about ten seconds.
 	demandHalfLife = 5 * time.Second
+	// minDemandCalls is how many recent calls at this instance show the demand of
+	// its domain. In a large fleet a single one would stand for dozens.
+	minDemandCalls = 3.0
 	// maxDemands is the number of adapters above which stale demand is discarded.
 	maxDemands = 2000
 )
@@ -55,17 +58,21 @@
 }
 
 // DomainDemand estimates the calls for an adapter at all instances of this
-// domain, per second. The load balancer assigns callers by hash, so this
-// instance's demand is representative.
+// domain, per second; 0 if this instance has too few to tell. The load balancer
+// assigns callers by hash, so this instance's demand is representative.
 func (b *Board) DomainDemand(adapter string, now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	calls := b.demands[adapter].decayed(now).calls
+	if calls < minDemandCalls {
+		return 0
+	}
 	domains := map[string]bool{}
 	for _, server := range b.servers {
 		domains[server.Domain] = true
 	}
 	instances := float64(max(1, b.instances)) / float64(max(1, len(domains)))
-	return perSecond(b.demands[adapter].decayed(now).calls) * max(1, instances)
+	return perSecond(calls) * max(1, instances)
 }
 
 // SetReportStaleness sets the number of instances and the average age of their
