--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -38,6 +38,12 @@
 // errEventTooLong reports a stream of bytes that don't end as an event.
 var errEventTooLong = fmt.Errorf("an event exceeds %d bytes", maxEventBytes)
 
+// errIdle and errCutOff are why the watchdog cancels an attempt.
+var (
+	errIdle   = errors.New("the backend server was idle for too long")
+	errCutOff = errors.New("the backend server's failure domain is cut off")
+)
+
 // attempt is one send of a call to one backend server.
 type attempt struct {
 	session *session
@@ -57,6 +63,8 @@
 	// idleDeadline is when the attempt is canceled unless more of its answer
 	// arrives.
 	idleDeadline time.Time
+	// canceledFor is why the watchdog canceled the attempt; nil if it did not.
+	canceledFor error
 }
 
 // startWatchdog cancels a repeatable attempt that is idle for too long, or whose
@@ -86,7 +94,13 @@
 		return
 	}
 	remaining := a.idleDeadline.Sub(now)
-	if remaining <= 0 || a.session.service.Board.CutOff(a.server.Domain, now) {
+	switch {
+	case remaining <= 0:
+		a.canceledFor = errIdle
+	case a.session.service.Board.CutOff(a.server.Domain, now):
+		a.canceledFor = errCutOff
+	}
+	if a.canceledFor != nil {
 		cancel()
 		return
 	}
@@ -101,6 +115,17 @@
 	a.idleDeadline = a.session.service.Clock().Add(timeout)
 }
 
+// cause returns why the attempt failed: the watchdog's reason if it canceled the
+// attempt, else err.
+func (a *attempt) cause(err error) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.canceledFor != nil {
+		return a.canceledFor
+	}
+	return err
+}
+
 func (a *attempt) stopWatchdog() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -146,7 +171,7 @@
 	}
 	if err != nil {
 		a.end(true)
-		return c.handleBrokenAnswer(ctx, a.server, err)
+		return c.handleBrokenAnswer(ctx, a.server, a.cause(err))
 	}
 	failed := answer.Status >= http.StatusInternalServerError
 	if !failed && !a.queued && c.limits == nil {
@@ -239,7 +264,7 @@
 		}
 		if err != nil {
 			a.end(true)
-			return c.handleBrokenAnswer(ctx, a.server, err)
+			return c.handleBrokenAnswer(ctx, a.server, a.cause(err))
 		}
 	}
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -242,7 +242,7 @@
 	answer, err := s.Backend.Send(attemptContext, c.call, c.dispatch(choice))
 	if err != nil {
 		a.end(true)
-		return c.handleSendError(ctx, server, err)
+		return c.handleSendError(ctx, server, a.cause(err))
 	}
 	c.attemptsSent++
 	s.recordContact(server)
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -259,6 +259,11 @@
 			name: "a lookup without an answer is sent to another server", path: "/lookup/1",
 			replies: []reply{{unresponsive: true}, ok}, want: outcome{Status: 200, Body: "done"}, sends: 2,
 		},
+		{
+			name: "a lookup at a server that stays silent has no other server", why: "idle for too long", path: "/lookup/1",
+			replies: []reply{{unresponsive: true}, {status: 503, notRun: true}, {status: 503, notRun: true}},
+			want:    outcome{Code: pomelospring.CodeBackendServerError, Outcome: pomelospring.OutcomeUnknown}, sends: 3,
+		},
 		{
 			name: "an order without an answer is refused at its deadline", why: "timeout: the call's deadline has passed", path: "/order/1", replies: []reply{{unresponsive: true}},
 			want: outcome{Code: pomelospring.CodeTimeout, Outcome: pomelospring.OutcomeUnknown}, sends: 1,
