Keep a call at its silent server until another one has taken it over

Cause: the watchdog took a pause of 1.1 s for the death of the server and canceled the attempt before anything was known of a replacement. Where no retry was left, no other server had the adapter, or the other server rejected, failed, was not reached or was silent too, nothing was left but to close the connection. The class of fault: an action that can't be undone, taken on a suspicion. Configuration changes were the rule's occasion, not the cause: a call whose route and key go passes on the old code too.

Change: the watchdog asks another server to take the call over and cancels the first attempt only once that one's answer has begun; if the first server goes on, the takeover is canceled. A takeover that fails (event 227) leaves the call where it is. The same holds for a failure domain that counts as cut off. A stream counts as silent after 0.6 of the time for which its caller waits (2.4 s where it was 1.1 s with targets of 1 s and 250 ms), so a server may pause for a second without a second run.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/dispatch"
 	"github.com/pomelospring/pomelospring/events"
 )
 
@@ -21,32 +21,15 @@
 	maxBodyBytes = 8 << 20
 	// readBufferBytes is how much of a stream is read at once.
 	readBufferBytes = 4 << 10
-	// A stream is resumed on another server after a pause of minStreamIdleTimeout, or
-	// streamIdlePauses times the route's target for pauses if that is longer. Callers
-	// leave after two seconds at the earliest; see minClientTimeout.
-	minStreamIdleTimeout = 1100 * time.Millisecond
-	streamIdlePauses     = 2.5
-	// minFirstEventTimeout and firstEventTargets are the same for the first event,
-	// whose prompt may wait in the engine's queue, and the route's latency target.
-	minFirstEventTimeout = 2500 * time.Millisecond
-	firstEventTargets    = 2.5
-	// watchdogInterval is how often an attempt checks whether its server's failure
-	// domain has been cut off.
-	watchdogInterval = 400 * time.Millisecond
 )
 
 // errEventTooLong reports a stream of bytes that don't end as an event.
 var errEventTooLong = fmt.Errorf("an event exceeds %d bytes", maxEventBytes)
 
-// errIdle and errCutOff are why the watchdog cancels an attempt.
-var (
-	errIdle   = errors.New("the backend server was idle for too long")
-	errCutOff = errors.New("the backend server's failure domain is cut off")
-)
-
 // attempt is one send of a call to one backend server.
 type attempt struct {
 	session *session
+	choice  dispatch.Choice
 	server  pomelospring.FleetServer
 	// prefillTokens is the uncached part of the prompt until the first output, then
 	// zero.
@@ -56,83 +39,10 @@
 	sentAt time.Time
 	queued bool
 	ended  bool
+	// cancel ends the attempt.
+	cancel context.CancelFunc
 
-	mu              sync.Mutex
-	timer           *time.Timer
-	watchdogStopped bool
-	// idleDeadline is when the attempt is canceled unless more of its answer
-	// arrives.
-	idleDeadline time.Time
-	// canceledFor is why the watchdog canceled the attempt; nil if it did not.
-	canceledFor error
-}
-
-// startWatchdog cancels a repeatable attempt that is idle for too long, or whose
-// server's failure domain is cut off. The last attempt that the route allows is
-// not watched.
-func (a *attempt) startWatchdog(cancel context.CancelFunc) {
-	c := a.session
-	if !c.route.Repeatable() || c.attemptsExecuted+1 >= c.route.Attempts {
-		return
-	}
-	idleTimeout := max(minFirstEventTimeout, time.Duration(firstEventTargets*float64(c.route.Target)))
-	if !c.route.Streaming {
-		idleTimeout = time.Duration(idleTimeoutFraction * float64(c.deadline.Sub(c.service.Clock())))
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.idleDeadline = c.service.Clock().Add(idleTimeout)
-	a.timer = time.AfterFunc(min(idleTimeout, watchdogInterval), func() { a.checkWatchdog(cancel) })
-}
-
-// checkWatchdog cancels the attempt or schedules the next check.
-func (a *attempt) checkWatchdog(cancel context.CancelFunc) {
-	now := a.session.service.Clock()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.watchdogStopped {
-		return
-	}
-	remaining := a.idleDeadline.Sub(now)
-	switch {
-	case remaining <= 0:
-		a.canceledFor = errIdle
-	case a.session.service.Board.CutOff(a.server.Domain, now):
-		a.canceledFor = errCutOff
-	}
-	if a.canceledFor != nil {
-		cancel()
-		return
-	}
-	a.timer.Reset(min(remaining, watchdogInterval))
-}
-
-// extendIdleDeadline is called when a part of the answer has arrived.
-func (a *attempt) extendIdleDeadline() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	timeout := max(minStreamIdleTimeout, time.Duration(streamIdlePauses*float64(a.session.route.PauseTarget)))
-	a.idleDeadline = a.session.service.Clock().Add(timeout)
-}
-
-// cause returns why the attempt failed: the watchdog's reason if it canceled the
-// attempt, else err.
-func (a *attempt) cause(err error) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.canceledFor != nil {
-		return a.canceledFor
-	}
-	return err
-}
-
-func (a *attempt) stopWatchdog() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.timer != nil {
-		a.timer.Stop()
-		a.watchdogStopped = true
-	}
+	watchdog watchdog
 }
 
 // recordFirstOutput records that the prefill is done.
@@ -170,8 +80,10 @@
 		err = errors.New("the answer has no signature")
 	}
 	if err != nil {
-		a.end(true)
-		return c.handleBrokenAnswer(ctx, a.server, a.cause(err))
+		return a.handleBrokenAnswer(ctx, err)
+	}
+	if !a.claim() {
+		return a.handleBrokenAnswer(ctx, errTakenOver)
 	}
 	failed := answer.Status >= http.StatusInternalServerError
 	if !failed && !a.queued && c.limits == nil {
@@ -179,6 +91,7 @@
 	}
 	a.end(failed)
 	c.avoid[a.server.ID] = true
+	a.settle()
 	if len(body) > maxBodyBytes && !c.forwarded {
 		return a.forwardLong(ctx, answer, body)
 	}
@@ -225,10 +138,14 @@
 
 // handleBrokenAnswer handles an answer that can't be used, such as one that
 // ended early, and reports whether the call has ended.
-func (c *session) handleBrokenAnswer(ctx context.Context, server pomelospring.FleetServer, err error) (done bool) {
-	c.avoid[server.ID] = true
-	willRetry := ctx.Err() == nil && c.mayRetry(false)
-	c.logRetry(server, err.Error(), willRetry)
+func (a *attempt) handleBrokenAnswer(ctx context.Context, err error) (done bool) {
+	c := a.session
+	a.end(true)
+	err = a.cause(err)
+	c.avoid[a.server.ID] = true
+	c.successor = a.settle()
+	willRetry := c.successor != nil || ctx.Err() == nil && c.mayRetry(false)
+	c.logRetry(a.server, err.Error(), willRetry)
 	if willRetry {
 		return false
 	}
@@ -240,31 +157,35 @@
 func (a *attempt) forwardStream(ctx context.Context, answer *pomelospring.BackendAnswer) (done bool) {
 	c := a.session
 	if !answer.Signed {
-		a.end(true)
-		return c.handleBrokenAnswer(ctx, a.server, errors.New("the answer has no signature"))
+		return a.handleBrokenAnswer(ctx, errors.New("the answer has no signature"))
 	}
 	scanner := &eventScanner{}
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			if complete := scanner.add(buffer[:n]); len(complete) > 0 && !a.forwardEvents(answer, complete) {
+			complete := scanner.add(buffer[:n])
+			if len(complete) > 0 && !a.claim() {
+				return a.handleBrokenAnswer(ctx, errTakenOver)
+			}
+			if len(complete) > 0 && !a.forwardEvents(answer, complete) {
 				a.end(false)
 				c.giveUp(ctx, c.unansweredRefusal())
 				return true
 			}
 			c.lastEventID = scanner.lastID(c.lastEventID)
+			if len(complete) > 0 {
+				a.awaitMore(c.lastEventID)
+			}
 			if scanner.tooLong() {
-				a.end(true)
-				return c.handleBrokenAnswer(ctx, a.server, errEventTooLong)
+				return a.handleBrokenAnswer(ctx, errEventTooLong)
 			}
 		}
-		if errors.Is(err, io.EOF) && scanner.empty() {
+		if errors.Is(err, io.EOF) && scanner.empty() && a.claim() {
 			return a.finishStream(answer)
 		}
 		if err != nil {
-			a.end(true)
-			return c.handleBrokenAnswer(ctx, a.server, a.cause(err))
+			return a.handleBrokenAnswer(ctx, err)
 		}
 	}
 }
@@ -276,7 +197,6 @@
 	if a.prefillTokens > 0 {
 		a.recordFirstOutput()
 	}
-	a.extendIdleDeadline()
 	if !c.forwarded {
 		c.forwarded = true
 		c.out.Head(answer, answer.Length)
--- a/entry/run.go
+++ b/entry/run.go
@@ -90,7 +90,13 @@
 	if requirements.Model && c.call.NeedsAdapter() {
 		s.requestCopies(c.call.Adapter, choice, now)
 	}
-	events.Log(s.Logger, events.CallRouted, log.Fields{
+	c.logRouted(choice, len(candidates), now)
+	return choice, nil
+}
+
+// logRouted logs the choice of a server among a number of candidates.
+func (c *session) logRouted(choice dispatch.Choice, candidates int, now time.Time) {
+	events.Log(c.service.Logger, events.CallRouted, log.Fields{
 		"request":    c.call.ID,
 		"team":       c.team,
 		"service":    c.targetService,
@@ -104,11 +110,10 @@
 		"kept":       choice.Candidate.CachedTokens,
 		"prompt":     c.call.PromptTokens,
 		"tokens":     c.call.PromptTokens + c.call.OutputTokens,
-		"candidates": len(candidates),
-		"policyMs":   s.Board.PolicyAge(now).Milliseconds(),
+		"candidates": candidates,
+		"policyMs":   c.service.Board.PolicyAge(now).Milliseconds(),
 		"heldMs":     now.Sub(c.call.Arrived).Milliseconds(),
 	})
-	return choice, nil
 }
 
 // requirements returns what the call requires of a backend server.
@@ -224,45 +229,69 @@
 // attempt sends the call to one backend server and reports whether the caller
 // has its final answer.
 func (c *session) attempt(ctx context.Context, choice dispatch.Choice) (done bool) {
-	s := c.service
+	a := c.newAttempt(choice)
+	attemptContext, cancel := context.WithCancel(ctx)
+	a.cancel = cancel
+	defer func() { a.stop() }()
+	a.startWatchdog(ctx)
+	answer, err := a.send(attemptContext, c.lastEventID)
+	for {
+		c.successor = nil
+		done = a.conclude(ctx, answer, err)
+		if done || c.successor == nil {
+			return done
+		}
+		a.stop()
+		a, answer, err = c.successor.attempt, c.successor.answer, nil
+		a.startWatchdog(ctx)
+	}
+}
+
+// newAttempt returns an attempt at the chosen server that is not sent yet.
+func (c *session) newAttempt(choice dispatch.Choice) *attempt {
 	server := choice.Candidate.Server
-	uncachedTokens := max(0, c.call.PromptTokens-choice.Candidate.CachedTokens)
-	a := &attempt{
+	return &attempt{
 		session:       c,
+		choice:        choice,
 		server:        server,
-		prefillTokens: uncachedTokens,
-		sentAt:        s.Clock(),
+		prefillTokens: max(0, c.call.PromptTokens-choice.Candidate.CachedTokens),
+		sentAt:        c.service.Clock(),
 		queued:        choice.Candidate.WaitingTokens > 0 || c.limits == nil && choice.Candidate.Running >= server.Slots,
 	}
-	attemptContext, cancel := context.WithCancel(ctx)
-	defer cancel()
-	a.startWatchdog(cancel)
-	defer a.stopWatchdog()
-	s.Board.BeginCall(server.ID, c.call.Adapter, uncachedTokens)
-	answer, err := s.Backend.Send(attemptContext, c.call, c.dispatch(choice))
+}
+
+// send sends the call and returns once the head of the answer has arrived.
+func (a *attempt) send(ctx context.Context, resumeAfter string) (answer *pomelospring.BackendAnswer, err error) {
+	c := a.session
+	c.service.Board.BeginCall(a.server.ID, c.call.Adapter, a.prefillTokens)
+	return c.service.Backend.Send(ctx, c.call, c.dispatch(a.choice, resumeAfter))
+}
+
+// conclude takes an attempt from the head of its answer, or the error in place of
+// it, to its end, and reports whether the caller has its final answer.
+func (a *attempt) conclude(ctx context.Context, answer *pomelospring.BackendAnswer, err error) (done bool) {
+	c := a.session
 	if err != nil {
-		a.end(true)
-		return c.handleSendError(ctx, server, a.cause(err))
+		return a.handleSendError(ctx, err)
 	}
 	c.attemptsSent++
-	s.recordContact(server)
+	c.service.recordContact(a.server)
 	if answer.NotRun {
 		_ = answer.Body.Close()
-		a.end(!answer.Misdirected)
-		return c.handleRejection(ctx, server, answer)
+		return a.handleRejection(ctx, answer)
 	}
 	c.attemptsExecuted++
 	return a.forward(ctx, answer)
 }
 
 // dispatch returns what the backend client needs to send the call.
-func (c *session) dispatch(choice dispatch.Choice) pomelospring.Dispatch {
+func (c *session) dispatch(choice dispatch.Choice, resumeAfter string) pomelospring.Dispatch {
 	d := pomelospring.Dispatch{
 		Server:          choice.Candidate.Server,
 		Team:            c.team,
 		Priority:        c.priority,
 		AdapterVersion:  choice.Candidate.Version,
-		ResumeAfter:     c.lastEventID,
+		ResumeAfter:     resumeAfter,
 		Deadline:        c.deadline,
 		FreshConnection: !c.route.Repeatable(),
 	}
@@ -274,7 +303,10 @@
 
 // handleSendError handles an attempt that got no answer, and reports whether
 // the call has ended.
-func (c *session) handleSendError(ctx context.Context, server pomelospring.FleetServer, err error) (done bool) {
+func (a *attempt) handleSendError(ctx context.Context, err error) (done bool) {
+	c, server := a.session, a.server
+	a.end(true)
+	err = a.cause(err)
 	c.avoid[server.ID] = true
 	notSent := errors.Is(err, pomelospring.ErrNotSent)
 	if notSent {
@@ -285,7 +317,8 @@
 		c.attemptsSent++
 		c.attemptsExecuted++
 	}
-	willRetry := ctx.Err() == nil && c.mayRetry(notSent)
+	c.successor = a.settle()
+	willRetry := c.successor != nil || ctx.Err() == nil && c.mayRetry(notSent)
 	c.logRetry(server, err.Error(), willRetry)
 	if willRetry {
 		return false
@@ -322,13 +355,16 @@
 
 // handleRejection handles the answer of a backend server that did not run the
 // call, and reports whether the call has ended.
-func (c *session) handleRejection(ctx context.Context, server pomelospring.FleetServer, answer *pomelospring.BackendAnswer) (done bool) {
+func (a *attempt) handleRejection(ctx context.Context, answer *pomelospring.BackendAnswer) (done bool) {
+	c, server := a.session, a.server
+	a.end(!answer.Misdirected)
 	c.avoid[server.ID] = true
 	if answer.Misdirected && c.call.NeedsAdapter() {
 		c.missing[server.ID] = true
 		c.service.Board.RemoveResident(server.ID, c.call.Adapter)
 	}
-	willRetry := ctx.Err() == nil && c.attemptsSent < maxAttempts && c.retries.Take()
+	c.successor = a.settle()
+	willRetry := c.successor != nil || ctx.Err() == nil && c.attemptsSent < maxAttempts && c.retries.Take()
 	c.logRetry(server, http.StatusText(answer.Status), willRetry)
 	if willRetry {
 		return false
--- a/entry/service.go
+++ b/entry/service.go
@@ -120,6 +120,8 @@
 	placementTime time.Duration
 	// resumedServer is the server of the last resumption that was logged.
 	resumedServer string
+	// successor is the attempt that has taken the call over from the last one.
+	successor *successor
 	// failure is the complete failed answer of an attempt. It is forwarded if no
 	// later attempt succeeds.
 	failure       *pomelospring.BackendAnswer
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -58,3 +58,10 @@
 	b.available--
 	return true
 }
+
+// Return gives back a retry that was taken and not used.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.available = min(b.capacity, b.available+1)
+}
