--- a/entry/run.go
+++ b/entry/run.go
@@ -444,6 +444,8 @@
 		"again":   willRetry,
 		"sends":   c.attemptsSent,
 		"runs":    c.attemptsExecuted,
+		"output":  !c.firstEventAt.IsZero(),
+		"parts":   c.call.SharedParts(),
 	})
 }
 
--- a/fleet.go
+++ b/fleet.go
@@ -118,6 +118,15 @@
 	return c.Adapter + "|" + c.Parts[len(c.Parts)-2].ID
 }
 
+// SharedParts returns the IDs of the prompt parts that other calls may share: all
+// but the last, which belongs to this call or its session.
+func (c *Call) SharedParts() (ids []string) {
+	for _, part := range c.Parts[:max(0, len(c.Parts)-1)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // NeedsAdapter reports whether the call runs on an adapter of a model.
 func (c *Call) NeedsAdapter() bool {
 	return strings.Contains(c.Adapter, "/")
