Reproduce servers that end one after the other under one prompt part (known red)

Thirty calls that share a part end thirty servers on the current code, and the next one is sent as well; the sound calls of the same team and first part between them are all served.

--- /dev/null
+++ b/entry/crashing_prompt_test.go
@@ -0,0 +1,102 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+)
+
+// crashingBackend ends a server when it begins to answer a prompt with the part
+// "bad", and starts another one in its place.
+type crashingBackend struct {
+	mu       sync.Mutex
+	restart  func(server string)
+	received map[string]int
+	crashes  int
+	// ended has the servers that have crashed.
+	ended map[string]bool
+}
+
+func (b *crashingBackend) Send(_ context.Context, call *pomelospring.Call, dispatch pomelospring.Dispatch) (*pomelospring.BackendAnswer, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended[dispatch.Server.ID] {
+		return nil, fmt.Errorf("%w: connection refused", pomelospring.ErrNotSent)
+	}
+	for _, part := range call.Parts {
+		b.received[part.ID]++
+	}
+	for _, part := range call.Parts {
+		if part.ID == "bad" {
+			b.crashes++
+			b.ended[dispatch.Server.ID] = true
+			b.restart(dispatch.Server.ID)
+			return nil, errors.New("EOF")
+		}
+	}
+	return &pomelospring.BackendAnswer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(events3)), Signed: true, Length: -1}, nil
+}
+
+// TestPromptPartThatCrashesServersStopsReachingThem guards against calls with one
+// prompt part that end server after server.
+func TestPromptPartThatCrashesServersStopsReachingThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(nil, false)
+		incarnation := 0
+		servers := map[string]pomelospring.FleetServer{}
+		for _, server := range service.Board.Servers() {
+			servers[server.ID] = server
+		}
+		b := &crashingBackend{received: map[string]int{}, ended: map[string]bool{}}
+		b.restart = func(server string) {
+			incarnation++
+			next := servers[server]
+			next.ID = fmt.Sprintf("i-%d", incarnation)
+			next.Resident = []pomelospring.ResidentAdapter{{Adapter: "m/x", Version: 1}}
+			delete(servers, server)
+			servers[next.ID] = next
+			listed := map[string]pomelospring.FleetServer{}
+			for id, entry := range servers {
+				listed[id] = entry
+			}
+			service.Board.SetServers(listed, time.Now())
+			service.Board.AddResident(next.ID, "m/x", 1)
+		}
+		service.Backend = b
+		serve := func(id, part string) *responder {
+			out := &responder{}
+			service.Serve(t.Context(), &pomelospring.Call{
+				ID: id, Host: "shop.example", Path: "/brief/1", Key: key, Adapter: "m/x", PromptTokens: 1000, Arrived: time.Now(),
+				Parts: []pomelospring.PromptPart{{ID: "system", Tokens: 600}, {ID: part, Tokens: 300}, {ID: id, Tokens: 100}},
+			}, out)
+			time.Sleep(500 * time.Millisecond)
+			return out
+		}
+		failed := 0
+		for i := range 30 {
+			serve(fmt.Sprintf("bad-%d", i), "bad")
+			if out := serve(fmt.Sprintf("sound-%d", i), fmt.Sprintf("subject-%d", i%7)); out.Status != http.StatusOK || out.Body != events3 {
+				failed++
+			}
+		}
+		if b.crashes > 5 {
+			t.Errorf("%d servers ended under one prompt part", b.crashes)
+		}
+		if failed > 0 {
+			t.Errorf("%d of 30 sound calls of the same team and first part failed", failed)
+		}
+		last := serve("bad-last", "bad")
+		if last.Code == "" || last.Outcome != pomelospring.NotRun {
+			t.Errorf("a call with the part got %+v", last.outcome)
+		}
+	})
+}
