Keep prompt parts under which model workers end from the workers

Cause: nothing remembered under what a worker had ended. Each call was routed afresh at each instance; the fault stays with the call, and the class of fault is a request that ends every server it reaches, sent on by callers that nobody stops.

The calls at fault had no output, most others on the worker had.

Change: package quarantine. When a connection to a worker breaks before the first output, the worker is asked for its report; if it has ended, the shared parts of the calls that had no output are suspected. Parts on which an answer has begun since are cleared. The part under which most workers ended, three at least (six if answers had begun on it before), explains these crashes; what ran beside it is judged by the others. Parts that were in the very same crashes are refused only together, so sound calls tell them apart. A block holds for the teams whose calls ended workers, and for all once two teams' did, so no team can have another's parts blocked. Instances tell each other crashes and clearing outputs in the exchanges with the leaders, through whichever domains they reach. Refused at once: 503 partBlocked, not run, with the end of the block.

--- /dev/null
+++ b/coordination/crashes.go
@@ -0,0 +1,112 @@
+package coordination
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pomelospring/pomelospring/coordination/coordinationpb"
+	"github.com/pomelospring/pomelospring/quarantine"
+)
+
+// addCrashes adds to a request the crashes that the leader doesn't have, and returns
+// their version.
+func (m *Member) addCrashes(request *coordinationpb.ExchangeRequest) (reported int64) {
+	m.mu.Lock()
+	since := m.reportedCrashVersion
+	request.CrashVersion = m.crashVersion
+	m.mu.Unlock()
+	crashes, outputs, reported := m.Quarantine.Changes(since)
+	now := m.Clock()
+	request.Crashes = crashesToProto(crashes, now)
+	request.Outputs = outputsToProto(outputs, now)
+	return reported
+}
+
+// applyCrashes applies the crashes of a reply. A leader that did not issue the
+// versions known here gets all crashes with the next exchange.
+func (m *Member) applyCrashes(reply *coordinationpb.ExchangeReply, reported int64) {
+	now := m.Clock()
+	m.Quarantine.Merge(crashesFromProto(reply.Crashes, now), outputsFromProto(reply.Outputs, now), now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leader != reply.Leader {
+		reported = 0
+	}
+	m.reportedCrashVersion = reported
+	m.crashVersion = reply.CrashVersion
+}
+
+// exchangeCrashes applies the crashes of a request and adds those to the reply that
+// the calling instance doesn't have.
+func (s *Server) exchangeCrashes(leader *Leader, request *coordinationpb.ExchangeRequest, reply *coordinationpb.ExchangeReply) {
+	now := leader.Clock()
+	s.Quarantine.Merge(crashesFromProto(request.Crashes, now), outputsFromProto(request.Outputs, now), now)
+	since := request.CrashVersion
+	if request.Leader != leader.Instance {
+		since = 0
+	}
+	crashes, outputs, version := s.Quarantine.Changes(since)
+	reply.Crashes = crashesToProto(crashes, now)
+	reply.Outputs = outputsToProto(outputs, now)
+	reply.CrashVersion = version
+}
+
+func crashesToProto(crashes []quarantine.Crash, now time.Time) (list []*coordinationpb.Crash) {
+	for i := range crashes {
+		crash := &crashes[i]
+		entry := &coordinationpb.Crash{
+			Server:              crash.Server,
+			AgeMilliseconds:     now.Sub(crash.At).Milliseconds(),
+			SeenAgeMilliseconds: now.Sub(crash.SeenAt).Milliseconds(),
+		}
+		for part, teams := range crash.Suspects {
+			entry.Suspects = append(entry.Suspects, &coordinationpb.SuspectPart{
+				Part:  part,
+				Teams: slices.Sorted(maps.Keys(teams)),
+			})
+		}
+		list = append(list, entry)
+	}
+	return list
+}
+
+func crashesFromProto(list []*coordinationpb.Crash, now time.Time) (crashes []quarantine.Crash) {
+	for _, entry := range list {
+		crash := quarantine.Crash{
+			Server:   entry.Server,
+			At:       now.Add(-time.Duration(entry.AgeMilliseconds) * time.Millisecond),
+			SeenAt:   now.Add(-time.Duration(entry.SeenAgeMilliseconds) * time.Millisecond),
+			Suspects: map[string]map[string]bool{},
+		}
+		for _, suspect := range entry.Suspects {
+			teams := map[string]bool{}
+			for _, team := range suspect.Teams {
+				teams[team] = true
+			}
+			crash.Suspects[suspect.Part] = teams
+		}
+		crashes = append(crashes, crash)
+	}
+	return crashes
+}
+
+func outputsToProto(outputs []quarantine.Output, now time.Time) (list []*coordinationpb.PartOutput) {
+	for _, output := range outputs {
+		list = append(list, &coordinationpb.PartOutput{
+			Part:            output.Part,
+			AgeMilliseconds: now.Sub(output.At).Milliseconds(),
+		})
+	}
+	return list
+}
+
+func outputsFromProto(list []*coordinationpb.PartOutput, now time.Time) (outputs []quarantine.Output) {
+	for _, entry := range list {
+		outputs = append(outputs, quarantine.Output{
+			Part: entry.Part,
+			At:   now.Add(-time.Duration(entry.AgeMilliseconds) * time.Millisecond),
+		})
+	}
+	return outputs
+}
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -12,6 +12,7 @@
 	"github.com/pomelospring/pomelospring/events"
 	"github.com/pomelospring/pomelospring/fleet"
 	"github.com/pomelospring/pomelospring/peer"
+	"github.com/pomelospring/pomelospring/quarantine"
 	"github.com/pomelospring/pomelospring/quota"
 )
 
@@ -77,6 +78,8 @@
 	OnReply func(instances int, leaders map[string]string)
 	// LeadsAny reports whether this instance leads any domain.
 	LeadsAny func() bool
+	// Quarantine has the crashes that this instance and others have seen.
+	Quarantine *quarantine.Register
 	// Servers applies the list of backend servers that the leader relays.
 	Servers *fleet.ServerList
 
@@ -105,6 +108,10 @@
 	leaderOperatorOffset int64
 	// exchanges counts the exchanges since the last one with spending.
 	exchanges int
+	// crashVersion is the version of the leader's crashes known here, and
+	// reportedCrashVersion that of this instance's crashes that the leader has.
+	crashVersion         int64
+	reportedCrashVersion int64
 }
 
 // SetLeader sets the leader's address; an empty one means that none is known.
@@ -260,6 +267,7 @@
 			request.Records = recordsToProto(m.Board.RecordsFrom(leaderOperatorOffset))
 		}
 	}
+	reported := m.addCrashes(request)
 	reply, err := m.sendExchange(ctx, address, request)
 	if err == nil && !reply.Leading {
 		err = errNotLeading
@@ -268,6 +276,7 @@
 		m.recordFailure(address, err)
 		return
 	}
+	m.applyCrashes(reply, reported)
 	if request.WithSpending {
 		m.applySpending(reply)
 	}
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -9,6 +9,7 @@
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/coordination/coordinationpb"
 	"github.com/pomelospring/pomelospring/fleet"
+	"github.com/pomelospring/pomelospring/quarantine"
 	"github.com/pomelospring/pomelospring/quota"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -24,6 +25,8 @@
 	// AddRecords applies operators' records that a calling instance received before
 	// this one.
 	AddRecords func(records []pomelospring.KeyedRecord)
+	// Quarantine has the crashes that this instance and others have seen.
+	Quarantine *quarantine.Register
 }
 
 var _ coordinationpb.DRPCCoordinationServer = (*Server)(nil)
@@ -81,6 +84,9 @@
 		return &coordinationpb.ExchangeReply{}, nil
 	}
 	reply = leader.serveExchange(request)
+	if reply.Leading {
+		s.exchangeCrashes(leader, request, reply)
+	}
 	if !request.Relay {
 		return reply, nil
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -39,6 +39,8 @@
 	sentAt time.Time
 	queued bool
 	ended  bool
+	// hasOutput is set once a part of the answer has arrived.
+	hasOutput bool
 	// cancel ends the attempt.
 	cancel context.CancelFunc
 
@@ -80,6 +82,7 @@
 		err = errors.New("the answer has no signature")
 	}
 	if err != nil {
+		a.checkForCrash(ctx)
 		return a.handleBrokenAnswer(ctx, err)
 	}
 	if !a.claim() {
@@ -185,6 +188,7 @@
 			return a.finishStream(answer)
 		}
 		if err != nil {
+			a.checkForCrash(ctx)
 			return a.handleBrokenAnswer(ctx, err)
 		}
 	}
@@ -197,6 +201,7 @@
 	if a.prefillTokens > 0 {
 		a.recordFirstOutput()
 	}
+	a.recordOutput()
 	if !c.forwarded {
 		c.forwarded = true
 		c.out.Head(answer, answer.Length)
--- /dev/null
+++ b/entry/crash_check.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/events"
+	"github.com/pomelospring/pomelospring/quarantine"
+)
+
+// crashCheckTimeout bounds the question to a model worker whether it has ended.
+const crashCheckTimeout = 400 * time.Millisecond
+
+// checkQuarantine refuses a call with a prompt part under which model workers end.
+func (c *session) checkQuarantine(now time.Time) *pomelospring.Refusal {
+	if c.limits == nil {
+		return nil
+	}
+	block, blocked := c.service.Quarantine.Blocked(c.team, c.parts, now)
+	if !blocked {
+		return nil
+	}
+	return pomelospring.NewRefusal(pomelospring.CodePartBlocked, block.Until, "model workers end under the prompt parts %s", strings.Join(block.Parts, ", "))
+}
+
+// recordOutput records that a model worker has begun to answer the call.
+func (a *attempt) recordOutput() {
+	if a.hasOutput || a.session.limits == nil {
+		return
+	}
+	a.hasOutput = true
+	a.session.service.Quarantine.RecordOutput(a.session.parts, a.session.service.Clock())
+}
+
+// checkForCrash is called when the connection to a model worker broke. If there was
+// no output yet, and the worker has ended, the call's prompt parts are suspected.
+func (a *attempt) checkForCrash(ctx context.Context) {
+	c := a.session
+	if c.limits == nil || a.hasOutput || len(c.parts) == 0 || ctx.Err() != nil || a.cause(nil) != nil {
+		return
+	}
+	s := c.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashChecks == nil {
+		s.crashChecks = map[string][]quarantine.Call{}
+	}
+	calls, checking := s.crashChecks[a.server.ID]
+	s.crashChecks[a.server.ID] = append(calls, quarantine.Call{
+		Team:  c.team,
+		Parts: c.parts,
+	})
+	if !checking {
+		go s.checkServer(a.server, s.Clock())
+	}
+}
+
+// checkServer asks a model worker whether it has ended, and if so records the calls
+// that broke off there since brokenAt.
+func (s *Service) checkServer(server pomelospring.FleetServer, brokenAt time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	report, err := s.Engine.Report(ctx, server)
+	s.mu.Lock()
+	calls := s.crashChecks[server.ID]
+	delete(s.crashChecks, server.ID)
+	s.mu.Unlock()
+	if !hasEnded(&server, &report, err) {
+		return
+	}
+	s.Quarantine.RecordCrash(server.ID, calls, brokenAt, s.Clock())
+	parts := map[string]int{}
+	for _, call := range calls {
+		for _, part := range call.Parts {
+			parts[part]++
+		}
+	}
+	events.Log(s.Logger, events.ServerEnded, log.Fields{
+		"server": server.ID,
+		"calls":  len(calls),
+		"parts":  parts,
+	})
+}
+
+// hasEnded reports whether a model worker's report, or the error in place of it,
+// shows that it has ended. A report that timed out shows nothing, as a sound worker
+// may be silent for a while.
+func hasEnded(server *pomelospring.FleetServer, report *pomelospring.EngineReport, err error) bool {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, context.DeadlineExceeded):
+		return false
+	case err != nil:
+		return true
+	}
+	return report.Started.After(server.Started)
+}
--- a/entry/crashing_prompt_test.go
+++ b/entry/crashing_prompt_test.go
@@ -46,6 +46,21 @@
 	return &pomelospring.BackendAnswer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(events3)), Signed: true, Length: -1}, nil
 }
 
+// Report implements pomelospring.Engine; only Send ends servers.
+func (b *crashingBackend) Report(_ context.Context, server pomelospring.FleetServer) (pomelospring.EngineReport, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended[server.ID] {
+		return pomelospring.EngineReport{}, errors.New("connection refused")
+	}
+	return pomelospring.EngineReport{}, nil
+}
+
+// Do implements pomelospring.Engine.
+func (*crashingBackend) Do(context.Context, pomelospring.Order) (pomelospring.OrderResult, error) {
+	return pomelospring.OrderDone, nil
+}
+
 // TestPromptPartThatCrashesServersStopsReachingThem guards against calls with one
 // prompt part that end server after server.
 func TestPromptPartThatCrashesServersStopsReachingThem(t *testing.T) {
@@ -71,7 +86,7 @@
 			service.Board.SetServers(listed, time.Now())
 			service.Board.AddResident(next.ID, "m/x", 1)
 		}
-		service.Backend = b
+		service.Backend, service.Engine = b, b
 		serve := func(id, part string) *responder {
 			out := &responder{}
 			service.Serve(t.Context(), &pomelospring.Call{
--- a/entry/run.go
+++ b/entry/run.go
@@ -70,6 +70,9 @@
 	if !now.Before(c.deadline) {
 		return dispatch.Choice{}, c.timeoutRefusal()
 	}
+	if refusal = c.checkQuarantine(now); refusal != nil {
+		return dispatch.Choice{}, refusal
+	}
 	requirements := c.requirements()
 	candidates := s.Board.Candidates(c.targetService, c.call, c.avoid, now)
 	choice = dispatch.Choose(candidates, requirements)
@@ -316,6 +319,7 @@
 	} else {
 		c.attemptsSent++
 		c.attemptsExecuted++
+		a.checkForCrash(ctx)
 	}
 	c.successor = a.settle()
 	willRetry := c.successor != nil || ctx.Err() == nil && c.mayRetry(notSent)
@@ -445,7 +449,7 @@
 		"sends":   c.attemptsSent,
 		"runs":    c.attemptsExecuted,
 		"output":  !c.firstEventAt.IsZero(),
-		"parts":   c.call.SharedParts(),
+		"parts":   c.parts,
 	})
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -15,6 +15,7 @@
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/events"
 	"github.com/pomelospring/pomelospring/fleet"
+	"github.com/pomelospring/pomelospring/quarantine"
 	"github.com/pomelospring/pomelospring/quota"
 	"github.com/pomelospring/pomelospring/retry"
 )
@@ -57,6 +58,10 @@
 	RetrySlack float64
 	// Counters counts results of calls; it may be nil.
 	Counters Counters
+	// Engine is asked whether a model worker has ended, and Quarantine holds the
+	// prompt parts under which workers ended.
+	Engine     pomelospring.Engine
+	Quarantine *quarantine.Register
 
 	mu      sync.Mutex
 	retries map[string]*retry.Budget
@@ -64,6 +69,9 @@
 	nextReplicaRequests map[string]time.Time
 	// averageCosts has the average cost of a request by route, in tokens.
 	averageCosts map[string]float64
+	// crashChecks has the calls that broke off at a model worker that is being
+	// asked whether it has ended, by the worker's ID.
+	crashChecks map[string][]quarantine.Call
 }
 
 // Counters counts results of calls.
@@ -85,7 +93,9 @@
 	// without an engine.
 	priority      int
 	chargedTokens float64
-	deadline      time.Time
+	// parts are the prompt parts that other calls may share.
+	parts    []string
+	deadline time.Time
 	// firstEventDeadline is when the caller of a stream leaves if it has got no
 	// event. For other calls it is deadline.
 	firstEventDeadline time.Time
@@ -183,6 +193,10 @@
 			c.priority = team.Priority
 		}
 	}
+	c.parts = c.call.SharedParts()
+	if refusal = c.checkQuarantine(now); refusal != nil {
+		return refusal
+	}
 	c.retries = s.retryBudget(c.targetService)
 	c.retries.RecordAttempt()
 	return c.charge(team, now)
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -20,6 +20,7 @@
 	"github.com/pomelospring/pomelospring/entry"
 	"github.com/pomelospring/pomelospring/explanation"
 	"github.com/pomelospring/pomelospring/fleet"
+	"github.com/pomelospring/pomelospring/quarantine"
 	"github.com/pomelospring/pomelospring/quota"
 )
 
@@ -187,10 +188,19 @@
 		Ledger:      quota.NewLedger(1, func() float64 { return 0 }),
 		Logger:      &log.Logger{Handler: discard.New()},
 		Clock:       time.Now,
+		Engine:      soundEngine{},
+		Quarantine:  quarantine.NewRegister(),
 		RetrySlack:  10,
 	}
 }
 
+// soundEngine reports that every model worker runs.
+type soundEngine struct{ pomelospring.Engine }
+
+func (soundEngine) Report(context.Context, pomelospring.FleetServer) (pomelospring.EngineReport, error) {
+	return pomelospring.EngineReport{}, nil
+}
+
 const events3 = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 
 func TestServe(t *testing.T) {
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -112,6 +112,10 @@
 	s := c.service
 	avoid := a.watchdog.takeover.avoid
 	now := s.Clock()
+	if refusal := c.checkQuarantine(now); refusal != nil {
+		a.logFailedTakeover("", refusal.Message)
+		return choice, false
+	}
 	candidates := s.Board.Candidates(c.targetService, c.call, avoid, now)
 	choice = dispatch.Choose(candidates, c.requirements())
 	if !choice.Found && c.call.NeedsAdapter() {
--- /dev/null
+++ b/front/crashing_prompt_test.go
@@ -0,0 +1,138 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pomelospring/pomelospring/platform"
+	"github.com/pomelospring/pomelospring/standin"
+)
+
+const (
+	promptPrefixHeader = "X-Pomelospring-Prompt-Prefix"
+	// workerRestartTime is how long a worker that crashed is away.
+	workerRestartTime = time.Second
+)
+
+// crashingWorkers are workers that end when they begin to answer a prompt with the part
+// bad, and come back as others.
+type crashingWorkers struct {
+	t     *testing.T
+	store *standin.Store
+
+	mu      sync.Mutex
+	started int
+	crashes []time.Time
+}
+
+// start starts a worker in a failure domain and lists it.
+func (c *crashingWorkers) start(domain string) {
+	c.mu.Lock()
+	c.started++
+	w := newWorker(c.t, fmt.Sprintf("i-%d", c.started))
+	c.mu.Unlock()
+	execute := w.server.Config.Handler
+	w.server.Config.Handler = http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.Header.Get(promptPrefixHeader), "bad:") {
+			execute.ServeHTTP(out, r)
+			return
+		}
+		w.mu.Lock()
+		_, adapter, _ := strings.Cut(r.Header.Get("X-Pomelospring-Model-Id"), "/")
+		resident := w.adapters[adapter]
+		w.mu.Unlock()
+		if !resident {
+			execute.ServeHTTP(out, r)
+			return
+		}
+		c.crash(w, domain)
+		panic(http.ErrAbortHandler)
+	})
+	entry := strings.Replace(string(w.entry("ready")), `"zone":"north"`, fmt.Sprintf(`"zone":%q`, domain), 1)
+	c.store.Put(platform.ServerTopic, w.id, []byte(entry))
+}
+
+// crash ends a worker. Its entry goes a while later, when another one starts.
+func (c *crashingWorkers) crash(w *worker, domain string) {
+	c.mu.Lock()
+	c.crashes = append(c.crashes, time.Now())
+	c.mu.Unlock()
+	_ = w.server.Listener.Close()
+	w.server.CloseClientConnections()
+	time.AfterFunc(workerRestartTime, func() {
+		c.store.Put(platform.ServerTopic, w.id, nil)
+		c.start(domain)
+	})
+}
+
+// crashesAfterWindow returns how many workers ended, and how many of them later than a
+// time after the fifth.
+func (c *crashingWorkers) crashesAfterWindow(window time.Duration) (all, late int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, at := range c.crashes {
+		if len(c.crashes) > 5 && at.Sub(c.crashes[4]) > window {
+			late++
+		}
+	}
+	return len(c.crashes), late
+}
+
+// TestPromptPartThatCrashesWorkersIsBlockedInTheWholeFleet guards against instances and
+// failure domains that each learn for themselves under which prompt part workers end.
+func TestPromptPartThatCrashesWorkersIsBlockedInTheWholeFleet(t *testing.T) {
+	store, address, _ := newStoreWithWorker(t)
+	workers := &crashingWorkers{t: t, store: store}
+	for _, domain := range []string{"north", "south", "north", "south"} {
+		workers.start(domain)
+	}
+	store.Put(platform.ServerTopic, "i-1", nil)
+	instances := make([]*instance, 0, 4)
+	for n, domain := range []string{"north", "north", "south", "south"} {
+		config := newConfig(t, fmt.Sprintf("front-%d", n), address)
+		config.Domain = domain
+		config.Domains = []string{"north", "south"}
+		instances = append(instances, start(t, config))
+	}
+	for _, i := range instances {
+		eventually(t, "serves", func() bool { return i.serves("k1", "a1") })
+	}
+	sound, served, refused := 0, 0, 0
+	began := time.Now()
+	for n := 0; time.Since(began) < 12*time.Second; n++ {
+		i := instances[n%len(instances)]
+		if n%3 == 0 {
+			if status, _ := i.sendPrompt(t, fmt.Sprint("bad-", n), fmt.Sprintf("first:60,bad:30,own-%d:10", n)); status == http.StatusServiceUnavailable {
+				refused++
+			}
+		} else if time.Since(began) > 6*time.Second {
+			sound++
+			if status, body := i.sendPrompt(t, fmt.Sprint("sound-", n), fmt.Sprintf("first:60,subject-%d:30,own-%d:10", n%5, n)); status == http.StatusOK && strings.Count(body, "id:") == 3 {
+				served++
+			}
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+	all, late := workers.crashesAfterWindow(3 * time.Second)
+	t.Logf("%d workers ended, %d of them late; %d calls with the part refused; %d of %d sound calls served", all, late, refused, served, sound)
+	if late > 3 {
+		t.Errorf("%d workers ended under the part later than 3 s after the fifth", late)
+	}
+	if served*10 < sound*9 {
+		t.Errorf("%d of %d sound calls of the same team and first part were served", served, sound)
+	}
+}
+
+// sendPrompt sends a request with prompt parts and returns the status and the body.
+func (i *instance) sendPrompt(t *testing.T, id, parts string) (status int, body string) {
+	t.Helper()
+	status, body, err := i.sendWith(id, "k1", "a1", map[string]string{promptPrefixHeader: parts})
+	if err != nil {
+		return 0, ""
+	}
+	return status, body
+}
--- a/front/front.go
+++ b/front/front.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -25,6 +26,7 @@
 	"github.com/pomelospring/pomelospring/metrics"
 	"github.com/pomelospring/pomelospring/peer"
 	"github.com/pomelospring/pomelospring/platform"
+	"github.com/pomelospring/pomelospring/quarantine"
 	"github.com/pomelospring/pomelospring/quota"
 	"github.com/pomelospring/pomelospring/settings"
 )
@@ -81,6 +83,7 @@
 	members     []*coordination.Member
 	elections   []*coordination.Election
 	coordinator *coordination.PlacementCoordinator
+	quarantine  *quarantine.Register
 	// home is the member of this instance's own domain.
 	home     *coordination.Member
 	instance string
@@ -103,19 +106,21 @@
 func New(config *settings.Front, path string, logger *log.Logger, logWriter *events.BoundedWriter) *Front {
 	clock := time.Now
 	f := &Front{
-		settings:  config,
-		path:      path,
-		logger:    logger,
-		clock:     clock,
-		logWriter: logWriter,
-		board:     fleet.NewBoard(config.Domain),
-		ledger:    quota.NewLedger(len(config.Domains), rand.Float64),
-		store:     platform.NewStore(config.StoreAddress),
-		backends:  platform.NewBackendClient(),
-		engines:   platform.NewEngineClient(),
-		peers:     peer.NewClient(nil),
-		metrics:   metrics.New(),
+		settings:   config,
+		path:       path,
+		logger:     logger,
+		clock:      clock,
+		logWriter:  logWriter,
+		board:      fleet.NewBoard(config.Domain),
+		ledger:     quota.NewLedger(len(config.Domains), rand.Float64),
+		store:      platform.NewStore(config.StoreAddress),
+		backends:   platform.NewBackendClient(),
+		engines:    platform.NewEngineClient(),
+		peers:      peer.NewClient(nil),
+		metrics:    metrics.New(),
+		quarantine: quarantine.NewRegister(),
 	}
+	f.quarantine.OnChange = f.logBlocks
 	logger.Handler = f.metrics.CountEvents(logger.Handler)
 	f.store.Counters = f.metrics
 	f.stopping, f.stop = context.WithCancel(context.Background())
@@ -143,6 +148,8 @@
 		Logger:      logger,
 		Clock:       clock,
 		Counters:    f.metrics,
+		Engine:      f.engines,
+		Quarantine:  f.quarantine,
 		RetrySlack:  config.Bounds.RetrySlack / assumedInstances,
 	}
 	f.retrySlack.Store(&config.Bounds.RetrySlack)
@@ -171,6 +178,7 @@
 	f.server = &coordination.Server{
 		Leaders:    map[string]*coordination.Leader{},
 		AddRecords: f.operators.AddRecords,
+		Quarantine: f.quarantine,
 	}
 	domains := slices.Clone(config.Domains)
 	slices.Sort(domains)
@@ -215,6 +223,7 @@
 		Board:       f.board,
 		Ledger:      f.ledger,
 		Servers:     f.servers,
+		Quarantine:  f.quarantine,
 		Leader:      leader,
 		Local:       f.server,
 		Peers:       f.peers,
@@ -252,6 +261,23 @@
 	f.coordinator.AddLeaders(leaders)
 }
 
+// logBlocks logs the prompt parts that are kept from model workers.
+func (f *Front) logBlocks(blocks []quarantine.Block) {
+	for i := range blocks {
+		events.Log(f.logger, events.PartsBlocked, log.Fields{
+			"parts":   blocks[i].Parts,
+			"crashes": blocks[i].Crashes,
+			"teams":   slices.Sorted(maps.Keys(blocks[i].Teams)),
+			"until":   blocks[i].Until.UTC().Format(time.RFC3339Nano),
+		})
+	}
+	if len(blocks) == 0 {
+		events.Log(f.logger, events.PartsBlocked, log.Fields{
+			"parts": []string{},
+		})
+	}
+}
+
 // leadsAny reports whether this instance leads any domain.
 func (f *Front) leadsAny() bool {
 	for _, leader := range f.leaders {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -227,6 +227,11 @@
 // send sends one request and returns the status and the body of the response. A
 // response that is cut off returns an error.
 func (i *instance) send(id, key, adapter string) (status int, body string, err error) {
+	return i.sendWith(id, key, adapter, nil)
+}
+
+// sendWith is send with more headers.
+func (i *instance) sendWith(id, key, adapter string, header map[string]string) (status int, body string, err error) {
 	httpRequest, err := http.NewRequest(http.MethodPost, "http://"+i.config.Listen.Callers+"/proof/1", strings.NewReader("x"))
 	if err != nil {
 		return 0, "", err
@@ -237,6 +242,9 @@
 	httpRequest.Header.Set("X-Pomelospring-Model-Id", "m/"+adapter)
 	httpRequest.Header.Set("X-Pomelospring-Token-Count", "100,10")
 	httpRequest.Header.Set("X-Pomelospring-Deadline-Ms", "8000")
+	for name, value := range header {
+		httpRequest.Header.Set(name, value)
+	}
 	response, err := http.DefaultClient.Do(httpRequest)
 	if err != nil {
 		return 0, "", err
--- /dev/null
+++ b/quarantine/register.go
@@ -0,0 +1,347 @@
+// Package quarantine decides which prompt parts are kept from model workers,
+// because a worker ends whenever it begins to answer a prompt that has them. A
+// worker that ends takes all its calls with it, so the part that is at fault is
+// found among those that all of them share: it is the one under which most workers
+// ended and on which no answer ever began.
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// minCrashes is the number of ended workers from which a part on which no
+	// answer has begun is blocked.
+	minCrashes = 3
+	// minCrashesOfProven is the same for a part on which answers have begun before.
+	minCrashesOfProven = 6
+	// minTeams is the number of teams whose calls ended workers under a part from
+	// which it is blocked for all teams, not only for these.
+	minTeams = 2
+	// crashLifetime is how long a crash counts after it, or after the last refused
+	// call with one of its parts.
+	crashLifetime = 10 * time.Minute
+	// refreshInterval is how much longer crashes must count before refused calls
+	// are told to other instances.
+	refreshInterval = time.Minute
+	// provenLifetime is how long a part counts as proven after an answer on it.
+	provenLifetime = 10 * time.Minute
+	// maxCrashes, maxSuspects and maxProven bound what is retained: crashes, parts
+	// of one crash, and parts with their last answer.
+	maxCrashes  = 64
+	maxSuspects = 192
+	maxProven   = 4096
+)
+
+// Crash is a model worker that ended, with the parts of the calls that it had not
+// begun to answer.
+type Crash struct {
+	// Server identifies one start of the worker.
+	Server string
+	At     time.Time
+	// SeenAt is the time of the crash, or of the last refused call with one of
+	// its parts.
+	SeenAt time.Time
+	// Suspects maps the parts to the teams of their calls.
+	Suspects map[string]map[string]bool
+}
+
+// Call is a call that a worker had not begun to answer when it ended.
+type Call struct {
+	Team string
+	// Parts are the prompt parts that other calls may share.
+	Parts []string
+}
+
+// Output is the last time at which an answer began on a part.
+type Output struct {
+	Part string
+	At   time.Time
+}
+
+// Block keeps calls from model workers.
+type Block struct {
+	// Parts are parts of the calls that are refused. More than one means that they
+	// can't be told apart, as they were in the same crashes: only calls that have
+	// all of them are refused, so that others show which one is at fault.
+	Parts []string
+	// Teams has the teams whose calls are refused; nil for all.
+	Teams map[string]bool
+	// Until is when the block ends unless more of the calls come.
+	Until time.Time
+	// Crashes is the number of workers that ended under the parts.
+	Crashes int
+}
+
+// Register holds the crashes that this instance and others have seen. It is safe
+// for concurrent use.
+type Register struct {
+	// OnChange is called with the blocks after each change of them; it may be nil.
+	OnChange func(blocks []Block)
+
+	blocking atomic.Bool
+
+	mu sync.Mutex
+	// version increases with each change; crashVersions and outputVersions have
+	// the version at which a crash or a suspect's output changed.
+	version        int64
+	crashes        map[string]*Crash
+	crashVersions  map[string]int64
+	outputVersions map[string]int64
+	// proven maps parts to the last time at which an answer began on them.
+	proven map[string]time.Time
+	blocks []Block
+}
+
+// NewRegister returns a register without crashes.
+func NewRegister() *Register {
+	return &Register{
+		crashes:        map[string]*Crash{},
+		crashVersions:  map[string]int64{},
+		outputVersions: map[string]int64{},
+		proven:         map[string]time.Time{},
+	}
+}
+
+// Blocked reports whether a call of a team is to be refused because of its parts,
+// which ones, and until when.
+func (r *Register) Blocked(team string, parts []string, now time.Time) (block Block, blocked bool) {
+	if !r.blocking.Load() {
+		return Block{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.blocks {
+		if r.blocks[i].covers(team, parts, now) {
+			block = r.blocks[i]
+			r.refresh(block.Parts[0], now)
+			return block, true
+		}
+	}
+	return Block{}, false
+}
+
+// refresh extends the crashes of a part whose calls still come. The lock is held.
+func (r *Register) refresh(part string, now time.Time) {
+	changed := false
+	for server, crash := range r.crashes {
+		if _, suspected := crash.Suspects[part]; suspected && now.Sub(crash.SeenAt) >= refreshInterval {
+			crash.SeenAt = now
+			r.touch(r.crashVersions, server)
+			changed = true
+		}
+	}
+	if changed {
+		r.evaluate(now)
+	}
+}
+
+// touch gives an entry the next version. The lock is held.
+func (r *Register) touch(versions map[string]int64, key string) {
+	r.version++
+	versions[key] = r.version
+}
+
+// RecordOutput records that an answer began on parts.
+func (r *Register) RecordOutput(parts []string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	for _, part := range parts {
+		changed = r.recordOutput(part, now, now) || changed
+	}
+	if changed {
+		r.evaluate(now)
+	}
+}
+
+// recordOutput records an answer on one part and reports whether it changes the
+// blocks. The lock is held.
+func (r *Register) recordOutput(part string, at, now time.Time) (changed bool) {
+	before, known := r.proven[part]
+	if known && !before.Before(at) {
+		return false
+	}
+	if len(r.proven) >= maxProven && !known {
+		r.forgetProven(now)
+	}
+	r.proven[part] = at
+	for _, crash := range r.crashes {
+		if _, suspected := crash.Suspects[part]; suspected && !crash.At.Before(before) {
+			changed = true
+		}
+	}
+	if !changed {
+		return false
+	}
+	r.touch(r.outputVersions, part)
+	return slices.ContainsFunc(r.blocks, func(block Block) bool { return slices.Contains(block.Parts, part) })
+}
+
+// forgetProven makes room for more parts: it forgets those that are out of date,
+// or half of all. The lock is held.
+func (r *Register) forgetProven(now time.Time) {
+	for _, lifetime := range []time.Duration{provenLifetime, provenLifetime / 8, provenLifetime / 64, 0} {
+		maps.DeleteFunc(r.proven, func(_ string, at time.Time) bool { return now.Sub(at) > lifetime })
+		if len(r.proven) <= maxProven/2 {
+			return
+		}
+	}
+	excess := len(r.proven) - maxProven/2
+	for part := range r.proven {
+		if excess--; excess < 0 {
+			return
+		}
+		delete(r.proven, part)
+	}
+}
+
+// RecordCrash records that a worker ended while it had not begun to answer calls.
+func (r *Register) RecordCrash(server string, calls []Call, at, now time.Time) {
+	suspects := map[string]map[string]bool{}
+	for _, call := range calls {
+		for _, part := range call.Parts {
+			if suspects[part] == nil {
+				suspects[part] = map[string]bool{}
+			}
+			suspects[part][call.Team] = true
+		}
+	}
+	r.Merge([]Crash{{
+		Server:   server,
+		At:       at,
+		SeenAt:   at,
+		Suspects: suspects,
+	}}, nil, now)
+}
+
+// Merge adds what another instance knows.
+func (r *Register) Merge(crashes []Crash, outputs []Output, now time.Time) {
+	if len(crashes) == 0 && len(outputs) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	for i := range crashes {
+		changed = r.mergeCrash(&crashes[i], now) || changed
+	}
+	for _, output := range outputs {
+		changed = r.recordOutput(output.Part, output.At, now) || changed
+	}
+	if changed {
+		r.evaluate(now)
+	}
+}
+
+// mergeCrash adds a crash and reports whether anything in it was new. The lock is
+// held.
+func (r *Register) mergeCrash(crash *Crash, now time.Time) (changed bool) {
+	if now.Sub(crash.SeenAt) > crashLifetime {
+		return false
+	}
+	known := r.crashes[crash.Server]
+	if known == nil {
+		r.makeRoom()
+		known = &Crash{
+			Server:   crash.Server,
+			At:       crash.At,
+			SeenAt:   crash.SeenAt,
+			Suspects: map[string]map[string]bool{},
+		}
+		r.crashes[crash.Server] = known
+		changed = true
+	}
+	if crash.SeenAt.Sub(known.SeenAt) >= refreshInterval {
+		known.SeenAt = crash.SeenAt
+		changed = true
+	}
+	for part, teams := range crash.Suspects {
+		if known.Suspects[part] == nil {
+			if len(known.Suspects) >= maxSuspects {
+				continue
+			}
+			known.Suspects[part] = map[string]bool{}
+			changed = true
+			if _, proven := r.proven[part]; proven {
+				r.touch(r.outputVersions, part)
+			}
+		}
+		for team := range teams {
+			if !known.Suspects[part][team] {
+				known.Suspects[part][team] = true
+				changed = true
+			}
+		}
+	}
+	if changed {
+		r.touch(r.crashVersions, crash.Server)
+	}
+	return changed
+}
+
+// makeRoom forgets the oldest crash if there are too many. The lock is held.
+func (r *Register) makeRoom() {
+	if len(r.crashes) < maxCrashes {
+		return
+	}
+	var oldest *Crash
+	for _, crash := range r.crashes {
+		if oldest == nil || crash.SeenAt.Before(oldest.SeenAt) {
+			oldest = crash
+		}
+	}
+	r.forget(oldest.Server)
+}
+
+// forget removes a crash, and the versions of outputs that no crash needs. The lock
+// is held.
+func (r *Register) forget(server string) {
+	delete(r.crashes, server)
+	delete(r.crashVersions, server)
+	maps.DeleteFunc(r.outputVersions, func(part string, _ int64) bool {
+		for _, crash := range r.crashes {
+			if _, suspected := crash.Suspects[part]; suspected {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Changes lists the crashes, and the outputs on their parts, that changed after a
+// version, and returns the current version.
+func (r *Register) Changes(since int64) (crashes []Crash, outputs []Output, version int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if since >= r.version {
+		return nil, nil, r.version
+	}
+	for server, at := range r.crashVersions {
+		if at > since {
+			crashes = append(crashes, cloneCrash(r.crashes[server]))
+		}
+	}
+	for part, at := range r.outputVersions {
+		if at > since {
+			outputs = append(outputs, Output{
+				Part: part,
+				At:   r.proven[part],
+			})
+		}
+	}
+	return crashes, outputs, r.version
+}
+
+func cloneCrash(crash *Crash) Crash {
+	clone := *crash
+	clone.Suspects = make(map[string]map[string]bool, len(crash.Suspects))
+	for part, teams := range crash.Suspects {
+		clone.Suspects[part] = maps.Clone(teams)
+	}
+	return clone
+}
--- a/refusal.go
+++ b/refusal.go
@@ -36,6 +36,7 @@
 	CodeLargerThanBurst    Code = "largerThanBurst"
 	CodeOverloaded         Code = "overloaded"
 	CodeNoBackendServer    Code = "noBackendServer"
+	CodePartBlocked        Code = "partBlocked"
 	CodeBackendServerError Code = "backendServerError"
 	CodeLoadFailed         Code = "loadFailed"
 	CodeStopping           Code = "stopping"
