--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -153,11 +153,16 @@
 	w := &a.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.stopTimer()
+	if w.takeover.cancel != nil && w.takeover.successor == nil {
+		w.takeover.cancel()
+	}
+}
+
+// stopTimer lets no further takeover begin. The caller holds the lock.
+func (w *watchdog) stopTimer() {
 	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	if w.takeover.cancel != nil && w.takeover.successor == nil {
-		w.takeover.cancel()
-	}
 }
