--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/pomelospring/pomelospring"
 )
 
@@ -209,3 +210,37 @@
 		}
 	})
 }
+
+// TestPauseWithoutASecondRunKeepsTheRetryBudget guards against retries that were
+// taken for a takeover which sent nothing and never came back.
+func TestPauseWithoutASecondRunKeepsTheRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(nil, false)
+		service.RetrySlack = 1
+		service.Board.SetResidency("north", map[string]pomelospring.Residency{
+			"a": {Whole: true, Ready: []pomelospring.ResidentAdapter{{Adapter: "m/x", Version: 1}}},
+		}, true, 2)
+		service.Coordinator = &coordinator{board: service.Board, none: true}
+		service.Backend = inOrder(script{status: http.StatusOK, chunks: []timedChunk{
+			{text: event1},
+			{after: 1900 * time.Millisecond, text: rest},
+		}})
+		out := &responder{}
+		service.Serve(t.Context(), streamCall(), out)
+		if diff := cmp.Diff(outcome{Status: http.StatusOK, Body: events3}, out.outcome); diff != "" {
+			t.Error(diff)
+		}
+		service.Board.SetResidency("north", map[string]pomelospring.Residency{
+			"b": {Whole: true, Ready: []pomelospring.ResidentAdapter{{Adapter: "m/x", Version: 1}}},
+		}, false, 3)
+		service.Backend = inOrder(
+			script{status: http.StatusOK, chunks: []timedChunk{{text: event1}}, bodyErr: io.ErrUnexpectedEOF},
+			script{status: http.StatusOK, chunks: []timedChunk{{text: rest}}},
+		)
+		out = &responder{}
+		service.Serve(t.Context(), streamCall(), out)
+		if diff := cmp.Diff(outcome{Status: http.StatusOK, Body: events3}, out.outcome); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
