Keep the server of a canceled takeover for a retry

What callers would see: a stream was closed after its server broke off, though another sound server had the adapter and had got nothing of the call.

Cause: a takeover that is canceled because the silent server went on counted as a failure of the other server, which the call then avoided to its end, even if the call was not sent.

Evidence: TestCanceledTakeoverLeavesItsServerForARetry failed (aborted after two of three events) and passes, 20 runs with the race detector.

Change: only a takeover that fails by itself adds its server to those that are avoided.

--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -201,7 +201,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t := &w.takeover
-	t.avoid[server.ID] = true
+	if !canceled {
+		t.avoid[server.ID] = true
+	}
 	if notSent {
 		return
 	}
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -244,3 +244,26 @@
 		}
 	})
 }
+
+// TestCanceledTakeoverLeavesItsServerForARetry guards against a server that got no
+// further call because the takeover to it was canceled before it was sent.
+func TestCanceledTakeoverLeavesItsServerForARetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(nil, false)
+		service.Coordinator = &coordinator{board: service.Board, none: true}
+		service.Backend = inOrder(
+			script{status: http.StatusOK, chunks: []timedChunk{
+				{text: event1},
+				{after: 1300 * time.Millisecond, text: "id: 2\ndata: b\n\n"},
+				{after: 100 * time.Millisecond, text: "id: 3"},
+			}, bodyErr: io.ErrUnexpectedEOF},
+			script{connect: 250 * time.Millisecond, status: http.StatusOK},
+			script{status: http.StatusOK, chunks: []timedChunk{{text: "id: 3\ndata: c\n\n"}}},
+		)
+		out := &responder{}
+		service.Serve(t.Context(), streamCall(), out)
+		if diff := cmp.Diff(outcome{Status: http.StatusOK, Body: events3}, out.outcome); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
