Let a takeover answer after the silent server has failed

What callers would see: a lookup got the 500 of a server that was silent before, although the server asked to take it over was about to answer; a stream that had begun was closed.

Cause: an attempt that got its whole answer, a failure too, canceled the takeover in progress, which also used up the last run that the route allows.

Evidence: TestFailedAnswerLeavesTheTakeoverAtWork failed (500 in place of the other server's answer) and passes, 20 runs with the race detector.

Change: only an answer that isn't a failure cancels the takeover. A failure is kept, and forwarded if the takeover fails too.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -75,31 +75,26 @@
 // forwardComplete forwards an answer once it is complete.
 func (a *attempt) forwardComplete(ctx context.Context, answer *pomelospring.BackendAnswer) (done bool) {
 	c := a.session
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBodyBytes+1))
-	if err == nil && answer.Status < http.StatusMultipleChoices && !answer.Signed {
-		err = errors.New("the answer has no signature")
+	failed := answer.Status >= http.StatusInternalServerError
+	body, err := readComplete(answer)
+	if err == nil && !failed && !a.claim() {
+		err = errTakenOver
 	}
 	if err != nil {
 		return a.handleBrokenAnswer(ctx, err)
 	}
-	if !a.claim() {
-		return a.handleBrokenAnswer(ctx, errTakenOver)
-	}
-	failed := answer.Status >= http.StatusInternalServerError
 	if !failed && !a.queued && c.limits == nil {
 		c.service.Board.RecordPlainCall(c.targetService, c.service.Clock().Sub(a.sentAt))
 	}
 	a.end(failed)
 	c.avoid[a.server.ID] = true
-	a.settle()
+	c.successor = a.settle()
+	if failed && a.replaceFailure(ctx, answer, body) {
+		return false
+	}
 	if len(body) > maxBodyBytes && !c.forwarded {
 		return a.forwardLong(ctx, answer, body)
 	}
-	if failed && !c.forwarded && ctx.Err() == nil && c.mayRetry(false) {
-		c.failure, c.failureBody, c.failureServer = answer, body, a.server
-		c.logRetry(a.server, http.StatusText(answer.Status), true)
-		return false
-	}
 	if c.forwarded {
 		// A partly forwarded stream can't continue with a failed answer.
 		c.giveUp(ctx, c.unansweredRefusal())
@@ -111,6 +106,30 @@
 	return true
 }
 
+// readComplete reads an answer to its end, or more than maxBodyBytes of it.
+func readComplete(answer *pomelospring.BackendAnswer) (body []byte, err error) {
+	body, err = io.ReadAll(io.LimitReader(answer.Body, maxBodyBytes+1))
+	if err == nil && answer.Status < http.StatusMultipleChoices && !answer.Signed {
+		err = errors.New("the answer has no signature")
+	}
+	return body, err
+}
+
+// replaceFailure reports whether another attempt follows one that got a failed
+// answer, which is kept in case that the other attempt fails too.
+func (a *attempt) replaceFailure(ctx context.Context, answer *pomelospring.BackendAnswer, body []byte) bool {
+	c := a.session
+	isLong := len(body) > maxBodyBytes
+	if c.successor == nil && (isLong || c.forwarded || ctx.Err() != nil || !c.mayRetry(false)) {
+		return false
+	}
+	if !isLong {
+		c.failure, c.failureBody, c.failureServer = answer, body, a.server
+	}
+	c.logRetry(a.server, http.StatusText(answer.Status), true)
+	return true
+}
+
 // forwardLong forwards an answer of which only the beginning could be buffered. If
 // it breaks off, or doesn't end before the call's deadline, the caller sees that
 // it is incomplete.
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -164,6 +164,10 @@
 	return &pomelospring.Call{ID: "r1", Host: "shop.example", Path: "/proof/1", Key: key, Adapter: "m/x", PromptTokens: 1000, Arrived: time.Now()}
 }
 
+func lookupCall() *pomelospring.Call {
+	return &pomelospring.Call{ID: "r1", Host: "shop.example", Path: "/lookup/1", Key: key, Arrived: time.Now()}
+}
+
 var (
 	event1 = "id: 1\ndata: a\n\n"
 	rest   = strings.TrimPrefix(events3, event1)
@@ -267,3 +271,20 @@
 		}
 	})
 }
+
+// TestFailedAnswerLeavesTheTakeoverAtWork guards against a failure of the silent
+// server that ended the run of the server which was about to answer.
+func TestFailedAnswerLeavesTheTakeoverAtWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(nil, false)
+		service.Backend = inOrder(
+			script{head: 2 * time.Second, status: http.StatusInternalServerError, chunks: []timedChunk{{text: "no"}}},
+			script{head: 500 * time.Millisecond, status: http.StatusOK, chunks: []timedChunk{{text: "done"}}},
+		)
+		out := &responder{}
+		service.Serve(t.Context(), lookupCall(), out)
+		if diff := cmp.Diff(outcome{Status: http.StatusOK, Body: "done"}, out.outcome); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
