Play random silences, rejections and breaks against the takeover

TestRandomSilencesRejectionsAndBreaks plays 2,000 seeded calls, streams and lookups, with one to three attempts, slow callers and callers that leave. It checks that events come once and in order, that no attempt is canceled before another one has answered, that no call ends while one of its attempts could go on, that runs stay within the route's attempts, that bodies are closed, loads balanced and no goroutine left.

--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"runtime"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -71,11 +75,7 @@
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		b.update(func() {
-			if a.canceledAt.IsZero() {
-				a.canceledAt = time.Now()
-			}
-		})
+		b.update(a.cancel)
 		return ctx.Err()
 	case <-timer.C:
 		return nil
@@ -103,7 +103,7 @@
 	}
 	b.update(func() {
 		a.open = true
-		a.ended = s.notRun
+		a.ended = s.status != http.StatusOK
 		if s.status == http.StatusOK {
 			a.answered = time.Now()
 		}
@@ -146,7 +146,10 @@
 }
 
 func (b *scriptedBody) Close() error {
-	b.backend.update(func() { b.attempt.open = false })
+	b.backend.update(func() {
+		b.attempt.open = false
+		b.attempt.cancel()
+	})
 	return nil
 }
 
@@ -288,3 +291,206 @@
 		}
 	})
 }
+
+// cancel records that the caller of the backend ended the attempt, unless the server
+// did before. The caller holds the lock.
+func (a *scriptedAttempt) cancel() {
+	if !a.ended && a.canceledAt.IsZero() {
+		a.canceledAt = time.Now()
+	}
+}
+
+// alive counts the attempts that could still go on.
+func (b *scriptedBackend) alive() (count int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, a := range b.attempts {
+		if !a.ended && a.canceledAt.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
+// randomScript draws a script for an attempt that resumes after an event of a stream
+// of some length, or that gets a plain answer if there are no events.
+func randomScript(r *rand.Rand, resumeAfter string, length int) script {
+	s := script{connect: randomPause(r, 50*time.Millisecond), head: randomPause(r, 3*time.Second), status: http.StatusOK}
+	switch r.IntN(12) {
+	case 0:
+		s.err = errors.Join(pomelospring.ErrNotSent, errors.New("refused"))
+	case 1:
+		s.err = errors.New("connection reset")
+	case 2:
+		s.status, s.notRun = http.StatusServiceUnavailable, true
+	case 3:
+		s.status = http.StatusInternalServerError
+		s.chunks = []timedChunk{{after: randomPause(r, time.Second), text: "no"}}
+		return s
+	case 4, 5:
+		s.bodyErr = io.ErrUnexpectedEOF
+	}
+	last, _ := strconv.Atoi(resumeAfter)
+	text := answer(length)
+	if last > 0 {
+		text = strings.TrimPrefix(text, answer(last))
+	}
+	if s.bodyErr != nil {
+		text = text[:r.IntN(len(text)+1)]
+	}
+	for text != "" {
+		n := min(len(text), 1+r.IntN(40))
+		s.chunks = append(s.chunks, timedChunk{after: randomPause(r, 3*time.Second), text: text[:n]})
+		text = text[n:]
+	}
+	return s
+}
+
+// randomPause is mostly short and sometimes up to longest.
+func randomPause(r *rand.Rand, longest time.Duration) time.Duration {
+	if r.IntN(5) == 0 {
+		return time.Duration(r.Int64N(int64(longest)))
+	}
+	return time.Duration(r.Int64N(int64(longest)/100 + 1))
+}
+
+// answer returns the whole answer of a stream with some events, or a plain answer.
+func answer(events int) (text string) {
+	for id := 1; id <= events; id++ {
+		text += fmt.Sprintf("id: %d\ndata: %d\n\n", id, id*id)
+	}
+	if events == 0 {
+		return "done"
+	}
+	return text
+}
+
+// slowResponder is a caller that takes its time for some events, and records how many
+// attempts could still go on when its call ended without a complete answer.
+type slowResponder struct {
+	responder
+	random  *rand.Rand
+	backend *scriptedBackend
+	// aliveAtEnd and endedAt are recorded at the end of a call that failed.
+	aliveAtEnd int
+	endedAt    time.Time
+}
+
+func (r *slowResponder) Write(chunk []byte) error {
+	time.Sleep(randomPause(r.random, time.Second))
+	return r.responder.Write(chunk)
+}
+
+func (r *slowResponder) recordEnd() {
+	r.aliveAtEnd, r.endedAt = r.backend.alive(), time.Now()
+}
+
+func (r *slowResponder) Refuse(refusal *pomelospring.Refusal) {
+	r.recordEnd()
+	r.responder.Refuse(refusal)
+}
+
+func (r *slowResponder) Abort() {
+	r.recordEnd()
+	r.responder.Abort()
+}
+
+// TestRandomSilencesRejectionsAndBreaks plays calls against servers that pause,
+// reject, fail and break off at random.
+func TestRandomSilencesRejectionsAndBreaks(t *testing.T) {
+	const seeds = 2000
+	whole := 0
+	for seed := range uint64(seeds) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				if playRandomCall(t, seed) {
+					whole++
+				}
+			})
+		})
+	}
+	if whole == 0 {
+		t.Error("no call got a whole answer")
+	}
+}
+
+// playRandomCall plays the call of a seed and reports whether its caller got a whole
+// answer.
+func playRandomCall(t *testing.T, seed uint64) (isWhole bool) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 0))
+	scripts := rand.New(rand.NewPCG(seed, 1))
+	changed := policy()
+	changed.Version = 2
+	attempts := 1 + random.IntN(3)
+	for i := range changed.Routes {
+		changed.Routes[i].Attempts = attempts
+	}
+	call, length := lookupCall(), 0
+	if random.IntN(4) > 0 {
+		call, length = streamCall(), 1+random.IntN(12)
+	}
+	backend := &scriptedBackend{choose: func(_ int, resumeAfter string) script { return randomScript(scripts, resumeAfter, length) }}
+	service := newService(nil, false)
+	service.Board.SetPolicy(changed)
+	service.Backend = backend
+	service.RetrySlack = float64(random.IntN(4))
+	out := &slowResponder{random: random, backend: backend}
+	leavesAt := call.Arrived.Add(changed.Routes[0].Timeout)
+	if random.IntN(8) == 0 {
+		leavesAt = call.Arrived.Add(randomPause(random, 4*time.Second))
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	defer time.AfterFunc(time.Until(leavesAt), leave).Stop()
+	service.Serve(ctx, call, out)
+	synctest.Wait()
+
+	text := answer(length)
+	got := out.outcome
+	isWhole = got.Status == http.StatusOK && !got.Aborted && got.Code == ""
+	if isWhole && got.Body != text || got.Status == http.StatusOK && !strings.HasPrefix(text, got.Body) {
+		t.Errorf("the caller of %d events got %q", length, got.Body)
+	}
+	if out.endedAt.Before(leavesAt) && out.aliveAtEnd > 0 {
+		t.Errorf("the call ended with %+v while %d attempts could go on", got, out.aliveAtEnd)
+	}
+	backend.check(t, attempts, leavesAt)
+	for server, load := range service.Board.ServerLoads("north") {
+		if load.Running != 0 || load.WaitingTokens != 0 {
+			t.Errorf("after the call server %s has the load %+v", server, load)
+		}
+	}
+	return isWhole
+}
+
+// check checks the attempts of a call that has ended, and whose caller left at a time
+// unless the call ended before.
+func (b *scriptedBackend) check(t *testing.T, allowed int, leftAt time.Time) {
+	t.Helper()
+	executed := 0
+	for i, a := range b.attempts {
+		if a.executed {
+			executed++
+		}
+		if a.open {
+			t.Errorf("the body of attempt %d was not closed", i)
+		}
+		if a.canceledAt.Before(leftAt) && !a.canceledAt.IsZero() && !b.answeredBefore(a) {
+			t.Errorf("attempt %d was canceled before another one had answered", i)
+		}
+		if !a.ended && a.canceledAt.IsZero() {
+			t.Errorf("attempt %d was neither read to its end nor canceled", i)
+		}
+	}
+	if executed > allowed {
+		t.Errorf("%d runs where the route allows %d", executed, allowed)
+	}
+}
+
+// answeredBefore reports whether another attempt had answered when a was canceled.
+func (b *scriptedBackend) answeredBefore(a *scriptedAttempt) bool {
+	return slices.ContainsFunc(b.attempts, func(other *scriptedAttempt) bool {
+		return other != a && !other.answered.IsZero() && !other.answered.After(a.canceledAt)
+	})
+}
