State no length for streams that may be resumed

What callers would see: a stream that states its length and is resumed at a server whose events have other bytes was closed before its end, or after it without its last bytes, as net/http holds the answer to the length of the first server.

Evidence: TestResumedStreamIsNotBoundToTheLengthOfItsFirstServer failed (the first server's 1,000 bytes were stated) and passes.

Change: the head of a stream that may be resumed has no length.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -217,8 +217,7 @@
 		a.recordFirstOutput()
 	}
 	if !c.forwarded {
-		c.forwarded = true
-		c.out.Head(answer, answer.Length)
+		c.beginStream(answer)
 		c.countServed()
 	}
 	c.recordEventTimes()
@@ -233,13 +232,23 @@
 	c := a.session
 	a.end(false)
 	if !c.forwarded {
-		c.forwarded = true
-		c.out.Head(answer, answer.Length)
+		c.beginStream(answer)
 	}
 	c.logServed(a.server, answer.Status)
 	return true
 }
 
+// beginStream sends the head of a stream. The length of one that may be resumed
+// depends on the servers that go on with it.
+func (c *session) beginStream(answer *pomelospring.BackendAnswer) {
+	c.forwarded = true
+	length := answer.Length
+	if c.route.Repeatable() {
+		length = -1
+	}
+	c.out.Head(answer, length)
+}
+
 // countServed counts a stream as served, with the time until its first event.
 func (c *session) countServed() {
 	if c.service.Counters != nil {
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -33,6 +33,8 @@
 	chunks []timedChunk
 	// bodyErr ends the body in place of io.EOF.
 	bodyErr error
+	// length is the length that the head states; 0 if it states none.
+	length int64
 }
 
 type timedChunk struct {
@@ -108,14 +110,18 @@
 			a.answered = time.Now()
 		}
 	})
-	return &pomelospring.BackendAnswer{
+	answer := &pomelospring.BackendAnswer{
 		Status: s.status,
 		Header: http.Header{},
 		Body:   &scriptedBody{ctx: ctx, backend: b, attempt: a, script: s},
 		NotRun: s.notRun,
 		Signed: true,
 		Length: -1,
-	}, nil
+	}
+	if s.length > 0 {
+		answer.Length = s.length
+	}
+	return answer, nil
 }
 
 type scriptedBody struct {
@@ -176,6 +182,37 @@
 	rest   = strings.TrimPrefix(events3, event1)
 )
 
+// lengthResponder records the length that the caller was told.
+type lengthResponder struct {
+	responder
+	length int64
+}
+
+func (r *lengthResponder) Head(answer *pomelospring.BackendAnswer, length int64) {
+	r.length = length
+	r.responder.Head(answer, length)
+}
+
+// TestResumedStreamIsNotBoundToTheLengthOfItsFirstServer guards against connections
+// that were closed because the events of two servers had another length than stated.
+func TestResumedStreamIsNotBoundToTheLengthOfItsFirstServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(nil, false)
+		service.Backend = inOrder(
+			script{status: http.StatusOK, length: 1000, chunks: []timedChunk{{text: event1}}, bodyErr: io.ErrUnexpectedEOF},
+			script{status: http.StatusOK, chunks: []timedChunk{{text: rest}}},
+		)
+		out := &lengthResponder{}
+		service.Serve(t.Context(), streamCall(), out)
+		if diff := cmp.Diff(outcome{Status: http.StatusOK, Body: events3}, out.outcome); diff != "" {
+			t.Error(diff)
+		}
+		if diff := cmp.Diff(int64(-1), out.length); diff != "" {
+			t.Errorf("stated length: %s", diff)
+		}
+	})
+}
+
 // TestBreakAtTheMomentOfATakeoverKeepsTheAttemptLimit guards against a takeover that
 // began while its call was handed on and was not counted.
 func TestBreakAtTheMomentOfATakeoverKeepsTheAttemptLimit(t *testing.T) {
