Forward the bytes after the last event of a stream

What callers would see: a stream whose last line break arrived by itself reached its caller without it, and was closed as incomplete if it states its length.

Cause: the scanner held back what is no complete event, and the end of the stream dropped it if it was only white space.

Evidence: TestBytesAfterTheLastEventAreForwarded failed (the last line break was missing) and passes.

Change: the end of a stream forwards what is left.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -201,7 +201,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) && scanner.empty() && a.claim() {
-			return a.finishStream(answer)
+			return a.finishStream(answer, scanner.pending)
 		}
 		if err != nil {
 			return a.handleBrokenAnswer(ctx, err)
@@ -227,13 +227,16 @@
 	return c.write(complete)
 }
 
-// finishStream ends a stream that is complete.
-func (a *attempt) finishStream(answer *pomelospring.BackendAnswer) (done bool) {
+// finishStream ends a stream that is complete, with the bytes after its last event.
+func (a *attempt) finishStream(answer *pomelospring.BackendAnswer, rest []byte) (done bool) {
 	c := a.session
 	a.end(false)
 	if !c.forwarded {
 		c.beginStream(answer)
 	}
+	if len(rest) > 0 {
+		c.write(rest)
+	}
 	c.logServed(a.server, answer.Status)
 	return true
 }
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -213,6 +213,20 @@
 	})
 }
 
+// TestBytesAfterTheLastEventAreForwarded guards against streams that reached their
+// callers without the empty line at their end.
+func TestBytesAfterTheLastEventAreForwarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(nil, false)
+		service.Backend = inOrder(script{status: http.StatusOK, chunks: []timedChunk{{text: events3}, {text: "\n"}}})
+		out := &responder{}
+		service.Serve(t.Context(), streamCall(), out)
+		if diff := cmp.Diff(outcome{Status: http.StatusOK, Body: events3 + "\n"}, out.outcome); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // TestBreakAtTheMomentOfATakeoverKeepsTheAttemptLimit guards against a takeover that
 // began while its call was handed on and was not counted.
 func TestBreakAtTheMomentOfATakeoverKeepsTheAttemptLimit(t *testing.T) {
