Check the retry budget in the random play of takeovers

TestRandomSilencesRejectionsAndBreaks also checks that no more servers are reached than the budget has retries for.

--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -53,7 +53,9 @@
 
 type scriptedAttempt struct {
 	server string
-	// executed is set once the server may have run the call.
+	// reached is set once the call was sent, and executed if the server may have run
+	// it.
+	reached  bool
 	executed bool
 	// answered is when the head of a usable answer arrived.
 	answered time.Time
@@ -95,7 +97,7 @@
 		return nil, errors.Join(pomelospring.ErrNotSent, err)
 	}
 	notSent := errors.Is(s.err, pomelospring.ErrNotSent)
-	b.update(func() { a.executed = !notSent && !s.notRun })
+	b.update(func() { a.reached, a.executed = !notSent, !notSent && !s.notRun })
 	if err := b.sleep(ctx, a, s.head); err != nil {
 		return nil, err
 	}
@@ -485,7 +487,8 @@
 	service := newService(nil, false)
 	service.Board.SetPolicy(changed)
 	service.Backend = backend
-	service.RetrySlack = float64(random.IntN(4))
+	retries := random.IntN(4)
+	service.RetrySlack = float64(retries)
 	out := &slowResponder{random: random, backend: backend}
 	leavesAt := call.Arrived.Add(changed.Routes[0].Timeout)
 	if random.IntN(8) == 0 {
@@ -506,7 +509,7 @@
 	if out.endedAt.Before(leavesAt) && out.aliveAtEnd > 0 {
 		t.Errorf("the call ended with %+v while %d attempts could go on", got, out.aliveAtEnd)
 	}
-	backend.check(t, attempts, leavesAt)
+	backend.check(t, attempts, retries, leavesAt)
 	for server, load := range service.Board.ServerLoads("north") {
 		if load.Running != 0 || load.WaitingTokens != 0 {
 			t.Errorf("after the call server %s has the load %+v", server, load)
@@ -517,10 +520,13 @@
 
 // check checks the attempts of a call that has ended, and whose caller left at a time
 // unless the call ended before.
-func (b *scriptedBackend) check(t *testing.T, allowed int, leftAt time.Time) {
+func (b *scriptedBackend) check(t *testing.T, allowed, retries int, leftAt time.Time) {
 	t.Helper()
-	executed := 0
+	reached, executed := 0, 0
 	for i, a := range b.attempts {
+		if a.reached {
+			reached++
+		}
 		if a.executed {
 			executed++
 		}
@@ -537,6 +543,9 @@
 	if executed > allowed {
 		t.Errorf("%d runs where the route allows %d", executed, allowed)
 	}
+	if reached-1 > retries {
+		t.Errorf("%d servers were reached with a budget of %d retries", reached, retries)
+	}
 }
 
 // answeredBefore reports whether another attempt had answered when a was canceled.
