Check that a call never goes on at two servers in the random play of takeovers

TestRandomSilencesRejectionsAndBreaks also checks that an attempt ends within 400 ms after a later one has answered.

--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -59,11 +59,11 @@
 	executed bool
 	// answered is when the head of a usable answer arrived.
 	answered time.Time
-	// ended is set once the server has ended the attempt; canceledAt is when the
-	// caller of the backend ended it before that.
-	ended      bool
-	canceledAt time.Time
-	open       bool
+	// endedAt is when the attempt ended; canceled is set if the caller of the backend
+	// ended it and not the server.
+	endedAt  time.Time
+	canceled bool
+	open     bool
 }
 
 func (b *scriptedBackend) update(change func()) {
@@ -79,7 +79,7 @@
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		b.update(a.cancel)
+		b.update(func() { a.end(true) })
 		return ctx.Err()
 	case <-timer.C:
 		return nil
@@ -102,14 +102,15 @@
 		return nil, err
 	}
 	if s.err != nil {
-		b.update(func() { a.ended = true })
+		b.update(func() { a.end(false) })
 		return nil, s.err
 	}
 	b.update(func() {
 		a.open = true
-		a.ended = s.status != http.StatusOK
 		if s.status == http.StatusOK {
 			a.answered = time.Now()
+		} else {
+			a.end(false)
 		}
 	})
 	answer := &pomelospring.BackendAnswer{
@@ -135,7 +136,7 @@
 
 func (b *scriptedBody) Read(p []byte) (int, error) {
 	if len(b.script.chunks) == 0 {
-		b.backend.update(func() { b.attempt.ended = true })
+		b.backend.update(func() { b.attempt.end(false) })
 		if b.script.bodyErr != nil {
 			return 0, b.script.bodyErr
 		}
@@ -156,7 +157,7 @@
 func (b *scriptedBody) Close() error {
 	b.backend.update(func() {
 		b.attempt.open = false
-		b.attempt.cancel()
+		b.attempt.end(true)
 	})
 	return nil
 }
@@ -345,11 +346,10 @@
 	})
 }
 
-// cancel records that the caller of the backend ended the attempt, unless the server
-// did before. The caller holds the lock.
-func (a *scriptedAttempt) cancel() {
-	if !a.ended && a.canceledAt.IsZero() {
-		a.canceledAt = time.Now()
+// end records the end of the attempt, once. The caller holds the lock.
+func (a *scriptedAttempt) end(canceled bool) {
+	if a.endedAt.IsZero() {
+		a.endedAt, a.canceled = time.Now(), canceled
 	}
 }
 
@@ -358,7 +358,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, a := range b.attempts {
-		if !a.ended && a.canceledAt.IsZero() {
+		if a.endedAt.IsZero() {
 			count++
 		}
 	}
@@ -533,10 +533,13 @@
 		if a.open {
 			t.Errorf("the body of attempt %d was not closed", i)
 		}
-		if a.canceledAt.Before(leftAt) && !a.canceledAt.IsZero() && !b.answeredBefore(a) {
+		if a.canceled && a.endedAt.Before(leftAt) && !b.answeredBefore(a) {
 			t.Errorf("attempt %d was canceled before another one had answered", i)
 		}
-		if !a.ended && a.canceledAt.IsZero() {
+		if b.worksBesideSuccessor(i) {
+			t.Errorf("attempt %d went on beside a later one that had answered", i)
+		}
+		if a.endedAt.IsZero() {
 			t.Errorf("attempt %d was neither read to its end nor canceled", i)
 		}
 	}
@@ -551,6 +554,16 @@
 // answeredBefore reports whether another attempt had answered when a was canceled.
 func (b *scriptedBackend) answeredBefore(a *scriptedAttempt) bool {
 	return slices.ContainsFunc(b.attempts, func(other *scriptedAttempt) bool {
-		return other != a && !other.answered.IsZero() && !other.answered.After(a.canceledAt)
+		return other != a && !other.answered.IsZero() && !other.answered.After(a.endedAt)
+	})
+}
+
+// worksBesideSuccessor reports whether an attempt went on for more than 400 ms after a
+// later one had answered, and while that one did too.
+func (b *scriptedBackend) worksBesideSuccessor(attempt int) bool {
+	a := b.attempts[attempt]
+	return slices.ContainsFunc(b.attempts[attempt+1:], func(later *scriptedAttempt) bool {
+		limit := later.answered.Add(400 * time.Millisecond)
+		return !later.answered.IsZero() && a.endedAt.After(limit) && later.endedAt.After(limit)
 	})
 }
