Don't forward a status below 200

What callers would see: their connection closed without an answer or a refusal, and no line in the log, when a broken server sends a signed answer with a status such as 042: net/http panics on it.

Evidence: TestStatusThatIsNoFinalOneIsNotForwarded failed (the answer was forwarded) and passes; a trial with net/http showed "panic serving ... invalid WriteHeader code 42" and an empty response.

Change: such an answer counts as broken.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -109,7 +109,11 @@
 // readComplete reads an answer to its end, or more than maxBodyBytes of it.
 func readComplete(answer *pomelospring.BackendAnswer) (body []byte, err error) {
 	body, err = io.ReadAll(io.LimitReader(answer.Body, maxBodyBytes+1))
-	if err == nil && answer.Status < http.StatusMultipleChoices && !answer.Signed {
+	switch {
+	case err != nil:
+	case answer.Status < http.StatusOK:
+		err = fmt.Errorf("status %d is not that of a final answer", answer.Status)
+	case answer.Status < http.StatusMultipleChoices && !answer.Signed:
 		err = errors.New("the answer has no signature")
 	}
 	return body, err
--- a/entry/broken_server_test.go
+++ b/entry/broken_server_test.go
@@ -277,3 +277,15 @@
 		t.Errorf("%d calls count as refused", counted.count)
 	}
 }
+
+// TestStatusThatIsNoFinalOneIsNotForwarded guards against connections that were closed
+// without an answer, as net/http panics on such a status.
+func TestStatusThatIsNoFinalOneIsNotForwarded(t *testing.T) {
+	out := &responder{}
+	service := newService(&backend{replies: []reply{{status: 42, body: "done"}}}, false)
+	service.Serve(t.Context(), &pomelospring.Call{ID: "r1", Host: "shop.example", Path: "/order/1", Key: key, Arrived: time.Now()}, out)
+	want := outcome{Code: pomelospring.CodeBackendServerError, Outcome: pomelospring.OutcomeUnknown}
+	if diff := cmp.Diff(want, out.outcome); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -154,7 +154,8 @@
 	if c.route.Streaming {
 		return answer.Status == http.StatusOK && answer.Signed
 	}
-	return answer.Status < http.StatusInternalServerError && (answer.Signed || answer.Status >= http.StatusMultipleChoices)
+	succeeded := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
+	return succeeded && answer.Signed || answer.Status >= http.StatusMultipleChoices && answer.Status < http.StatusInternalServerError
 }
 
 // adopt makes b the successor, unless the attempt's own server went on before.
