Log that the call ended as the reason of a canceled takeover

Evidence: TestLogTellsALeavingCallerFromAServerThatWentOn failed and passes.

Change: the server went on only if its attempt forwards.

--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -187,20 +187,25 @@
 		c.service.Board.RecordUnreachable(server.ID, c.service.Clock())
 		c.service.recordConnectTimeout(server, err)
 	}
-	reason := "the silent backend server went on"
 	if answer != nil {
 		_ = answer.Body.Close()
-		reason = http.StatusText(answer.Status)
 		if answer.Misdirected && c.call.NeedsAdapter() {
 			c.service.Board.RemoveResident(server.ID, c.call.Adapter)
 		}
-	} else if !canceled {
-		reason = err.Error()
 	}
-	a.logFailedTakeover(server.ID, reason)
 	w := &a.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	reason := "the call has ended"
+	switch {
+	case answer != nil:
+		reason = http.StatusText(answer.Status)
+	case !canceled:
+		reason = err.Error()
+	case w.forwarding:
+		reason = "the silent backend server went on"
+	}
+	a.logFailedTakeover(server.ID, reason)
 	t := &w.takeover
 	if !canceled {
 		t.avoid[server.ID] = true
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +18,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
 	"github.com/google/go-cmp/cmp"
 	"github.com/pomelospring/pomelospring"
 )
@@ -230,6 +233,24 @@
 	})
 }
 
+// TestLogTellsALeavingCallerFromAServerThatWentOn guards against a log that names a
+// silent server as sound because its call ended.
+func TestLogTellsALeavingCallerFromAServerThatWentOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(nil, false)
+		var lines bytes.Buffer
+		service.Logger = &log.Logger{Handler: json.New(&lines)}
+		silent := script{head: time.Hour}
+		service.Backend = inOrder(silent, silent)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		service.Serve(ctx, streamCall(), &responder{})
+		if text := lines.String(); !strings.Contains(text, `"reason":"the call has ended"`) || strings.Contains(text, "went on") {
+			t.Error(text)
+		}
+	})
+}
+
 // TestBreakAtTheMomentOfATakeoverKeepsTheAttemptLimit guards against a takeover that
 // began while its call was handed on and was not counted.
 func TestBreakAtTheMomentOfATakeoverKeepsTheAttemptLimit(t *testing.T) {
