Hold no retry for a call whose takeover was not sent

What callers would see: while some streams waited at silent servers, others whose server broke off were closed though another one had their adapter.

Cause: a retry that was taken from the budget for a takeover stayed with the call until it ended, also where no other server could take the call over.

Change: a takeover that is not sent gives its retry back at once, so none is left to give back at the end of the call.

--- a/entry/run.go
+++ b/entry/run.go
@@ -232,10 +232,7 @@
 	a := c.newAttempt(choice)
 	attemptContext, cancel := context.WithCancel(ctx)
 	a.cancel = cancel
-	defer func() {
-		a.stop()
-		a.settle()
-	}()
+	defer func() { a.stop() }()
 	a.startWatchdog(ctx)
 	answer, err := a.send(attemptContext, c.lastEventID)
 	for {
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -30,8 +30,6 @@
 	// maxSent and maxExecuted limit sent and executed.
 	maxSent     int
 	maxExecuted int
-	// hasRetry is set if a retry was taken from the budget and not used yet.
-	hasRetry bool
 	// resumeAfter is the ID of the last event that was forwarded.
 	resumeAfter string
 	// cancel ends the takeover in progress; done is closed at its end.
@@ -73,6 +71,7 @@
 	defer close(a.watchdog.takeover.done)
 	choice, found := a.chooseSuccessor(ctx)
 	if !found {
+		a.session.retries.Return()
 		cancel()
 		return
 	}
@@ -86,20 +85,17 @@
 	cancel()
 }
 
-// beginTakeover takes a retry from the budget and returns the event after which
-// another server is to go on. It reports false if none may be asked.
+// beginTakeover takes a retry from the budget, which a takeover that is not sent
+// returns, and says after which event another server is to go on. It reports false
+// if none may be asked.
 func (a *attempt) beginTakeover(cancel context.CancelFunc) (resumeAfter string, begun bool) {
 	w := &a.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t := &w.takeover
-	if w.stopped || w.forwarding || t.sent >= t.maxSent || t.executed >= t.maxExecuted {
+	if w.stopped || w.forwarding || t.sent >= t.maxSent || t.executed >= t.maxExecuted || !a.session.retries.Take() {
 		return "", false
 	}
-	if !t.hasRetry && !a.session.retries.Take() {
-		return "", false
-	}
-	t.hasRetry = true
 	t.cancel = cancel
 	t.done = make(chan struct{})
 	return t.resumeAfter, true
@@ -166,7 +162,6 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	w.takeover.hasRetry = false
 	w.takeover.reason = reason
 	w.takeover.successor = &successor{
 		attempt: b,
@@ -211,9 +206,9 @@
 		t.avoid[server.ID] = true
 	}
 	if notSent {
+		c.retries.Return()
 		return
 	}
-	t.hasRetry = false
 	t.sent++
 	if answer == nil || !answer.NotRun {
 		t.executed++
@@ -249,9 +244,5 @@
 	c.attemptsExecuted += t.executed
 	t.sent, t.executed = 0, 0
 	maps.Copy(c.avoid, t.avoid)
-	if t.hasRetry {
-		t.hasRetry = false
-		c.retries.Return()
-	}
 	return t.successor
 }
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -350,6 +350,45 @@
 	})
 }
 
+// byAdapter has a backend for the calls of each adapter.
+type byAdapter map[string]pomelospring.Backend
+
+func (b byAdapter) Send(ctx context.Context, call *pomelospring.Call, dispatch pomelospring.Dispatch) (*pomelospring.BackendAnswer, error) {
+	return b[call.Adapter].Send(ctx, call, dispatch)
+}
+
+// TestSilentCallWithoutAnotherServerHoldsNoRetry guards against calls that waited at
+// silent servers with the retries that others needed.
+func TestSilentCallWithoutAnotherServerHoldsNoRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(nil, false)
+		service.RetrySlack = 1
+		service.Board.AddResident("a", "m/y", 1)
+		service.Coordinator = &coordinator{board: service.Board, none: true}
+		service.Backend = byAdapter{
+			"m/x": inOrder(
+				script{head: 1300 * time.Millisecond, status: http.StatusOK, chunks: []timedChunk{{text: event1}}, bodyErr: io.ErrUnexpectedEOF},
+				script{status: http.StatusOK, chunks: []timedChunk{{text: rest}}},
+			),
+			"m/y": inOrder(script{status: http.StatusOK, chunks: []timedChunk{{text: event1}, {after: 1900 * time.Millisecond, text: rest}}}),
+		}
+		silent, broken := &responder{}, &responder{}
+		var group sync.WaitGroup
+		group.Go(func() {
+			call := streamCall()
+			call.Adapter = "m/y"
+			service.Serve(t.Context(), call, silent)
+		})
+		group.Go(func() { service.Serve(t.Context(), streamCall(), broken) })
+		group.Wait()
+		for _, out := range []*responder{silent, broken} {
+			if diff := cmp.Diff(outcome{Status: http.StatusOK, Body: events3}, out.outcome); diff != "" {
+				t.Error(diff)
+			}
+		}
+	})
+}
+
 // TestFailedAnswerLeavesTheTakeoverAtWork guards against a failure of the silent
 // server that ended the run of the server which was about to answer.
 func TestFailedAnswerLeavesTheTakeoverAtWork(t *testing.T) {
