--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -77,32 +77,27 @@
 // forwardComplete forwards an answer once it is complete.
 func (a *attempt) forwardComplete(ctx context.Context, answer *pomelospring.BackendAnswer) (done bool) {
 	c := a.session
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBodyBytes+1))
-	if err == nil && answer.Status < http.StatusMultipleChoices && !answer.Signed {
-		err = errors.New("the answer has no signature")
+	failed := answer.Status >= http.StatusInternalServerError
+	body, err := readComplete(answer)
+	if err == nil && !failed && !a.claim() {
+		err = errTakenOver
 	}
 	if err != nil {
 		a.checkForCrash(ctx)
 		return a.handleBrokenAnswer(ctx, err)
 	}
-	if !a.claim() {
-		return a.handleBrokenAnswer(ctx, errTakenOver)
-	}
-	failed := answer.Status >= http.StatusInternalServerError
 	if !failed && !a.queued && c.limits == nil {
 		c.service.Board.RecordPlainCall(c.targetService, c.service.Clock().Sub(a.sentAt))
 	}
 	a.end(failed)
 	c.avoid[a.server.ID] = true
-	a.settle()
+	c.successor = a.settle()
+	if failed && a.replaceFailure(ctx, answer, body) {
+		return false
+	}
 	if len(body) > maxBodyBytes && !c.forwarded {
 		return a.forwardLong(ctx, answer, body)
 	}
-	if failed && !c.forwarded && ctx.Err() == nil && c.mayRetry(false) {
-		c.failure, c.failureBody, c.failureServer = answer, body, a.server
-		c.logRetry(a.server, http.StatusText(answer.Status), true)
-		return false
-	}
 	if c.forwarded {
 		// A partly forwarded stream can't continue with a failed answer.
 		c.giveUp(ctx, c.unansweredRefusal())
@@ -114,6 +109,34 @@
 	return true
 }
 
+// readComplete reads an answer to its end, or more than maxBodyBytes of it.
+func readComplete(answer *pomelospring.BackendAnswer) (body []byte, err error) {
+	body, err = io.ReadAll(io.LimitReader(answer.Body, maxBodyBytes+1))
+	switch {
+	case err != nil:
+	case answer.Status < http.StatusOK:
+		err = fmt.Errorf("status %d is not that of a final answer", answer.Status)
+	case answer.Status < http.StatusMultipleChoices && !answer.Signed:
+		err = errors.New("the answer has no signature")
+	}
+	return body, err
+}
+
+// replaceFailure reports whether another attempt follows one that got a failed
+// answer, which is kept in case that the other attempt fails too.
+func (a *attempt) replaceFailure(ctx context.Context, answer *pomelospring.BackendAnswer, body []byte) bool {
+	c := a.session
+	isLong := len(body) > maxBodyBytes
+	if c.successor == nil && (isLong || c.forwarded || ctx.Err() != nil || !c.mayRetry(false)) {
+		return false
+	}
+	if !isLong {
+		c.failure, c.failureBody, c.failureServer = answer, body, a.server
+	}
+	c.logRetry(a.server, http.StatusText(answer.Status), true)
+	return true
+}
+
 // forwardLong forwards an answer of which only the beginning could be buffered. If
 // it breaks off, or doesn't end before the call's deadline, the caller sees that
 // it is incomplete.
@@ -185,7 +208,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) && scanner.empty() && a.claim() {
-			return a.finishStream(answer)
+			return a.finishStream(answer, scanner.pending)
 		}
 		if err != nil {
 			a.checkForCrash(ctx)
@@ -203,8 +226,7 @@
 	}
 	a.recordOutput()
 	if !c.forwarded {
-		c.forwarded = true
-		c.out.Head(answer, answer.Length)
+		c.beginStream(answer)
 		c.countServed()
 	}
 	c.recordEventTimes()
@@ -214,18 +236,31 @@
 	return c.write(complete)
 }
 
-// finishStream ends a stream that is complete.
-func (a *attempt) finishStream(answer *pomelospring.BackendAnswer) (done bool) {
+// finishStream ends a stream that is complete, with the bytes after its last event.
+func (a *attempt) finishStream(answer *pomelospring.BackendAnswer, rest []byte) (done bool) {
 	c := a.session
 	a.end(false)
 	if !c.forwarded {
-		c.forwarded = true
-		c.out.Head(answer, answer.Length)
+		c.beginStream(answer)
+	}
+	if len(rest) > 0 {
+		c.write(rest)
 	}
 	c.logServed(a.server, answer.Status)
 	return true
 }
 
+// beginStream sends the head of a stream. The length of one that may be resumed
+// depends on the servers that go on with it.
+func (c *session) beginStream(answer *pomelospring.BackendAnswer) {
+	c.forwarded = true
+	length := answer.Length
+	if c.route.Repeatable() {
+		length = -1
+	}
+	c.out.Head(answer, length)
+}
+
 // countServed counts a stream as served, with the time until its first event.
 func (c *session) countServed() {
 	if c.service.Counters != nil {
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -30,8 +30,6 @@
 	// maxSent and maxExecuted limit sent and executed.
 	maxSent     int
 	maxExecuted int
-	// hasRetry is set if a retry was taken from the budget and not used yet.
-	hasRetry bool
 	// resumeAfter is the ID of the last event that was forwarded.
 	resumeAfter string
 	// cancel ends the takeover in progress; done is closed at its end.
@@ -73,6 +71,7 @@
 	defer close(a.watchdog.takeover.done)
 	choice, found := a.chooseSuccessor(ctx)
 	if !found {
+		a.session.retries.Return()
 		cancel()
 		return
 	}
@@ -86,20 +85,17 @@
 	cancel()
 }
 
-// beginTakeover takes a retry from the budget and returns the event after which
-// another server is to go on. It reports false if none may be asked.
+// beginTakeover takes a retry from the budget, which a takeover that is not sent
+// returns, and says after which event another server is to go on. It reports false
+// if none may be asked.
 func (a *attempt) beginTakeover(cancel context.CancelFunc) (resumeAfter string, begun bool) {
 	w := &a.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t := &w.takeover
-	if w.stopped || w.forwarding || t.sent >= t.maxSent || t.executed >= t.maxExecuted {
+	if w.stopped || w.forwarding || t.sent >= t.maxSent || t.executed >= t.maxExecuted || !a.session.retries.Take() {
 		return "", false
 	}
-	if !t.hasRetry && !a.session.retries.Take() {
-		return "", false
-	}
-	t.hasRetry = true
 	t.cancel = cancel
 	t.done = make(chan struct{})
 	return t.resumeAfter, true
@@ -158,7 +154,8 @@
 	if c.route.Streaming {
 		return answer.Status == http.StatusOK && answer.Signed
 	}
-	return answer.Status < http.StatusInternalServerError && (answer.Signed || answer.Status >= http.StatusMultipleChoices)
+	succeeded := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
+	return succeeded && answer.Signed || answer.Status >= http.StatusMultipleChoices && answer.Status < http.StatusInternalServerError
 }
 
 // adopt makes b the successor, unless the attempt's own server went on before.
@@ -169,7 +166,6 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	w.takeover.hasRetry = false
 	w.takeover.reason = reason
 	w.takeover.successor = &successor{
 		attempt: b,
@@ -190,26 +186,33 @@
 		c.service.Board.RecordUnreachable(server.ID, c.service.Clock())
 		c.service.recordConnectTimeout(server, err)
 	}
-	reason := "the silent backend server went on"
 	if answer != nil {
 		_ = answer.Body.Close()
-		reason = http.StatusText(answer.Status)
 		if answer.Misdirected && c.call.NeedsAdapter() {
 			c.service.Board.RemoveResident(server.ID, c.call.Adapter)
 		}
-	} else if !canceled {
-		reason = err.Error()
 	}
-	a.logFailedTakeover(server.ID, reason)
 	w := &a.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	reason := "the call has ended"
+	switch {
+	case answer != nil:
+		reason = http.StatusText(answer.Status)
+	case !canceled:
+		reason = err.Error()
+	case w.forwarding:
+		reason = "the silent backend server went on"
+	}
+	a.logFailedTakeover(server.ID, reason)
 	t := &w.takeover
-	t.avoid[server.ID] = true
+	if !canceled {
+		t.avoid[server.ID] = true
+	}
 	if notSent {
+		c.retries.Return()
 		return
 	}
-	t.hasRetry = false
 	t.sent++
 	if answer == nil || !answer.NotRun {
 		t.executed++
@@ -225,18 +228,18 @@
 	})
 }
 
-// settle is called when the attempt has ended. It waits for the takeover in
-// progress, adds the attempts of all takeovers to those of the call and returns the
-// attempt that goes on with the call, or nil.
+// settle is called when the attempt has ended. It lets no takeover begin, waits for
+// the one in progress, adds the attempts of all takeovers to those of the call and
+// returns the attempt that goes on with the call, or nil.
 func (a *attempt) settle() *successor {
 	w := &a.watchdog
 	w.mu.Lock()
+	w.stopTimer()
 	done := w.takeover.done
 	w.mu.Unlock()
 	if done != nil {
 		<-done
 	}
-	a.stopWatchdog()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t := &w.takeover
@@ -245,9 +248,5 @@
 	c.attemptsExecuted += t.executed
 	t.sent, t.executed = 0, 0
 	maps.Copy(c.avoid, t.avoid)
-	if t.hasRetry {
-		t.hasRetry = false
-		c.retries.Return()
-	}
 	return t.successor
 }
