Take only an ended worker for a crash, and try blocked prompt parts again

Cause: any error of the report but a timeout counted as the end of the worker, and nothing ever showed again whether a blocked part is at fault.

Change: a worker has ended if nothing listens at its address, another one answers there or it has started anew (ErrServerEnded), and all calls of this instance there broke. Workers that end within 200 ms of one another count once. A block lets one call through as a trial, at instances that lead a failure domain, 30 s after the last crash and twice as long after each further one, up to 10 min; an answer ends the block, and refusals say when the next trial is. A crash in a takeover counts too.

TestFullServersDoNotBlockAPromptPart 3 of 50 calls fail, those that were reset (before: all after them refused); TestTrialsOfBlockedPartsGetRarer. Tests of blocks now play crashes at different moments, as crashes at one no longer count more than once.

--- a/entry/crash_check.go
+++ b/entry/crash_check.go
@@ -15,16 +15,30 @@
 // crashCheckTimeout bounds the question to a model worker whether it has ended.
 const crashCheckTimeout = 400 * time.Millisecond
 
-// checkQuarantine refuses a call with a prompt part under which model workers end.
+// connectionBreakTime is the time within which all connections to a worker that has
+// ended break.
+const connectionBreakTime = 200 * time.Millisecond
+
+// checkQuarantine refuses a call with prompt parts under which model workers end,
+// unless its first attempt is a trial.
 func (c *session) checkQuarantine(now time.Time) *pomelospring.Refusal {
-	if c.limits == nil {
+	if c.limits == nil || c.isTrial && c.attemptsSent == 0 {
 		return nil
 	}
-	block, blocked := c.service.Quarantine.Blocked(c.team, c.parts, now)
-	if !blocked {
-		return nil
+	verdict, block, retryAt := c.service.Quarantine.Judge(c.team, c.parts, now)
+	switch verdict {
+	case quarantine.Admitted:
+	case quarantine.Refused:
+		return pomelospring.NewRefusal(pomelospring.CodePartBlocked, retryAt, "model workers end under the prompt parts %s", strings.Join(block.Parts, ", "))
+	case quarantine.Trial:
+		c.isTrial = true
+		events.Log(c.service.Logger, events.PartsTried, log.Fields{
+			"request": c.call.ID,
+			"parts":   block.Parts,
+			"crashes": block.Crashes,
+		})
 	}
-	return pomelospring.NewRefusal(pomelospring.CodePartBlocked, block.Until, "model workers end under the prompt parts %s", strings.Join(block.Parts, ", "))
+	return nil
 }
 
 // recordOutput records that a model worker has begun to answer the call.
@@ -65,11 +79,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	report, err := s.Engine.Report(ctx, server)
+	if hasEnded(&server, &report, err) {
+		// Connections of a worker that ended break at about the same time.
+		time.Sleep(connectionBreakTime)
+	}
 	s.mu.Lock()
 	calls := s.crashChecks[server.ID]
 	delete(s.crashChecks, server.ID)
 	s.mu.Unlock()
-	if !hasEnded(&server, &report, err) {
+	if !hasEnded(&server, &report, err) || s.Board.RunningCalls(server.ID) > 0 {
 		return
 	}
 	s.Quarantine.RecordCrash(server.ID, calls, brokenAt, s.Clock())
@@ -87,15 +105,11 @@
 }
 
 // hasEnded reports whether a model worker's report, or the error in place of it,
-// shows that it has ended. A report that timed out shows nothing, as a sound worker
-// may be silent for a while.
+// shows that it has ended. A report that is late or was reset shows nothing: a sound
+// worker may be silent for a while, and resets connections beyond its maximum.
 func hasEnded(server *pomelospring.FleetServer, report *pomelospring.EngineReport, err error) bool {
-	var timeout interface{ Timeout() bool }
-	switch {
-	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, context.DeadlineExceeded):
-		return false
-	case err != nil:
-		return true
+	if err != nil {
+		return errors.Is(err, pomelospring.ErrServerEnded)
 	}
 	return report.Started.After(server.Started)
 }
--- a/entry/crashing_prompt_test.go
+++ b/entry/crashing_prompt_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/pomelospring/pomelospring"
 )
 
@@ -51,7 +52,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ended[server.ID] {
-		return pomelospring.EngineReport{}, errors.New("connection refused")
+		return pomelospring.EngineReport{}, pomelospring.ErrServerEnded
 	}
 	return pomelospring.EngineReport{}, nil
 }
@@ -115,3 +116,48 @@
 		}
 	})
 }
+
+// fullBackend has servers that reset one connection each, and those of reports, as they
+// have too many.
+type fullBackend struct {
+	crashingBackend
+	reset map[string]bool
+}
+
+func (b *fullBackend) Send(_ context.Context, _ *pomelospring.Call, dispatch pomelospring.Dispatch) (*pomelospring.BackendAnswer, error) {
+	if len(b.reset) < 3 && !b.reset[dispatch.Server.ID] {
+		b.reset[dispatch.Server.ID] = true
+		return nil, errors.New("connection reset by peer")
+	}
+	return &pomelospring.BackendAnswer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(events3)), Signed: true, Length: -1}, nil
+}
+
+func (*fullBackend) Report(context.Context, pomelospring.FleetServer) (pomelospring.EngineReport, error) {
+	return pomelospring.EngineReport{}, errors.New("connection reset by peer")
+}
+
+// TestFullServersDoNotBlockAPromptPart guards against calls that are refused because
+// sound servers reset connections.
+func TestFullServersDoNotBlockAPromptPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(nil, false)
+		service.Board.AddResident("c", "m/x", 1)
+		b := &fullBackend{reset: map[string]bool{}}
+		service.Backend, service.Engine = b, b
+		served := 0
+		for i := range 50 {
+			out := &responder{}
+			service.Serve(t.Context(), &pomelospring.Call{
+				ID: fmt.Sprint(i), Host: "shop.example", Path: "/brief/1", Key: key, Adapter: "m/x", PromptTokens: 1000, Arrived: time.Now(),
+				Parts: []pomelospring.PromptPart{{ID: "new-subject", Tokens: 300}, {ID: fmt.Sprint(i), Tokens: 100}},
+			}, out)
+			if out.Status == http.StatusOK {
+				served++
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		if diff := cmp.Diff(47, served); diff != "" || len(b.reset) != 3 {
+			t.Errorf("%d servers reset a connection; served: %s", len(b.reset), diff)
+		}
+	})
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -94,7 +94,9 @@
 	priority      int
 	chargedTokens float64
 	// parts are the prompt parts that other calls may share.
-	parts    []string
+	parts []string
+	// isTrial is set if the call is let through although its parts are blocked.
+	isTrial  bool
 	deadline time.Time
 	// firstEventDeadline is when the caller of a stream leaves if it has got no
 	// event. For other calls it is deadline.
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -182,6 +182,9 @@
 	notSent := errors.Is(err, pomelospring.ErrNotSent)
 	canceled := ctx.Err() != nil
 	b.end(!canceled && (answer == nil || !answer.Misdirected))
+	if err != nil && !notSent {
+		b.checkForCrash(ctx)
+	}
 	if notSent && !canceled {
 		c.service.Board.RecordUnreachable(server.ID, c.service.Clock())
 		c.service.recordConnectTimeout(server, err)
@@ -195,16 +198,7 @@
 	w := &a.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	reason := "the call has ended"
-	switch {
-	case answer != nil:
-		reason = http.StatusText(answer.Status)
-	case !canceled:
-		reason = err.Error()
-	case w.forwarding:
-		reason = "the silent backend server went on"
-	}
-	a.logFailedTakeover(server.ID, reason)
+	a.logFailedTakeover(server.ID, takeoverFailure(answer, err, canceled, w.forwarding))
 	t := &w.takeover
 	if !canceled {
 		t.avoid[server.ID] = true
@@ -219,6 +213,19 @@
 	}
 }
 
+// takeoverFailure says why a takeover failed.
+func takeoverFailure(answer *pomelospring.BackendAnswer, err error, canceled, wentOn bool) string {
+	switch {
+	case answer != nil:
+		return http.StatusText(answer.Status)
+	case !canceled:
+		return err.Error()
+	case wentOn:
+		return "the silent backend server went on"
+	}
+	return "the call has ended"
+}
+
 func (a *attempt) logFailedTakeover(server, reason string) {
 	events.Log(a.session.service.Logger, events.TakeoverFailed, log.Fields{
 		"request": a.session.call.ID,
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -48,6 +48,7 @@
 	TakeoverFailed = define(227, "takeoverFailed", log.InfoLevel, "Another backend server did not go on with the call of a silent one, for the reason given; the call waits on.")
 	ServerEnded    = define(228, "serverEnded", log.WarnLevel, "A model worker ended while calls on it had no output yet; the fields give their shared prompt parts.")
 	PartsBlocked   = define(229, "partsBlocked", log.WarnLevel, "Calls with these prompt parts are kept from model workers, because workers end under them; the fields give the number of ended workers and the teams, none for all. No parts: no call is.")
+	PartsTried     = define(230, "partsTried", log.WarnLevel, "A call with blocked prompt parts was let through, to see whether model workers still end under them.")
 
 	AdapterLoading   = define(300, "adapterLoading", log.InfoLevel, "An adapter is loaded onto a model worker; the fields give the reason and what is evicted.")
 	AdapterLoaded    = define(301, "adapterLoaded", log.InfoLevel, "A load succeeded.")
--- a/fleet.go
+++ b/fleet.go
@@ -237,11 +237,16 @@
 	Loading []ResidentAdapter
 }
 
+// ErrServerEnded marks a report that could not be had because the model worker has
+// ended: nothing listens at its address, or another worker does.
+var ErrServerEnded = errors.New("the model worker has ended")
+
 // Engine sends orders to model workers and reads their reports.
 type Engine interface {
 	// Do sends an order. err is set unless the order was accepted or is done.
 	Do(ctx context.Context, order Order) (result OrderResult, err error)
-	// Report asks a model worker for its state.
+	// Report asks a model worker for its state. An error that wraps ErrServerEnded
+	// guarantees that the worker has ended.
 	Report(ctx context.Context, server FleetServer) (report EngineReport, err error)
 }
 
--- a/fleet/server_load.go
+++ b/fleet/server_load.go
@@ -118,6 +118,16 @@
 	l.outcomeAt = now
 }
 
+// RunningCalls returns the number of this instance's calls in flight at a server.
+func (b *Board) RunningCalls(server string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l := b.ownLoads[server]; l != nil {
+		return l.running
+	}
+	return 0
+}
+
 // RecordUnreachable records that a connection to a backend server failed. This
 // weighs more than a failed call, since the next call would wait as long for a
 // connection.
--- a/front/front.go
+++ b/front/front.go
@@ -121,6 +121,7 @@
 		quarantine: quarantine.NewRegister(),
 	}
 	f.quarantine.OnChange = f.logBlocks
+	f.quarantine.MayTry = f.leadsAny
 	logger.Handler = f.metrics.CountEvents(logger.Handler)
 	f.store.Counters = f.metrics
 	f.stopping, f.stop = context.WithCancel(context.Background())
@@ -268,7 +269,7 @@
 			"parts":   blocks[i].Parts,
 			"crashes": blocks[i].Crashes,
 			"teams":   slices.Sorted(maps.Keys(blocks[i].Teams)),
-			"until":   blocks[i].Until.UTC().Format(time.RFC3339Nano),
+			"trialMs": blocks[i].TrialAt.Sub(f.clock()).Milliseconds(),
 		})
 	}
 	if len(blocks) == 0 {
--- a/quarantine/evaluation.go
+++ b/quarantine/evaluation.go
@@ -15,6 +15,7 @@
 		}
 	}
 	before := r.blocks
+	maps.DeleteFunc(r.triedUntil, func(_ string, until time.Time) bool { return now.After(until) })
 	r.blocks = findBlocks(r.crashes, r.proven)
 	r.blocking.Store(len(r.blocks) > 0)
 	same := slices.EqualFunc(before, r.blocks, func(x, y Block) bool {
@@ -54,11 +55,9 @@
 		return Block{}, false
 	}
 	counts := map[string]int{}
-	for _, crash := range crashes {
-		for part := range crash.Suspects {
-			if suspectedIn(crash, part, proven) {
-				counts[part]++
-			}
+	for _, moment := range moments(crashes, proven) {
+		for part := range moment {
+			counts[part]++
 		}
 	}
 	worst := ""
@@ -79,7 +78,25 @@
 		}
 	}
 	slices.Sort(parts)
-	return newBlock(parts, under), true
+	return newBlock(parts, counts[worst], under), true
+}
+
+// moments returns the suspected parts of the crashes, in the order of time. Crashes
+// at about the same time are one entry.
+func moments(crashes map[string]*Crash, proven map[string]time.Time) (parts []map[string]bool) {
+	var at time.Time
+	for _, crash := range slices.SortedFunc(maps.Values(crashes), func(x, y *Crash) int { return x.At.Compare(y.At) }) {
+		if len(parts) == 0 || crash.At.Sub(at) >= momentLength {
+			at = crash.At
+			parts = append(parts, map[string]bool{})
+		}
+		for part := range crash.Suspects {
+			if suspectedIn(crash, part, proven) {
+				parts[len(parts)-1][part] = true
+			}
+		}
+	}
+	return parts
 }
 
 func suspectedInAll(crashes map[string]*Crash, part string, proven map[string]time.Time) bool {
@@ -99,29 +116,40 @@
 	return minCrashes
 }
 
-func newBlock(parts []string, crashes map[string]*Crash) Block {
+// newBlock returns a block of parts under which workers ended at a number of
+// moments.
+func newBlock(parts []string, count int, crashes map[string]*Crash) Block {
 	block := Block{
 		Parts:   parts,
-		Crashes: len(crashes),
+		Crashes: count,
 		Teams:   map[string]bool{},
 	}
+	var last time.Time
 	for _, crash := range crashes {
 		for _, part := range parts {
 			maps.Copy(block.Teams, crash.Suspects[part])
 		}
-		if until := crash.SeenAt.Add(crashLifetime); until.After(block.Until) {
-			block.Until = until
+		if crash.At.After(last) {
+			last = crash.At
+		}
+		if expiresAt := crash.SeenAt.Add(crashLifetime); expiresAt.After(block.expiresAt) {
+			block.expiresAt = expiresAt
 		}
 	}
 	if len(block.Teams) >= minTeams {
 		block.Teams = nil
 	}
+	interval := firstTrialInterval
+	for i := minCrashes; i < count && interval < maxTrialInterval; i++ {
+		interval *= 2
+	}
+	block.TrialAt = last.Add(min(interval, maxTrialInterval))
 	return block
 }
 
-// covers reports whether a call with parts is to be refused.
+// covers reports whether a block is for a call of a team with parts.
 func (b *Block) covers(team string, parts []string, now time.Time) bool {
-	if !now.Before(b.Until) || b.Teams != nil && !b.Teams[team] {
+	if !now.Before(b.expiresAt) || b.Teams != nil && !b.Teams[team] {
 		return false
 	}
 	for _, part := range b.Parts {
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -22,6 +22,16 @@
 	// minTeams is the number of teams whose calls ended workers under a part from
 	// which it is blocked for all teams, not only for these.
 	minTeams = 2
+	// momentLength is the time within which several workers that end count as one:
+	// they end together for a reason of their own.
+	momentLength = 200 * time.Millisecond
+	// firstTrialInterval is the time from the last crash to the call that is let
+	// through as a trial, with minCrashes. Each further crash doubles it, up to
+	// maxTrialInterval.
+	firstTrialInterval = 30 * time.Second
+	maxTrialInterval   = 10 * time.Minute
+	// trialTimeout is how long the outcome of a trial is waited for.
+	trialTimeout = 10 * time.Second
 	// crashLifetime is how long a crash counts after it, or after the last refused
 	// call with one of its parts.
 	crashLifetime = 10 * time.Minute
@@ -71,15 +81,21 @@
 	Parts []string
 	// Teams has the teams whose calls are refused; nil for all.
 	Teams map[string]bool
-	// Until is when the block ends unless more of the calls come.
-	Until time.Time
-	// Crashes is the number of workers that ended under the parts.
+	// TrialAt is from when one call is let through, to see whether workers still end.
+	TrialAt time.Time
+	// Crashes is the number of moments at which workers ended under the parts.
 	Crashes int
+
+	// expiresAt is when the crashes no longer count unless more of the calls come.
+	expiresAt time.Time
 }
 
 // Register holds the crashes that this instance and others have seen. It is safe
 // for concurrent use.
 type Register struct {
+	// MayTry reports whether this instance may let a call through as a trial; nil
+	// for never. Few instances of a fleet should, as each tries for itself.
+	MayTry func() bool
 	// OnChange is called with the blocks after each change of them; it may be nil.
 	OnChange func(blocks []Block)
 
@@ -95,6 +111,9 @@
 	// proven maps parts to the last time at which an answer began on them.
 	proven map[string]time.Time
 	blocks []Block
+	// triedUntil is when the outcome of the last trial is known, by the first part of
+	// its block.
+	triedUntil map[string]time.Time
 }
 
 // NewRegister returns a register without crashes.
@@ -104,25 +123,46 @@
 		crashVersions:  map[string]int64{},
 		outputVersions: map[string]int64{},
 		proven:         map[string]time.Time{},
+		triedUntil:     map[string]time.Time{},
 	}
 }
 
-// Blocked reports whether a call of a team is to be refused because of its parts,
-// which ones, and until when.
-func (r *Register) Blocked(team string, parts []string, now time.Time) (block Block, blocked bool) {
+// Verdict is what is done with a call.
+type Verdict int
+
+// The verdicts.
+const (
+	Admitted Verdict = iota
+	Refused
+	// Trial lets one call with blocked parts through.
+	Trial
+)
+
+// Judge decides on a call of a team by its parts. It returns the block that the
+// call is refused or tried for, and when a refused one may be retried.
+func (r *Register) Judge(team string, parts []string, now time.Time) (verdict Verdict, block Block, retryAt time.Time) {
 	if !r.blocking.Load() {
-		return Block{}, false
+		return Admitted, Block{}, time.Time{}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range r.blocks {
-		if r.blocks[i].covers(team, parts, now) {
-			block = r.blocks[i]
-			r.refresh(block.Parts[0], now)
-			return block, true
+		if !r.blocks[i].covers(team, parts, now) {
+			continue
+		}
+		block = r.blocks[i]
+		r.refresh(block.Parts[0], now)
+		if now.Before(block.TrialAt) {
+			return Refused, block, block.TrialAt
+		}
+		triedUntil := r.triedUntil[block.Parts[0]]
+		if r.MayTry == nil || !r.MayTry() || now.Before(triedUntil) {
+			return Refused, block, now.Add(trialTimeout)
 		}
+		r.triedUntil[block.Parts[0]] = now.Add(trialTimeout)
+		return Trial, block, time.Time{}
 	}
-	return Block{}, false
+	return Admitted, Block{}, time.Time{}
 }
 
 // refresh extends the crashes of a part whose calls still come. The lock is held.
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -56,6 +56,9 @@
 	}{
 		{name: "two crashes", steps: crashes(2, "x", "bad"), team: "x", now: 3},
 		{name: "three crashes", steps: crashes(3, "x", "bad"), team: "x", now: 3, want: true},
+		{name: "three workers that ended together", steps: []step{
+			{server: "s1", team: "x", parts: []string{"bad"}}, {server: "s2", team: "x", parts: []string{"bad"}}, {server: "s3", team: "x", parts: []string{"bad"}},
+		}, team: "x", now: 3},
 		{name: "one crash that three calls saw", steps: []step{
 			{server: "s", team: "x", parts: []string{"bad"}}, {server: "s", team: "x", parts: []string{"bad"}}, {server: "s", team: "x", parts: []string{"bad"}},
 		}, team: "x", now: 3},
@@ -74,12 +77,12 @@
 		t.Run(scenario.name, func(t *testing.T) {
 			r := quarantine.NewRegister()
 			play(r, scenario.steps)
-			block, blocked := r.Blocked(scenario.team, []string{"first", "bad"}, at(scenario.now))
-			if diff := cmp.Diff(scenario.want, blocked); diff != "" {
+			verdict, _, retryAt := r.Judge(scenario.team, []string{"first", "bad"}, at(scenario.now))
+			if diff := cmp.Diff(scenario.want, verdict == quarantine.Refused); diff != "" {
 				t.Error(diff)
 			}
-			if blocked && !block.Until.After(at(scenario.now)) {
-				t.Errorf("blocked until %s", block.Until)
+			if scenario.want && !retryAt.After(at(scenario.now)) {
+				t.Errorf("to be retried at %s", retryAt)
 			}
 		})
 	}
@@ -90,18 +93,47 @@
 func TestBlockLastsWhileItsCallsCome(t *testing.T) {
 	r := quarantine.NewRegister()
 	for i := range 3 {
-		recordCrash(r, fmt.Sprint(i), "x", []string{"bad"}, at(0))
+		recordCrash(r, fmt.Sprint(i), "x", []string{"bad"}, at(float64(i)))
 	}
 	for minute := range 120 {
-		if _, blocked := r.Blocked("x", []string{"bad"}, at(float64(minute)*60)); !blocked {
+		if verdict, _, _ := r.Judge("x", []string{"bad"}, at(3+float64(minute)*60)); verdict != quarantine.Refused {
 			t.Fatalf("not blocked after %d minutes", minute)
 		}
 	}
-	if _, blocked := r.Blocked("x", []string{"bad"}, at(120*60+700)); blocked {
+	if verdict, _, _ := r.Judge("x", []string{"bad"}, at(120*60+700)); verdict == quarantine.Refused {
 		t.Error("still blocked long after the last call")
 	}
 }
 
+// TestTrialsOfBlockedPartsGetRarer checks when calls are let through, and that an
+// answer to one ends the block.
+func TestTrialsOfBlockedPartsGetRarer(t *testing.T) {
+	r := quarantine.NewRegister()
+	r.MayTry = func() bool { return true }
+	for i := range 3 {
+		recordCrash(r, fmt.Sprint(i), "x", []string{"bad"}, at(float64(i)))
+	}
+	var trials []float64
+	for second := range 4000 {
+		now := float64(second + 3)
+		if verdict, _, _ := r.Judge("x", []string{"bad"}, at(now)); verdict != quarantine.Trial {
+			continue
+		}
+		if verdict, _, _ := r.Judge("x", []string{"bad"}, at(now)); verdict != quarantine.Refused {
+			t.Errorf("two trials at %g s", now)
+		}
+		trials = append(trials, now)
+		recordCrash(r, fmt.Sprint("trial-", second), "x", []string{"bad"}, at(now))
+	}
+	if diff := cmp.Diff([]float64{32, 92, 212, 452, 932, 1532, 2132, 2732, 3332, 3932}, trials); diff != "" {
+		t.Error(diff)
+	}
+	r.RecordOutput([]string{"bad"}, at(4533))
+	if verdict, _, _ := r.Judge("x", []string{"bad"}, at(4533)); verdict != quarantine.Admitted {
+		t.Errorf("verdict %d after an answer", verdict)
+	}
+}
+
 // exchange lets two registers tell each other what changed since the last time.
 func exchange(x, y *quarantine.Register, known map[[2]*quarantine.Register]int64, now time.Time) {
 	for _, pair := range [][2]*quarantine.Register{{x, y}, {y, x}} {
@@ -134,7 +166,7 @@
 			}
 			parts := []string{fmt.Sprintf("first-%d", random.IntN(3)), "bad", fmt.Sprintf("subject-%d", random.IntN(40))}
 			receiver := registers[random.IntN(6)]
-			if _, blocked := receiver.Blocked("x", parts, now); tick%7 == 0 && !blocked {
+			if verdict, _, _ := receiver.Judge("x", parts, now); tick%7 == 0 && verdict != quarantine.Refused {
 				server := fmt.Sprint(tick)
 				recordCrash(receiver, server, "x", parts, now)
 				for range random.IntN(8) {
@@ -152,12 +184,12 @@
 		for i, r := range registers {
 			for part := range 40 {
 				for first := range 3 {
-					if block, blocked := r.Blocked("x", []string{fmt.Sprintf("first-%d", first), fmt.Sprintf("subject-%d", part)}, at(60)); blocked {
+					if verdict, block, _ := r.Judge("x", []string{fmt.Sprintf("first-%d", first), fmt.Sprintf("subject-%d", part)}, at(60)); verdict == quarantine.Refused {
 						t.Errorf("seed %d: instance %d blocks %v", seed, i, block.Parts)
 					}
 				}
 			}
-			if _, blocked := r.Blocked("x", []string{"bad"}, at(60)); !blocked {
+			if verdict, _, _ := r.Judge("x", []string{"bad"}, at(60)); verdict != quarantine.Refused {
 				t.Errorf("seed %d: instance %d does not block the part", seed, i)
 			}
 		}
@@ -190,15 +222,15 @@
 	}
 }
 
-func BenchmarkBlocked(b *testing.B) {
+func BenchmarkJudge(b *testing.B) {
 	r := quarantine.NewRegister()
 	for part := range 20 {
 		for i := range 3 {
-			recordCrash(r, fmt.Sprint(part, "-", i), "x", []string{fmt.Sprint("bad-", part)}, at(0))
+			recordCrash(r, fmt.Sprint(part, "-", i), "x", []string{fmt.Sprint("bad-", part)}, at(float64(3*part+i)))
 		}
 	}
 	parts := []string{"first", "second", "third"}
 	for b.Loop() {
-		r.Blocked("x", parts, at(1))
+		r.Judge("x", parts, at(61))
 	}
 }
