Send nothing new to a server that announces in an answer that it leaves

Cause: only the list of servers could take a server out of use.

Change: the platform decodes the header of every answer, also of orders and reports, into a ServerNotice. The board sets that start of the server to drain, whatever list arrives later, and forgets it a minute after it was last listed. A new start under the same name is a new server. Instances tell the leader of the server's domain and learn from it in the exchange (fields 30 of both messages), only while the list does not say so. Placement requests name the servers that the instance sends nothing to, so that a leader whose table is older places elsewhere; it suspects none of them.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -106,6 +106,15 @@
 	}
 }
 
+// notices records what backend servers announced to other instances.
+func (l *Leader) notices() fleet.Notices {
+	return fleet.Notices{
+		Board:  l.Board,
+		Logger: l.Logger,
+		Clock:  l.Clock,
+	}
+}
+
 // Parts returns the group's number of partitions.
 func (l *Leader) Parts() int { return l.lease.Parts }
 
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -249,6 +249,7 @@
 		Leader:           leader,
 		Relay:            relayRequested,
 		WithSpending:     m.spendingIsDue(),
+		Leaving:          leavingToProto(m.Board.LeavingServers(m.Domain)),
 	}
 	if request.WithSpending {
 		request.Spending = spendingToProto(m.Ledger.Spending())
@@ -391,6 +392,7 @@
 			m.Servers.Relay(serversFromProto(reply.Servers), reply.ServersGone, full || allServers, reply.ServerOffset, now.Add(-serverAge))
 		}
 	}
+	m.notices().RecordLeaving(leavingFromProto(reply.Leaving), reply.Leader)
 	leaders := map[string]string{}
 	for _, leader := range reply.Leaders {
 		leaders[leader.Domain] = leader.Address
@@ -398,6 +400,15 @@
 	m.OnReply(int(reply.Instances), leaders)
 }
 
+// notices records what backend servers announced to other instances.
+func (m *Member) notices() fleet.Notices {
+	return fleet.Notices{
+		Board:  m.Board,
+		Logger: m.Logger,
+		Clock:  m.Clock,
+	}
+}
+
 // serverLoads lists this instance's load on the domain's servers.
 func (m *Member) serverLoads() (list []*coordinationpb.ServerUse) {
 	for id, load := range m.Board.ServerLoads(m.Domain) {
@@ -435,6 +446,7 @@
 		AtOnce:           request.AtOnce,
 		Avoid:            request.Avoid,
 		Missing:          request.Missing,
+		Unusable:         request.Unusable,
 	})
 	if err != nil {
 		return pomelospring.PlacementOutcome{}, err
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -56,6 +56,7 @@
 		AtOnce:   request.AtOnce,
 		Avoid:    request.Avoid,
 		Missing:  request.Missing,
+		Unusable: request.Unusable,
 	})
 	if err != nil {
 		return nil, err
@@ -121,6 +122,7 @@
 	if request.WithSpending {
 		l.totals.Report(request.Instance, spendingFromProto(request.Spending))
 	}
+	l.notices().RecordLeaving(leavingFromProto(request.Leaving), request.Name)
 	l.table.MarkReady(l.readyMarkedAt, now)
 	l.readyMarkedAt = now
 	reply := &coordinationpb.ExchangeReply{
@@ -129,6 +131,7 @@
 		Uses:             serverLoadsToProto(l.noticeableLoads(request.Instance)),
 		ResidencyVersion: l.table.Revision,
 		Residency:        residencyToProto(l.table.Residency(residencySince)),
+		Leaving:          leavingToProto(l.Board.LeavingServers(l.Domain)),
 	}
 	if request.WithSpending {
 		reply.Spending = spendingToProto(l.totals.Others(request.Instance))
@@ -275,6 +278,26 @@
 	return servers
 }
 
+func leavingToProto(servers []fleet.LeavingServer) (list []*coordinationpb.LeavingServer) {
+	for _, server := range servers {
+		list = append(list, &coordinationpb.LeavingServer{
+			Id:      server.ID,
+			Started: server.Started.UnixMilli(),
+		})
+	}
+	return list
+}
+
+func leavingFromProto(list []*coordinationpb.LeavingServer) (servers []fleet.LeavingServer) {
+	for _, server := range list {
+		servers = append(servers, fleet.LeavingServer{
+			ID:      server.Id,
+			Started: time.UnixMilli(server.Started),
+		})
+	}
+	return servers
+}
+
 func recordsFromProto(list []*coordinationpb.OperatorRecord) (records []pomelospring.KeyedRecord) {
 	for _, record := range list {
 		records = append(records, pomelospring.KeyedRecord{
--- a/entry/run.go
+++ b/entry/run.go
@@ -139,6 +139,7 @@
 		Adapter:  c.call.Adapter,
 		Domain:   c.service.Board.Domain,
 		Deadline: now.Add(time.Duration(placementTimeFraction * float64(c.firstEventDeadline.Sub(now)))),
+		Unusable: c.service.Board.UnusableServers(c.targetService),
 	}
 	for id := range c.avoid {
 		if c.missing[id] {
@@ -264,7 +265,11 @@
 func (a *attempt) send(ctx context.Context, resumeAfter string) (answer *pomelospring.BackendAnswer, err error) {
 	c := a.session
 	c.service.Board.BeginCall(a.server.ID, c.call.Adapter, a.prefillTokens)
-	return c.service.Backend.Send(ctx, c.call, c.dispatch(a.choice, resumeAfter))
+	answer, err = c.service.Backend.Send(ctx, c.call, c.dispatch(a.choice, resumeAfter))
+	if err == nil {
+		c.service.notices().Record(a.server, answer.Notice)
+	}
+	return answer, err
 }
 
 // conclude takes an attempt from the head of its answer, or the error in place of
--- a/entry/service.go
+++ b/entry/service.go
@@ -66,6 +66,15 @@
 	averageCosts map[string]float64
 }
 
+// notices records what backend servers announce about themselves.
+func (s *Service) notices() fleet.Notices {
+	return fleet.Notices{
+		Board:  s.Board,
+		Logger: s.Logger,
+		Clock:  s.Clock,
+	}
+}
+
 // Counters counts results of calls.
 type Counters interface {
 	Served(team string, first time.Duration)
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -36,6 +36,7 @@
 	// unresponsive sends nothing until the attempt is canceled.
 	unresponsive bool
 	unsigned     bool
+	notice       pomelospring.ServerNotice
 }
 
 // backend returns the replies in order, whichever server is called.
@@ -71,6 +72,7 @@
 		Misdirected: next.misdirected,
 		Signed:      !next.unsigned,
 		Length:      -1,
+		Notice:      next.notice,
 	}, nil
 }
 
--- a/fleet.go
+++ b/fleet.go
@@ -140,6 +140,12 @@
 	FreshConnection bool
 }
 
+// ServerNotice is what a backend server announces about itself in an answer.
+type ServerNotice struct {
+	// Leaving is set if the server takes no new work until it is started anew.
+	Leaving bool
+}
+
 // BackendAnswer is a backend server's answer whose body is not read yet.
 type BackendAnswer struct {
 	Status int
@@ -154,6 +160,7 @@
 	Signed bool
 	// Length is the declared length of the body in bytes; -1 if unknown.
 	Length int64
+	Notice ServerNotice
 }
 
 // ErrNotSent marks a failed dispatch of which nothing reached the backend
@@ -295,6 +302,9 @@
 	// answered that they lack the adapter.
 	Avoid   []string
 	Missing []string
+	// Unusable lists workers that the instance sends nothing to, although they
+	// have not failed.
+	Unusable []string
 }
 
 // PlacementOutcome is the result of a placement request.
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -41,6 +41,8 @@
 
 	servers      map[string]pomelospring.FleetServer
 	serversKnown bool
+	// leaving has the servers that announced that they leave, by ID.
+	leaving map[string]*leavingServer
 	// serverVersion increases with each change of the server list; changed maps
 	// a server to the version at which it last changed or was removed.
 	serverVersion int64
@@ -90,6 +92,7 @@
 		records:       map[string]pomelospring.KeyedRecord{},
 		declared:      map[string]declaration{},
 		servers:       map[string]pomelospring.FleetServer{},
+		leaving:       map[string]*leavingServer{},
 		changed:       map[string]int64{},
 		domainReports: map[string]*leaderReport{},
 		ownLoads:      map[string]*ownLoad{},
@@ -202,10 +205,11 @@
 }
 
 // SetServers replaces the list of backend servers with one that was read from
-// the store at readAt.
+// the store at readAt. It keeps the map, and changes it.
 func (b *Board) SetServers(servers map[string]pomelospring.FleetServer, readAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.applyLeaving(servers, readAt)
 	for id, server := range servers {
 		if before, known := b.servers[id]; !known || !before.Equivalent(&server) {
 			b.serverVersion++
--- a/front/front.go
+++ b/front/front.go
@@ -134,6 +134,11 @@
 		Clock:  clock,
 		Decode: platform.DecodeServer,
 	}
+	f.engines.OnNotice = fleet.Notices{
+		Board:  f.board,
+		Logger: logger,
+		Clock:  clock,
+	}.Record
 	f.wireCoordination()
 	f.service = &entry.Service{
 		Board:       f.board,
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -45,7 +45,14 @@
 	// time between them.
 	eventCount    int
 	eventInterval time.Duration
-	server        *httptest.Server
+	// header is added to every response, and retryAfter, if set, to responses of
+	// status 503 that reject every request and order.
+	header     map[string]string
+	retryAfter string
+	// requests has the arrival times of requests, and orders those of orders.
+	requests []time.Time
+	orders   []time.Time
+	server   *httptest.Server
 }
 
 func newWorker(t *testing.T, id string) *worker {
@@ -68,6 +75,9 @@
 }
 
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if w.announce(out, r) {
+		return
+	}
 	switch r.URL.Path {
 	case "/api/report":
 		w.report(out)
@@ -78,6 +88,49 @@
 	}
 }
 
+// announce records an arrival and sets the headers of every response. It reports
+// whether it rejected the request.
+func (w *worker) announce(out http.ResponseWriter, r *http.Request) (rejected bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name, value := range w.header {
+		out.Header().Set(name, value)
+	}
+	switch r.URL.Path {
+	case "/api/report":
+		return false
+	case "/api/order":
+		w.orders = append(w.orders, time.Now())
+	default:
+		w.requests = append(w.requests, time.Now())
+	}
+	if w.retryAfter == "" {
+		return false
+	}
+	out.Header().Set("Retry-After", w.retryAfter)
+	out.Header().Set("X-Pomelospring-Not-Executed", "1")
+	out.Header().Set(requestIDHeader, r.Header.Get(requestIDHeader))
+	out.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// arrivals counts the requests and orders that arrived after a time.
+func (w *worker) arrivals(after time.Time) (requests, orders int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, at := range w.requests {
+		if at.After(after) {
+			requests++
+		}
+	}
+	for _, at := range w.orders {
+		if at.After(after) {
+			orders++
+		}
+	}
+	return requests, orders
+}
+
 // report answers with the adapters that are resident.
 func (w *worker) report(out http.ResponseWriter) {
 	w.mu.Lock()
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -53,6 +53,9 @@
 	for _, id := range request.Missing {
 		avoid[id] = !t.extendDelayedLoad(id, request.Adapter, now)
 	}
+	for _, id := range request.Unusable {
+		avoid[id] = true
+	}
 	if ready, found := t.findResident(request, version, avoid, now); found {
 		return ready
 	}
@@ -276,7 +279,7 @@
 // sequence number of the next order.
 func (t *PlacementTable) BeginOrder(server string) (sequence int64, ok bool) {
 	w := t.workers[server]
-	if w == nil || w.orderInFlight || !w.synced {
+	if w == nil || w.orderInFlight || !w.synced || w.server.Draining {
 		return 0, false
 	}
 	w.orderInFlight = true
