Keep the pause that a server asks for when it turns a request away

Callers would see requests turned away by servers that had just asked for time, and, when all servers of a service pause, be told to come back after 0.25 to 0.6 s however long the pauses are.

Cause: Retry-After of a 503 was not read; failures that weigh against a server kept the pause by chance where another one was sound.

The board keeps a deadline by server, the longest asked for, with a random part of at most a tenth of it or 1 s; it is forgotten at its end or when the list drops the server. Choosing, retries and takeovers pass over such servers, placement requests name them, and a leader sends them no orders and asks for no reports. If all servers that could take a call pause, it is refused at once, as not run, without a placement request or a retry taken, until the end of the first pause and some spread. A pause holds for the instance that was asked only, as the server says.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -233,6 +233,7 @@
 		l.slots[servers[i].ID] = servers[i].Slots
 	}
 	l.table.SetServers(servers, limits, l.Domains)
+	l.table.Pauses = l.Board.Pauses(now)
 	l.table.ActiveLeaders = l.AnsweringDomains()
 	l.table.Speeds = l.Board.Speeds("")
 	instances, _ := l.countInstances(now)
--- a/entry/run.go
+++ b/entry/run.go
@@ -82,7 +82,7 @@
 		choice = dispatch.Choose(candidates, requirements)
 	}
 	if !choice.Found {
-		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeNoBackendServer, retryAfter(now), "no backend server can take the call")
+		return dispatch.Choice{}, c.noServerRefusal(now)
 	}
 	if requirements.Model && !c.forwarded && now.Add(choice.Wait).After(c.firstEventDeadline) {
 		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(now), "the wait of %s exceeds the caller's timeout", choice.Wait)
@@ -134,12 +134,15 @@
 
 // requestPlacement asks the leader to place the call's adapter and waits for it.
 func (c *session) requestPlacement(ctx context.Context, now time.Time) *pomelospring.Refusal {
+	if refusal := c.pausedRefusal(now); refusal != nil {
+		return refusal
+	}
 	request := pomelospring.PlacementRequest{
 		Request:  c.call.ID,
 		Adapter:  c.call.Adapter,
 		Domain:   c.service.Board.Domain,
 		Deadline: now.Add(time.Duration(placementTimeFraction * float64(c.firstEventDeadline.Sub(now)))),
-		Unusable: c.service.Board.UnusableServers(c.targetService),
+		Unusable: c.service.Board.UnusableServers(c.targetService, now),
 	}
 	for id := range c.avoid {
 		if c.missing[id] {
@@ -369,15 +372,37 @@
 		c.service.Board.RemoveResident(server.ID, c.call.Adapter)
 	}
 	c.successor = a.settle()
-	willRetry := c.successor != nil || ctx.Err() == nil && c.attemptsSent < maxAttempts && c.retries.Take()
+	refusal := c.pausedRefusal(c.service.Clock())
+	willRetry := c.successor != nil || refusal == nil && ctx.Err() == nil && c.attemptsSent < maxAttempts && c.retries.Take()
 	c.logRetry(server, http.StatusText(answer.Status), willRetry)
 	if willRetry {
 		return false
 	}
-	c.giveUp(ctx, pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(c.service.Clock()), "backend servers rejected the call"))
+	if refusal == nil {
+		refusal = pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(c.service.Clock()), "backend servers rejected the call")
+	}
+	c.giveUp(ctx, refusal)
 	return true
 }
 
+// noServerRefusal returns the refusal of a call that no server can take now.
+func (c *session) noServerRefusal(now time.Time) *pomelospring.Refusal {
+	if refusal := c.pausedRefusal(now); refusal != nil {
+		return refusal
+	}
+	return pomelospring.NewRefusal(pomelospring.CodeNoBackendServer, retryAfter(now), "no backend server can take the call")
+}
+
+// pausedRefusal returns the refusal of a call while all servers that could take it
+// want nothing from this instance, or nil.
+func (c *session) pausedRefusal(now time.Time) *pomelospring.Refusal {
+	end, paused := c.service.Board.PauseEnd(c.targetService, c.call, now)
+	if !paused {
+		return nil
+	}
+	return pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfterPause(end, now), "all backend servers that could take the call asked for a pause, the first one for %s more", end.Sub(now).Round(time.Millisecond))
+}
+
 // mayRetry reports whether another attempt may follow a failed one. A call that
 // was not sent has not run and can go to another server. One that may have run
 // is sent again only if its route is repeatable and has attempts left.
--- a/entry/service.go
+++ b/entry/service.go
@@ -28,6 +28,11 @@
 	// spread so that refused callers don't all return at once.
 	minRetryAfter    = 250 * time.Millisecond
 	retryAfterSpread = 350 * time.Millisecond
+	// Calls refused because of a pause may be retried after its end plus a random part
+	// of pauseRetryFraction of the time until then, from retryAfterSpread to
+	// maxPauseRetrySpread: a longer pause collects more callers.
+	pauseRetryFraction  = 0.1
+	maxPauseRetrySpread = 2 * time.Second
 	// averageCostWeight is the weight of one request in the moving average of its
 	// route's cost.
 	averageCostWeight = 0.05
@@ -338,3 +343,10 @@
 func retryAfter(now time.Time) time.Time {
 	return now.Add(minRetryAfter + rand.N(retryAfterSpread))
 }
+
+// retryAfterPause returns when a call refused now may be retried after the end of a
+// pause.
+func retryAfterPause(end, now time.Time) time.Time {
+	spread := time.Duration(pauseRetryFraction * float64(end.Sub(now)))
+	return end.Add(rand.N(min(maxPauseRetrySpread, max(retryAfterSpread, spread))))
+}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -121,7 +121,7 @@
 			Domain:   s.Board.Domain,
 			Deadline: now.Add(takeoverPlacementTimeout),
 			Avoid:    slices.Collect(maps.Keys(avoid)),
-			Unusable: s.Board.UnusableServers(c.targetService),
+			Unusable: s.Board.UnusableServers(c.targetService, now),
 		})
 		if err != nil || outcome.Server == "" {
 			a.logFailedTakeover("", placementFailure(outcome, err))
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -66,6 +66,7 @@
 	ServerMalformed   = define(325, "serverSpoiled", log.WarnLevel, "An entry of the list of backend servers is malformed and is not used.")
 
 	ServerLeaving = define(330, "serverLeaving", log.InfoLevel, "A backend server announced that it leaves, while the server list has it as ready; it gets no new work until it is started anew.")
+	ServerPaused  = define(331, "serverPaused", log.InfoLevel, "A backend server rejected a request and asked for a pause; this instance sends nothing to it until resumeMs have passed.")
 
 	DomainCutOff  = define(427, "domainCutOff", log.WarnLevel, "Connections to two backend servers of a failure domain timed out, or to one and its leader did not answer either; calls go to other failure domains.")
 	DomainReached = define(428, "domainReached", log.InfoLevel, "A failure domain that seemed to be cut off is reachable again.")
--- a/fleet.go
+++ b/fleet.go
@@ -144,6 +144,9 @@
 type ServerNotice struct {
 	// Leaving is set if the server takes no new work until it is started anew.
 	Leaving bool
+	// PausedUntil is when the server accepts requests of this instance again; zero
+	// if it asked for no pause.
+	PausedUntil time.Time
 }
 
 // BackendAnswer is a backend server's answer whose body is not read yet.
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -43,6 +43,8 @@
 	serversKnown bool
 	// leaving has the servers that announced that they leave, by ID.
 	leaving map[string]*leavingServer
+	// pauses has the servers that asked this instance for a pause, by ID.
+	pauses map[string]pause
 	// serverVersion increases with each change of the server list; changed maps
 	// a server to the version at which it last changed or was removed.
 	serverVersion int64
@@ -93,6 +95,7 @@
 		declared:      map[string]declaration{},
 		servers:       map[string]pomelospring.FleetServer{},
 		leaving:       map[string]*leavingServer{},
+		pauses:        map[string]pause{},
 		changed:       map[string]int64{},
 		domainReports: map[string]*leaderReport{},
 		ownLoads:      map[string]*ownLoad{},
@@ -210,6 +213,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.applyLeaving(servers, readAt)
+	b.endPauses(servers, readAt)
 	for id, server := range servers {
 		if before, known := b.servers[id]; !known || !before.Equivalent(&server) {
 			b.serverVersion++
--- a/fleet/leaving.go
+++ b/fleet/leaving.go
@@ -79,7 +79,7 @@
 // UnusableServers lists the IDs of servers of a service that this instance sends
 // nothing to although a leader may still place adapters on them, at most
 // maxSharedServers.
-func (b *Board) UnusableServers(service string) (ids []string) {
+func (b *Board) UnusableServers(service string, now time.Time) (ids []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id := range b.leaving {
@@ -87,6 +87,11 @@
 			ids = append(ids, id)
 		}
 	}
+	for id := range b.pauses {
+		if server := b.servers[id]; len(ids) < maxSharedServers && b.paused(id, now) && !server.Draining && server.Service == service {
+			ids = append(ids, id)
+		}
+	}
 	return ids
 }
 
--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/apex/log"
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/events"
@@ -22,6 +24,24 @@
 			Started: server.Started,
 		}}, "its own answer")
 	}
+	if !notice.PausedUntil.IsZero() {
+		n.recordPause(server, notice.PausedUntil)
+	}
+}
+
+// recordPause applies that a server asked this instance for a pause.
+func (n Notices) recordPause(server pomelospring.FleetServer, until time.Time) {
+	now := n.Clock()
+	resumeAt, changed := n.Board.RecordPause(server.ID, until, now)
+	if !changed {
+		return
+	}
+	events.Log(n.Logger, events.ServerPaused, log.Fields{
+		"server":   server.ID,
+		"until":    until.UnixMilli(),
+		"pauseMs":  until.Sub(now).Milliseconds(),
+		"resumeMs": resumeAt.Sub(now).Milliseconds(),
+	})
 }
 
 // RecordLeaving applies which servers announced that they leave; source says who
--- /dev/null
+++ b/fleet/pauses_test.go
@@ -0,0 +1,130 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/fleet"
+)
+
+// pausingBoard returns a board with the model workers a and b, which hold the model
+// m, and c, which holds none.
+func pausingBoard() *fleet.Board {
+	board := fleet.NewBoard("north")
+	board.SetServers(map[string]pomelospring.FleetServer{
+		"a": {ID: "a", Service: "llm", Domain: "north", Models: []string{"m"}},
+		"b": {ID: "b", Service: "llm", Domain: "north", Models: []string{"m"}},
+		"c": {ID: "c", Service: "llm", Domain: "north"},
+	}, start)
+	return board
+}
+
+// TestPauseEndIsUntrue guards against callers that are told to come back too early, or
+// that are refused while a server could take their call.
+func TestPauseEndIsUntrue(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		pauses  map[string]time.Duration
+		leaving string
+		after   time.Duration
+		// want is the end of the first pause, not counting its spread; 0 if a server
+		// takes calls.
+		want time.Duration
+	}{
+		{name: "no pause"},
+		{name: "one of two pauses", pauses: map[string]time.Duration{"a": time.Second}},
+		{name: "both pause", pauses: map[string]time.Duration{"a": 9 * time.Second, "b": 5 * time.Second}, want: 5 * time.Second},
+		{name: "one pause is over", pauses: map[string]time.Duration{"a": 9 * time.Second, "b": time.Second}, after: 2 * time.Second},
+		{name: "the other one leaves", pauses: map[string]time.Duration{"a": 9 * time.Second}, leaving: "b", want: 9 * time.Second},
+		{name: "the first to come back leaves", pauses: map[string]time.Duration{"a": 9 * time.Second, "b": time.Second}, leaving: "b", want: 9 * time.Second},
+		{name: "only an unlisted server pauses", pauses: map[string]time.Duration{"x": time.Second}},
+		{name: "a pause that is over when it is recorded", pauses: map[string]time.Duration{"a": -time.Second, "b": time.Second}},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			board := pausingBoard()
+			for id, pause := range scenario.pauses {
+				board.RecordPause(id, start.Add(pause), start)
+			}
+			board.RecordLeaving(fleet.LeavingServer{ID: scenario.leaving}, start)
+			end, paused := board.PauseEnd("llm", &pomelospring.Call{Adapter: "m/x"}, start.Add(scenario.after))
+			if diff := cmp.Diff(scenario.want > 0, paused); diff != "" {
+				t.Fatal(diff)
+			}
+			if beyond := end.Sub(start) - scenario.want; paused && (beyond < 0 || beyond > scenario.want/10) {
+				t.Errorf("the pause ends after %s", end.Sub(start))
+			}
+		})
+	}
+}
+
+// TestShorterPauseEndsLongerOne guards against a pause that a later rejection, of a call
+// in flight, makes shorter, and against a log line for each such rejection.
+func TestShorterPauseEndsLongerOne(t *testing.T) {
+	board := pausingBoard()
+	steps := []struct {
+		at, until   time.Duration
+		wantChanged bool
+	}{
+		{until: 10 * time.Second, wantChanged: true},
+		{at: 100 * time.Millisecond, until: 3 * time.Second},
+		{at: 200 * time.Millisecond, until: 10200 * time.Millisecond},
+		{at: 300 * time.Millisecond, until: 20 * time.Second, wantChanged: true},
+		{at: 30 * time.Second, until: 31 * time.Second, wantChanged: true},
+	}
+	longest := time.Duration(0)
+	for _, step := range steps {
+		now := start.Add(step.at)
+		resumeAt, changed := board.RecordPause("a", start.Add(step.until), now)
+		longest = max(longest, step.until)
+		if changed != step.wantChanged || resumeAt.Before(start.Add(longest)) {
+			t.Errorf("after %s: changed %t, resumes after %s, want %t, %s", step.at, changed, resumeAt.Sub(start), step.wantChanged, longest)
+		}
+	}
+}
+
+// TestInstancesReturnAtOnce guards against a herd of instances at the end of a pause
+// that began for all of them at the same time.
+func TestInstancesReturnAtOnce(t *testing.T) {
+	const instances = 500
+	for _, pause := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 30 * time.Second} {
+		spread := min(time.Second, pause/10)
+		perTenth := map[time.Duration]int{}
+		for range instances {
+			resumeAt, _ := pausingBoard().RecordPause("a", start.Add(pause), start)
+			late := resumeAt.Sub(start.Add(pause))
+			if late < 0 || late > spread {
+				t.Fatalf("an instance returns %s after a pause of %s", late, pause)
+			}
+			perTenth[late*10/(spread+1)]++
+		}
+		for tenth, count := range perTenth {
+			if count > instances/5 {
+				t.Errorf("%d of %d instances return in tenth %d of %s", count, instances, tenth, spread)
+			}
+		}
+	}
+}
+
+// TestPausesPileUp guards against pauses that are kept for servers that have gone, and
+// after their end.
+func TestPausesPileUp(t *testing.T) {
+	board := pausingBoard()
+	for _, id := range []string{"a", "b", "c"} {
+		board.RecordPause(id, start.Add(time.Minute), start)
+	}
+	if diff := cmp.Diff(3, len(board.Pauses(start))); diff != "" {
+		t.Error(diff)
+	}
+	board.SetServers(map[string]pomelospring.FleetServer{"b": {ID: "b", Service: "llm"}}, start)
+	pauses := board.Pauses(start)
+	if _, kept := pauses["b"]; !kept || len(pauses) != 1 {
+		t.Errorf("pauses after two servers have gone: %v", pauses)
+	}
+	later := start.Add(2 * time.Minute)
+	if diff := cmp.Diff(0, len(board.Pauses(later))+len(board.UnusableServers("llm", later))); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/fleet/server_load.go
+++ b/fleet/server_load.go
@@ -173,7 +173,7 @@
 	oldestVersion := b.minVersion(call.Adapter, now)
 	var cutOff []dispatch.Candidate
 	for id, server := range b.servers {
-		if server.Service != service || server.Draining || avoid[id] {
+		if server.Service != service || server.Draining || avoid[id] || b.paused(id, now) {
 			continue
 		}
 		version, canServe := b.canServe(&server, call, now)
--- a/front/server_notice_test.go
+++ b/front/server_notice_test.go
@@ -65,3 +65,33 @@
 		t.Errorf("requests and orders from both: %s", diff)
 	}
 }
+
+// A worker that rejects a request with 503 and Retry-After must get at most two
+// requests from the instance between half a second later and the end of that time,
+// and more after it.
+func TestWorkerThatAsksForAPauseGetsOne(t *testing.T) {
+	const pause = 3 * time.Second
+	store, address, w := newStoreWithWorker(t)
+	a := startInstance(t, "a", address)
+	eventually(t, "serves", func() bool { return a.serves("k1", "a1") })
+	other := newWorker(t, "i-2")
+	store.Put(platform.ServerTopic, other.id, other.entry("ready"))
+	time.Sleep(time.Second)
+	w.mu.Lock()
+	w.retryAfter = "3"
+	w.mu.Unlock()
+	begin := time.Now()
+	if failed := serveBoth(begin.Add(pause-200*time.Millisecond), "a1", a); failed > 0 {
+		t.Errorf("%d requests failed beside a worker without a pause", failed)
+	}
+	requests, orders := w.arrivals(begin.Add(600 * time.Millisecond))
+	if requests+orders > 2 {
+		t.Errorf("%d requests and %d orders during the pause, want at most 2", requests, orders)
+	}
+	// With the other worker gone, the first one serves again after its pause.
+	w.mu.Lock()
+	w.retryAfter = ""
+	w.mu.Unlock()
+	store.Put(platform.ServerTopic, other.id, other.entry("draining"))
+	eventually(t, "serves after the pause", func() bool { return a.serves("k1", "a1") })
+}
--- a/loading/maintenance.go
+++ b/loading/maintenance.go
@@ -43,7 +43,7 @@
 func (t *PlacementTable) Maintenance(now time.Time) (orders []Maintenance) {
 	storeLoads := t.modelLoadsInFlight(now)
 	for _, w := range t.sorted {
-		if !w.synced || w.orderInFlight || w.server.Draining || !w.modelLoadSeenAt.IsZero() {
+		if !w.synced || w.orderInFlight || w.server.Draining || !w.modelLoadSeenAt.IsZero() || t.paused(w, now) {
 			continue
 		}
 		if order, found := t.baseModelOrder(w); found {
--- a/loading/placement_table.go
+++ b/loading/placement_table.go
@@ -97,6 +97,9 @@
 	// ActiveLeaders is the number of domain leaders that can give orders at the
 	// moment; 0 for all.
 	ActiveLeaders int
+	// Pauses has when each worker that wants nothing from the leader's instance
+	// accepts orders and requests for its report again.
+	Pauses map[string]time.Time
 	// Speeds are the learned speeds of the workers.
 	Speeds dispatch.Speeds
 	// Revision increases with each change of the workers' residency.
@@ -248,7 +251,7 @@
 // DueReports lists the workers whose report is to be requested now.
 func (t *PlacementTable) DueReports(now time.Time) (servers []pomelospring.FleetServer) {
 	for _, w := range t.workers {
-		if !w.synced && !w.orderInFlight && !now.Before(w.nextReportAt) {
+		if !w.synced && !w.orderInFlight && !now.Before(w.nextReportAt) && !t.paused(w, now) {
 			w.nextReportAt = now.Add(reportRetryDelay)
 			servers = append(servers, w.server)
 		}
@@ -256,6 +259,11 @@
 	return servers
 }
 
+// paused reports whether a worker wants nothing from the leader's instance now.
+func (t *PlacementTable) paused(w *worker, now time.Time) bool {
+	return now.Before(t.Pauses[w.server.ID])
+}
+
 // ApplyReport updates the state of a worker from its report.
 func (t *PlacementTable) ApplyReport(server string, report pomelospring.EngineReport, now time.Time) {
 	w := t.workers[server]
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -87,7 +87,7 @@
 	default:
 		return Plan{
 			Kind:   PlanNone,
-			Reason: "no worker with the base model",
+			Reason: "no worker with the base model accepts orders",
 		}
 	}
 }
@@ -109,6 +109,9 @@
 	candidates := 0
 	var bestCost time.Duration
 	consider := func(w *worker) {
+		if t.paused(w, now) {
+			return
+		}
 		usable, retryable := w.canLoad(request.Adapter, avoid, now)
 		busy = busy || retryable
 		if !usable {
--- a/loading/unusable_test.go
+++ b/loading/unusable_test.go
@@ -39,3 +39,29 @@
 		}
 	}
 }
+
+// TestPausingWorkerIsOrdered guards against orders and requests for a report that reach
+// a worker which asked the leader's instance for a pause.
+func TestPausingWorkerIsOrdered(t *testing.T) {
+	now := start.Add(10 * time.Second)
+	end := now.Add(time.Second)
+	table := workers(report(1), pomelospring.EngineReport{Sequence: 1, Started: start})
+	table.Pauses = map[string]time.Time{"a": end, "b": end}
+	if plan := table.Plan(request("m/x"), now); plan.Kind != loading.PlanNone {
+		t.Errorf("plan %s at %s", plan.Kind, plan.Server.ID)
+	}
+	if diff := cmp.Diff(0, len(table.Maintenance(now))); diff != "" {
+		t.Errorf("maintenance: %s", diff)
+	}
+	table.Invalidate(now)
+	if diff := cmp.Diff(0, len(table.DueReports(now))); diff != "" {
+		t.Errorf("reports: %s", diff)
+	}
+	if diff := cmp.Diff(2, len(table.DueReports(end))); diff != "" {
+		t.Errorf("reports after the pause: %s", diff)
+	}
+	table.ApplyReport("a", report(1), end)
+	if plan := table.Plan(request("m/x"), end); plan.Kind != loading.PlanLoad {
+		t.Errorf("plan %s after the pause", plan.Kind)
+	}
+}
