Find the servers for a call by an index of adapters and models

Change: the board indexes which servers have an adapter resident, by the leaders' reports and by the list, counted by source, and lists the ready ones by service and base model when the list changes. A call without an adapter compares at most 64 servers, half of them in the own failure domain, from a random start; below that nothing changes. The end of the pauses of all servers is kept until one changes.

TestPauseEndIsOutdated and TestFirstOfManyServersGetsAllCalls fail without their part. That the index drops adapters of servers that left the list is not proved by a test (a mutant without it passes, as the list filters them).

--- a/fleet/board.go
+++ b/fleet/board.go
@@ -41,6 +41,7 @@
 
 	servers      map[string]pomelospring.FleetServer
 	serversKnown bool
+	index        serverIndex
 	// leaving has the servers that announced that they leave, by ID.
 	leaving map[string]*leavingServer
 	// pauses has the servers that asked this instance for a pause, by ID.
@@ -94,6 +95,7 @@
 		records:       map[string]pomelospring.KeyedRecord{},
 		declared:      map[string]declaration{},
 		servers:       map[string]pomelospring.FleetServer{},
+		index:         newServerIndex(),
 		leaving:       map[string]*leavingServer{},
 		pauses:        map[string]pause{},
 		changed:       map[string]int64{},
@@ -214,6 +216,7 @@
 	defer b.mu.Unlock()
 	b.applyLeaving(servers, readAt)
 	b.endPauses(servers, readAt)
+	versionBefore := b.serverVersion
 	for id, server := range servers {
 		if before, known := b.servers[id]; !known || !before.Equivalent(&server) {
 			b.serverVersion++
@@ -226,6 +229,7 @@
 			b.changed[id] = b.serverVersion
 		}
 	}
+	b.updateIndex(servers, b.serverVersion > versionBefore)
 	b.servers = servers
 	b.serversKnown = true
 	b.serversReadAt = readAt
@@ -304,19 +308,19 @@
 	defer b.mu.Unlock()
 	report := b.report(domain)
 	if full {
-		report.residency = make(map[string]map[string]int64, len(changes))
+		for id := range report.residency {
+			b.clearResident(report, id)
+		}
 	}
 	for id, change := range changes {
-		residency := report.residency[id]
-		if residency == nil || change.Whole {
-			residency = make(map[string]int64, len(change.Ready))
-			report.residency[id] = residency
+		if change.Whole {
+			b.clearResident(report, id)
 		}
 		for _, adapter := range change.Ready {
-			residency[adapter.Adapter] = adapter.Version
+			b.setResident(report, id, adapter.Adapter, adapter.Version)
 		}
 		for _, adapter := range change.Gone {
-			delete(residency, adapter)
+			b.removeResident(report, id, adapter)
 		}
 	}
 	report.version = version
@@ -348,11 +352,7 @@
 	if !known {
 		return
 	}
-	residency := b.report(listed.Domain).residency
-	if residency[server] == nil {
-		residency[server] = map[string]int64{}
-	}
-	residency[server][adapter] = version
+	b.setResident(b.report(listed.Domain), server, adapter, version)
 }
 
 // RemoveResident records that a model worker refused an adapter that was
@@ -362,7 +362,7 @@
 	defer b.mu.Unlock()
 	if listed, known := b.servers[server]; known {
 		report := b.report(listed.Domain)
-		delete(report.residency[server], adapter)
+		b.removeResident(report, server, adapter)
 		report.version = 0
 	}
 }
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -67,11 +67,7 @@
 	if calls < minDemandCalls {
 		return 0
 	}
-	domains := map[string]bool{}
-	for _, server := range b.servers {
-		domains[server.Domain] = true
-	}
-	instances := float64(max(1, b.instances)) / float64(max(1, len(domains)))
+	instances := float64(max(1, b.instances)) / float64(max(1, b.index.domains))
 	return perSecond(calls) * max(1, instances)
 }
 
--- a/fleet/leaving.go
+++ b/fleet/leaving.go
@@ -51,6 +51,7 @@
 	}
 	server.Draining = true
 	b.servers[leaving.ID] = server
+	b.index.forgetPauses()
 	b.serverVersion++
 	b.changed[leaving.ID] = b.serverVersion
 	return true
@@ -83,12 +84,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id := range b.leaving {
-		if server := b.servers[id]; len(ids) < maxSharedServers && server.Draining && server.Service == service {
+		if len(ids) == maxSharedServers {
+			return ids
+		}
+		if server := b.servers[id]; server.Draining && server.Service == service {
 			ids = append(ids, id)
 		}
 	}
 	for id := range b.pauses {
-		if server := b.servers[id]; len(ids) < maxSharedServers && b.paused(id, now) && !server.Draining && server.Service == service {
+		if len(ids) == maxSharedServers {
+			return ids
+		}
+		if server := b.servers[id]; b.paused(id, now) && !server.Draining && server.Service == service {
 			ids = append(ids, id)
 		}
 	}
--- a/fleet/pauses.go
+++ b/fleet/pauses.go
@@ -39,6 +39,7 @@
 	changed = !now.Before(known.resumeAt) || until.Sub(known.until) >= minPauseExtension
 	spread := min(maxPauseSpread, time.Duration(pauseSpreadFraction*float64(until.Sub(now))))
 	resumeAt = until.Add(rand.N(spread + 1))
+	b.index.forgetPauses()
 	b.pauses[server] = pause{
 		until:    until,
 		resumeAt: resumeAt,
@@ -69,11 +70,18 @@
 	if len(b.pauses) == 0 {
 		return time.Time{}, false
 	}
-	for id, server := range b.servers {
-		if server.Service != service || server.Draining || call.Adapter != "" && !server.Holds(call.Model()) {
+	p := b.index.pool(service, call)
+	if now.Before(p.pausedUntil) {
+		return p.pausedUntil, true
+	}
+	skipped := false
+	for id := range p.all() {
+		server := b.servers[id]
+		if server.Draining {
 			continue
 		}
 		if call.NeedsAdapter() && b.cutOff(server.Domain, now) {
+			skipped = true
 			continue
 		}
 		resumeAt := b.pauses[id].resumeAt
@@ -84,6 +92,9 @@
 			end, paused = resumeAt, true
 		}
 	}
+	if !skipped {
+		p.pausedUntil = end
+	}
 	return end, paused
 }
 
--- a/fleet/pauses_test.go
+++ b/fleet/pauses_test.go
@@ -60,6 +60,38 @@
 	}
 }
 
+// TestPauseEndIsOutdated guards against an end of all pauses that is still given after a
+// longer pause, a leaving server or a new one.
+func TestPauseEndIsOutdated(t *testing.T) {
+	board := pausingBoard()
+	call := &pomelospring.Call{Adapter: "m"}
+	end := func() time.Duration {
+		end, paused := board.PauseEnd("llm", call, start)
+		if !paused {
+			return 0
+		}
+		if candidates := board.Candidates("llm", call, nil, start); len(candidates) > 0 {
+			t.Errorf("%d candidates while all servers pause", len(candidates))
+		}
+		return end.Sub(start).Truncate(10 * time.Second)
+	}
+	board.RecordPause("a", start.Add(10*time.Second), start)
+	board.RecordPause("b", start.Add(30*time.Second), start)
+	first := end()
+	board.RecordPause("a", start.Add(20*time.Second), start)
+	longer := end()
+	board.RecordLeaving(fleet.LeavingServer{ID: "a"}, start)
+	other := end()
+	board.SetServers(map[string]pomelospring.FleetServer{
+		"b": {ID: "b", Service: "llm", Domain: "north", Models: []string{"m"}},
+		"d": {ID: "d", Service: "llm", Domain: "north", Models: []string{"m"}},
+	}, start)
+	want := []time.Duration{10 * time.Second, 20 * time.Second, 30 * time.Second, 0}
+	if diff := cmp.Diff(want, []time.Duration{first, longer, other, end()}); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestShorterPauseEndsLongerOne guards against a pause that a later rejection, of a call
 // in flight, makes shorter, and against a log line for each such rejection.
 func TestShorterPauseEndsLongerOne(t *testing.T) {
--- a/fleet/server_load.go
+++ b/fleet/server_load.go
@@ -166,14 +166,22 @@
 
 // Candidates lists the backend servers of a service that can take a call. Servers
 // in failure domains that count as cut off are listed only if there are no others
-// and the call needs no adapter.
+// and the call needs no adapter. For such calls it lists at most maxCandidates.
 func (b *Board) Candidates(service string, call *pomelospring.Call, avoid map[string]bool, now time.Time) (candidates []dispatch.Candidate) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	oldestVersion := b.minVersion(call.Adapter, now)
+	candidates = make([]dispatch.Candidate, 0, b.index.count(service, call))
 	var cutOff []dispatch.Candidate
-	for id, server := range b.servers {
-		if server.Service != service || server.Draining || avoid[id] || b.paused(id, now) {
+	for id := range b.index.possible(service, call, now) {
+		if len(candidates) == maxCandidates && !call.NeedsAdapter() {
+			break
+		}
+		if avoid[id] || b.paused(id, now) {
+			continue
+		}
+		server, listed := b.servers[id]
+		if !listed || server.Service != service || server.Draining {
 			continue
 		}
 		version, canServe := b.canServe(&server, call, now)
