--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -106,6 +106,15 @@
 	}
 }
 
+// notices records what backend servers announced to other instances.
+func (l *Leader) notices() fleet.Notices {
+	return fleet.Notices{
+		Board:  l.Board,
+		Logger: l.Logger,
+		Clock:  l.Clock,
+	}
+}
+
 // Parts returns the group's number of partitions.
 func (l *Leader) Parts() int { return l.lease.Parts }
 
@@ -224,6 +233,7 @@
 		l.slots[servers[i].ID] = servers[i].Slots
 	}
 	l.table.SetServers(servers, limits, l.Domains)
+	l.table.Pauses = l.Board.Pauses(now)
 	l.table.ActiveLeaders = l.AnsweringDomains()
 	l.table.Speeds = l.Board.Speeds("")
 	instances, _ := l.countInstances(now)
--- a/entry/run.go
+++ b/entry/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -85,7 +86,7 @@
 		choice = dispatch.Choose(candidates, requirements)
 	}
 	if !choice.Found {
-		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeNoBackendServer, retryAfter(now), "no backend server can take the call")
+		return dispatch.Choice{}, c.noServerRefusal(now)
 	}
 	if requirements.Model && !c.forwarded && now.Add(choice.Wait).After(c.firstEventDeadline) {
 		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(now), "the wait of %s exceeds the caller's timeout", choice.Wait)
@@ -137,16 +138,21 @@
 
 // requestPlacement asks the leader to place the call's adapter and waits for it.
 func (c *session) requestPlacement(ctx context.Context, now time.Time) *pomelospring.Refusal {
+	if refusal := c.pausedRefusal(now); refusal != nil {
+		return refusal
+	}
 	request := pomelospring.PlacementRequest{
 		Request:  c.call.ID,
 		Adapter:  c.call.Adapter,
 		Domain:   c.service.Board.Domain,
 		Deadline: now.Add(time.Duration(placementTimeFraction * float64(c.firstEventDeadline.Sub(now)))),
+		Unusable: c.service.Board.UnusableServers(c.targetService, now),
 	}
 	for id := range c.avoid {
-		if c.missing[id] {
+		switch {
+		case c.missing[id]:
 			request.Missing = append(request.Missing, id)
-		} else {
+		case !slices.Contains(request.Unusable, id):
 			request.Avoid = append(request.Avoid, id)
 		}
 	}
@@ -189,6 +195,7 @@
 	default:
 		return
 	}
+	request.Unusable = s.Board.UnusableServers(choice.Candidate.Server.Service, now)
 	s.requestCopy(request, now)
 }
 
@@ -267,7 +274,11 @@
 func (a *attempt) send(ctx context.Context, resumeAfter string) (answer *pomelospring.BackendAnswer, err error) {
 	c := a.session
 	c.service.Board.BeginCall(a.server.ID, c.call.Adapter, a.prefillTokens)
-	return c.service.Backend.Send(ctx, c.call, c.dispatch(a.choice, resumeAfter))
+	answer, err = c.service.Backend.Send(ctx, c.call, c.dispatch(a.choice, resumeAfter))
+	if err == nil {
+		c.service.notices().Record(a.server, answer.Notice)
+	}
+	return answer, err
 }
 
 // conclude takes an attempt from the head of its answer, or the error in place of
@@ -368,15 +379,37 @@
 		c.service.Board.RemoveResident(server.ID, c.call.Adapter)
 	}
 	c.successor = a.settle()
-	willRetry := c.successor != nil || ctx.Err() == nil && c.attemptsSent < maxAttempts && c.retries.Take()
+	refusal := c.pausedRefusal(c.service.Clock())
+	willRetry := c.successor != nil || refusal == nil && ctx.Err() == nil && c.attemptsSent < maxAttempts && c.retries.Take()
 	c.logRetry(server, http.StatusText(answer.Status), willRetry)
 	if willRetry {
 		return false
 	}
-	c.giveUp(ctx, pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(c.service.Clock()), "backend servers rejected the call"))
+	if refusal == nil {
+		refusal = pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(c.service.Clock()), "backend servers rejected the call")
+	}
+	c.giveUp(ctx, refusal)
 	return true
 }
 
+// noServerRefusal returns the refusal of a call that no server can take now.
+func (c *session) noServerRefusal(now time.Time) *pomelospring.Refusal {
+	if refusal := c.pausedRefusal(now); refusal != nil {
+		return refusal
+	}
+	return pomelospring.NewRefusal(pomelospring.CodeNoBackendServer, retryAfter(now), "no backend server can take the call")
+}
+
+// pausedRefusal returns the refusal of a call while all servers that could take it
+// want nothing from this instance, or nil.
+func (c *session) pausedRefusal(now time.Time) *pomelospring.Refusal {
+	end, paused := c.service.Board.PauseEnd(c.targetService, c.call, now)
+	if !paused {
+		return nil
+	}
+	return pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfterPause(end, now), "all backend servers that could take the call asked for a pause, the first one for %s more", end.Sub(now).Round(time.Millisecond))
+}
+
 // mayRetry reports whether another attempt may follow a failed one. A call that
 // was not sent has not run and can go to another server. One that may have run
 // is sent again only if its route is repeatable and has attempts left.
--- /dev/null
+++ b/fleet/notices.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/events"
+)
+
+// Notices records on a board what backend servers announce about themselves, and
+// logs what changes.
+type Notices struct {
+	Board  *Board
+	Logger log.Interface
+	Clock  pomelospring.Clock
+}
+
+// Record applies what a server announced in an answer to this instance.
+func (n Notices) Record(server pomelospring.FleetServer, notice pomelospring.ServerNotice) {
+	if notice.Leaving {
+		n.RecordLeaving([]LeavingServer{{
+			ID:      server.ID,
+			Started: server.Started,
+		}}, "its own answer")
+	}
+	if !notice.PausedUntil.IsZero() {
+		n.recordPause(server, notice.PausedUntil)
+	}
+}
+
+// recordPause applies that a server asked this instance for a pause.
+func (n Notices) recordPause(server pomelospring.FleetServer, until time.Time) {
+	now := n.Clock()
+	resumeAt, changed := n.Board.RecordPause(server.ID, until, now)
+	if !changed {
+		return
+	}
+	events.Log(n.Logger, events.ServerPaused, log.Fields{
+		"server":   server.ID,
+		"until":    until.UnixMilli(),
+		"pauseMs":  until.Sub(now).Milliseconds(),
+		"resumeMs": resumeAt.Sub(now).Milliseconds(),
+	})
+}
+
+// RecordLeaving applies which servers announced that they leave; source says who
+// reports it.
+func (n Notices) RecordLeaving(servers []LeavingServer, source string) {
+	for _, server := range servers {
+		if !n.Board.RecordLeaving(server, n.Clock()) {
+			continue
+		}
+		events.Log(n.Logger, events.ServerLeaving, log.Fields{
+			"server":  server.ID,
+			"started": server.Started.UnixMilli(),
+			"source":  source,
+		})
+	}
+}
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -53,6 +53,9 @@
 	for _, id := range request.Missing {
 		avoid[id] = !t.extendDelayedLoad(id, request.Adapter, now)
 	}
+	for _, id := range request.Unusable {
+		avoid[id] = true
+	}
 	if ready, found := t.findResident(request, version, avoid, now); found {
 		return ready
 	}
@@ -84,7 +87,7 @@
 	default:
 		return Plan{
 			Kind:   PlanNone,
-			Reason: "no worker with the base model",
+			Reason: "no worker with the base model accepts orders",
 		}
 	}
 }
@@ -106,6 +109,9 @@
 	candidates := 0
 	var bestCost time.Duration
 	consider := func(w *worker) {
+		if t.paused(w, now) {
+			return
+		}
 		usable, retryable := w.canLoad(request.Adapter, avoid, now)
 		busy = busy || retryable
 		if !usable {
@@ -276,7 +282,7 @@
 // sequence number of the next order.
 func (t *PlacementTable) BeginOrder(server string) (sequence int64, ok bool) {
 	w := t.workers[server]
-	if w == nil || w.orderInFlight || !w.synced {
+	if w == nil || w.orderInFlight || !w.synced || w.server.Draining {
 		return 0, false
 	}
 	w.orderInFlight = true
