Print the exit and the output of a daemon that ends by itself in a test

TestAFloodingTeamStaysWithinItsRateAndBurst failed once with "os: process already finished" on a signal: the daemon had ended by itself, and the test kept the last lines of its output only. Now every test of wholepath fails if a daemon ended that the test sent no SIGKILL or SIGTERM, and prints the process, its exit and its whole output, at the next signal or at the end. Stricter than before: a daemon that nobody signalled went unnoticed unless it had panicked.

--- a/wholepath/fleet_test.go
+++ b/wholepath/fleet_test.go
@@ -83,7 +83,10 @@
 	operatorAddress string
 	process         *exec.Cmd
 	output          *bytes.Buffer
-	exited          chan struct{}
+	// exited is closed once the process has ended and its output is complete.
+	exited chan struct{}
+	// ended is set once the test has sent a signal that ends the process.
+	ended bool
 }
 
 // proxy forwards TCP connections to a target, unless it is cut.
@@ -253,8 +256,10 @@
 }
 
 // kill kills the process. It logs the end of the process's output if the test
-// has failed, and fails the test if the daemon panicked or had a data race.
+// has failed, and fails the test if the daemon ended by itself, panicked or had a
+// data race.
 func (d *daemon) kill(t *testing.T) {
+	d.checkRunning(t)
 	_ = d.process.Process.Signal(syscall.SIGCONT)
 	_ = d.process.Process.Kill()
 	<-d.exited
@@ -267,9 +272,32 @@
 	}
 }
 
+// checkRunning fails the test, with the exit and the whole output of the process,
+// if the daemon has ended by itself.
+func (d *daemon) checkRunning(t *testing.T) {
+	t.Helper()
+	select {
+	case <-d.exited:
+	default:
+		return
+	}
+	if !d.ended {
+		d.ended = true
+		t.Errorf("a daemon in %s, process %d at %s, ended by itself: %s; its output:\n%s",
+			d.domain, d.process.Process.Pid, d.callerAddress, d.process.ProcessState, d.output.String())
+	}
+}
+
 func (d *daemon) signal(t *testing.T, signal syscall.Signal) {
+	t.Helper()
+	d.checkRunning(t)
 	if err := d.process.Process.Signal(signal); err != nil {
-		t.Fatal(err)
+		<-d.exited
+		d.checkRunning(t)
+		t.Fatalf("signal %s: %v", signal, err)
+	}
+	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
+		d.ended = true
 	}
 }
 
