Forward streams without the length that their first server declared

What callers would see: a stream whose server declares a length breaks off, and another server goes on with it. If that one says more or less than the first would have, such as the line that names a new version of the weights, the bytes don't fit the length: the caller's answer ended early although all events had arrived at the front.

Cause: the head was forwarded with the first server's length, which holds for that server's own bytes only. Streams are now forwarded in chunks, whatever their servers declare.

Evidence: TestAnswersThatEndWithTheirConnectionAreWholeOrBroken runs 14 answers without a length or chunks through a complete front, in peace and during a planned stop after the listener has closed. Only the scenario with a declared length failed before, in both; the others passed on the code as it was: whole answers, resets, cuts inside an event or the head, resumption. So did TestAnswersThatEndWithTheirConnectionLeaveOthersAlone (kept connections on both sides). Nothing in the protocol tells a plain answer without a length that is whole from one that a server cut with a FIN; only a reset shows the cut.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,6 +21,9 @@
 	maxBodyBytes = 8 << 20
 	// readBufferBytes is how much of a stream is read at once.
 	readBufferBytes = 4 << 10
+	// unknownLength is the length of a stream. One that a server declared may not
+	// hold after another server has gone on with the stream.
+	unknownLength = -1
 )
 
 // errEventTooLong reports a stream of bytes that don't end as an event.
@@ -199,7 +202,7 @@
 	}
 	if !c.forwarded {
 		c.forwarded = true
-		c.out.Head(answer, answer.Length)
+		c.out.Head(answer, unknownLength)
 		c.countServed()
 	}
 	c.recordEventTimes()
@@ -215,7 +218,7 @@
 	a.end(false)
 	if !c.forwarded {
 		c.forwarded = true
-		c.out.Head(answer, answer.Length)
+		c.out.Head(answer, unknownLength)
 	}
 	c.logServed(a.server, answer.Status)
 	return true
