Move no adapters away from a model worker that is silent for a second

What callers would see: a sound worker falls silent for 1.3 s while it gets one order. All adapters that it holds and that are called are loaded on other workers, which evicts and slows what is there and costs loads; calls in the second after it go to the copies.

Cause: an order that timed out asks for the worker's report; the report timed out too, and one report that can't be read made the worker unreachable for a second (reportRetryDelay), no matter whether its connection was refused or merely had no answer yet.

Only the second such report in a row makes a worker unreachable; a connection that is refused, reset or times out does at once, as before. The cost: a worker that hangs for good with open connections is left 1.6 s after the first report, where it was 0.6 s.

TestPlan has the two cases without a network.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -298,6 +298,10 @@
 		})
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		if errors.Is(err, pomelospring.ErrSilent) {
+			l.table.RecordSilence(server.ID, l.Clock())
+			return
+		}
 		l.table.RecordUnreachable(server.ID, l.Clock())
 		return
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -228,11 +228,16 @@
 	Loading []ResidentAdapter
 }
 
+// ErrSilent marks a report that was requested over an open connection and not
+// answered in time.
+var ErrSilent = errors.New("the model worker does not answer")
+
 // Engine sends orders to model workers and reads their reports.
 type Engine interface {
 	// Do sends an order. err is set unless the order was accepted or is done.
 	Do(ctx context.Context, order Order) (result OrderResult, err error)
-	// Report asks a model worker for its state.
+	// Report asks a model worker for its state. An error wraps ErrSilent if the
+	// worker accepted the connection and did not answer in time.
 	Report(ctx context.Context, server FleetServer) (report EngineReport, err error)
 }
 
--- a/loading/placement_table.go
+++ b/loading/placement_table.go
@@ -59,6 +59,9 @@
 	suspicionInterval = time.Second
 	// reportRetryDelay is the time until a missing report is requested again.
 	reportRetryDelay = time.Second
+	// maxUnansweredReports is the number of unanswered reports in a row from which a
+	// worker that accepts connections counts as unreachable.
+	maxUnansweredReports = 2
 	// remoteDomainCost is added for workers outside the request's domain, so that
 	// those inside are preferred.
 	remoteDomainCost = 10 * time.Millisecond
@@ -113,6 +116,9 @@
 	// last suspected and asked for a report because of that.
 	orderedAt time.Time
 	checkedAt time.Time
+	// unansweredReports counts the reports in a row that a silent worker left
+	// unanswered.
+	unansweredReports int
 	// unreachable says that the worker's last report could not be read. Its
 	// adapters are not published until one is.
 	unreachable   bool
@@ -262,6 +268,7 @@
 	if w == nil || w.synced || w.orderInFlight {
 		return
 	}
+	w.unansweredReports = 0
 	if !report.Started.Equal(w.server.Started) {
 		// The report comes from another incarnation than the listed one.
 		w.nextReportAt = now.Add(reportRetryDelay)
@@ -336,6 +343,19 @@
 	t.recordChanges(w, now)
 }
 
+// RecordSilence records that a worker accepted the request for its report and did
+// not answer in time. It counts as unreachable only if that happens again: a sound
+// worker may pause, and moving all its adapters takes longer than the pause.
+func (t *PlacementTable) RecordSilence(server string, now time.Time) {
+	w := t.workers[server]
+	if w == nil || w.synced {
+		return
+	}
+	if w.unansweredReports++; w.unansweredReports >= maxUnansweredReports {
+		t.RecordUnreachable(server, now)
+	}
+}
+
 // markUnsynced marks a worker as unsynced until its next report. The delay
 // ensures that the report is newer than the last order.
 func (w *worker) markUnsynced(now time.Time) {
--- a/loading/placement_table_test.go
+++ b/loading/placement_table_test.go
@@ -194,6 +194,27 @@
 			request: request("m/x"),
 			want:    plan{Kind: loading.PlanLoad, Server: "b"},
 		},
+		{
+			name:    "an adapter on a worker that left one report unanswered is used",
+			workers: workers(report(0, "m/x"), report(0)),
+			prepare: func(table *loading.PlacementTable) {
+				table.Plan(pomelospring.PlacementRequest{Adapter: "m/y", Domain: "north", Avoid: []string{"a"}}, now)
+				table.RecordSilence("a", now)
+			},
+			request: request("m/x"),
+			want:    plan{Kind: loading.PlanReady, Server: "a"},
+		},
+		{
+			name:    "an adapter on a worker that left two reports unanswered is loaded elsewhere",
+			workers: workers(report(0, "m/x"), report(0)),
+			prepare: func(table *loading.PlacementTable) {
+				table.Plan(pomelospring.PlacementRequest{Adapter: "m/y", Domain: "north", Avoid: []string{"a"}}, now)
+				table.RecordSilence("a", now)
+				table.RecordSilence("a", now)
+			},
+			request: request("m/x"),
+			want:    plan{Kind: loading.PlanLoad, Server: "b"},
+		},
 		{
 			name:    "an adapter on a worker that failed a call and reports well is used",
 			workers: workers(report(0, "m/x"), report(0)),
