Use an application worker again as soon as it answers after a silence

What callers would see: a sound worker of a plain service falls silent for 1.3 s. Its calls are taken over, rightly, but for seconds afterwards every call goes to the other workers, also where these are full: answers are late or refused while a sound worker stands idle.

Cause: each call that was taken over counted as a failure of the worker. A dozen of them in flight brought its failure rate to 0.97, which costs 290 ms of estimated wait and halves only every 3 s; nothing was sent there, so nothing could lower it sooner.

Change: a server that left a call unanswered for too long and has answered no other call meanwhile counts as silent at this instance. It is left out of the choice, except for one call after 0.5, 1, 2, then every 4 s, until the head of any answer arrives; then it is back at once. Where no other server can take a call, the silent one is used as before. Such a call is no failure of the server; one at a server that answers others meanwhile still is.

Evidence: TestSilenceOfASoundApplicationWorkerIsForgotten, a complete front, two stand-in workers, 142 calls a second of 80 ms.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -143,7 +143,7 @@
 // ended early, and reports whether the call has ended.
 func (a *attempt) handleBrokenAnswer(ctx context.Context, err error) (done bool) {
 	c := a.session
-	a.end(true)
+	a.end(!a.isSilent())
 	err = a.cause(err)
 	c.avoid[a.server.ID] = true
 	c.successor = a.settle()
--- a/entry/run.go
+++ b/entry/run.go
@@ -264,6 +264,7 @@
 func (a *attempt) send(ctx context.Context, resumeAfter string) (answer *pomelospring.BackendAnswer, err error) {
 	c := a.session
 	c.service.Board.BeginCall(a.server.ID, c.call.Adapter, a.prefillTokens)
+	c.service.Board.RecordProbe(a.server.ID, c.service.Clock())
 	return c.service.Backend.Send(ctx, c.call, c.dispatch(a.choice, resumeAfter))
 }
 
@@ -305,7 +306,7 @@
 // the call has ended.
 func (a *attempt) handleSendError(ctx context.Context, err error) (done bool) {
 	c, server := a.session, a.server
-	a.end(true)
+	a.end(!a.isSilent())
 	err = a.cause(err)
 	c.avoid[server.ID] = true
 	notSent := errors.Is(err, pomelospring.ErrNotSent)
@@ -343,8 +344,14 @@
 	}
 }
 
-// recordContact records that a server's failure domain is reachable.
+// recordContact records that a server answers and that its failure domain is
+// reachable.
 func (s *Service) recordContact(server pomelospring.FleetServer) {
+	if s.Board.RecordAnswer(server.ID, s.Clock()) {
+		events.Log(s.Logger, events.ServerAnswered, log.Fields{
+			"server": server.ID,
+		})
+	}
 	if s.Board.RecordContact(server.Domain, s.Clock()) {
 		events.Log(s.Logger, events.DomainReached, log.Fields{
 			"domain": server.Domain,
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -189,6 +189,7 @@
 	reason := "the silent backend server went on"
 	if answer != nil {
 		_ = answer.Body.Close()
+		c.service.recordContact(server)
 		reason = http.StatusText(answer.Status)
 		if answer.Misdirected && c.call.NeedsAdapter() {
 			c.service.Board.RemoveResident(server.ID, c.call.Adapter)
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -5,6 +5,9 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/apex/log"
+	"github.com/pomelospring/pomelospring/events"
 )
 
 const (
@@ -38,6 +41,11 @@
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
+	// silent is set once the attempt's server counts as silent because of it.
+	silent bool
+	// waitingSince is when the server last sent a part of its answer, or got the
+	// call.
+	waitingSince time.Time
 	// forwarding is set while the attempt forwards a part of its answer.
 	forwarding bool
 	// idleDeadline is when the server counts as silent unless more of its answer
@@ -61,7 +69,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.takeover = newTakeover(a)
-	w.idleDeadline = c.service.Clock().Add(idleTimeout)
+	w.waitingSince = c.service.Clock()
+	w.idleDeadline = w.waitingSince.Add(idleTimeout)
 	w.timer = time.AfterFunc(min(idleTimeout, watchdogInterval), func() { a.checkWatchdog(ctx) })
 }
 
@@ -70,6 +79,7 @@
 func (a *attempt) checkWatchdog(ctx context.Context) {
 	next := watchdogInterval
 	if reason := a.silence(); reason != nil {
+		a.recordSilence(reason)
 		a.takeOver(ctx, reason)
 		next = takeoverRetryInterval
 	}
@@ -102,6 +112,36 @@
 	return nil
 }
 
+// recordSilence records that the server is silent, unless it answered other calls
+// while this one waited.
+func (a *attempt) recordSilence(reason error) {
+	if !errors.Is(reason, errIdle) {
+		return
+	}
+	service := a.session.service
+	now := service.Clock()
+	w := &a.watchdog
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = service.Board.RecordSilence(a.server.ID, w.waitingSince, now)
+	events.Log(service.Logger, events.ServerQuiet, log.Fields{
+		"request":  a.session.call.ID,
+		"server":   a.server.ID,
+		"silent":   w.silent,
+		"waitedMs": now.Sub(w.waitingSince).Milliseconds(),
+	})
+}
+
+// isSilent reports whether the server counts as silent because of this attempt.
+// The attempt's end is then no failure: a sound server that goes on would be left
+// for as long as a broken one.
+func (a *attempt) isSilent() bool {
+	w := &a.watchdog
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.silent
+}
+
 // claim is called when the answer, or more of it, has arrived, and reports whether
 // the attempt still serves the call. If it does, a takeover in progress is
 // canceled.
@@ -126,9 +166,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.forwarding = false
+	w.silent = false
+	w.waitingSince = a.session.service.Clock()
 	w.takeover.resumeAfter = lastEventID
 	timeout := time.Duration(streamIdleFraction * float64(clientTimeout(a.session.route)))
-	w.idleDeadline = a.session.service.Clock().Add(timeout)
+	w.idleDeadline = w.waitingSince.Add(timeout)
 }
 
 // cause returns why the attempt failed: that it was taken over, and why, if it was,
--- a/fleet/server_load.go
+++ b/fleet/server_load.go
@@ -46,6 +46,7 @@
 	// the last outcome.
 	smoothedFailures float64
 	outcomeAt        time.Time
+	silence          silence
 	// cachedParts maps "adapter|part" to when the worker last prefilled it.
 	cachedParts map[string]time.Time
 }
@@ -165,13 +166,14 @@
 }
 
 // Candidates lists the backend servers of a service that can take a call. Servers
-// in failure domains that count as cut off are listed only if there are no others
-// and the call needs no adapter.
+// that are silent are listed only if there are no others; those in failure domains
+// that count as cut off only if there are none of these either and the call needs
+// no adapter.
 func (b *Board) Candidates(service string, call *pomelospring.Call, avoid map[string]bool, now time.Time) (candidates []dispatch.Candidate) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	oldestVersion := b.minVersion(call.Adapter, now)
-	var cutOff []dispatch.Candidate
+	var silent, cutOff []dispatch.Candidate
 	for id, server := range b.servers {
 		if server.Service != service || server.Draining || avoid[id] {
 			continue
@@ -197,8 +199,15 @@
 			cutOff = append(cutOff, candidate)
 			continue
 		}
+		if l := b.ownLoads[id]; l != nil && l.silence.avoids(now) {
+			silent = append(silent, candidate)
+			continue
+		}
 		candidates = append(candidates, candidate)
 	}
+	if len(candidates) == 0 {
+		candidates = silent
+	}
 	if len(candidates) == 0 && !call.NeedsAdapter() {
 		return cutOff
 	}
--- a/front/silent_server_test.go
+++ b/front/silent_server_test.go
@@ -208,3 +208,39 @@
 		t.Errorf("%d of %d calls after the silence ran at the worker", runs, len(after))
 	}
 }
+
+// TestSilenceOfASoundApplicationWorkerIsForgotten guards against an application
+// worker that stays out of use after a second of silence.
+func TestSilenceOfASoundApplicationWorkerIsForgotten(t *testing.T) {
+	i, workers := startWithSilenceableWorkers(t, "app")
+	client := &http.Client{Transport: &http.Transport{}}
+	lookup := func(prefix string) func(n int) received {
+		return func(n int) received {
+			got, _ := i.call(client, "/lookup/", fmt.Sprint(prefix, n))
+			return got
+		}
+	}
+	for _, w := range workers {
+		w.worker.mu.Lock()
+		w.eventCount, w.eventInterval = 1, 80*time.Millisecond
+		w.worker.mu.Unlock()
+	}
+	const interval = 7 * time.Millisecond
+	callEvery(time.Second, interval, lookup("before-"))
+	workers[0].fallSilent(silenceDuration)
+	during := callEvery(silenceDuration, interval, lookup("during-"))
+	after := callEvery(time.Second, interval, lookup("after-"))
+	later := callEvery(time.Second, interval, lookup("later-"))
+	for _, got := range slices.Concat(during, after, later) {
+		if got.Status != http.StatusOK || !got.Complete {
+			t.Errorf("status %d, complete %v", got.Status, got.Complete)
+		}
+	}
+	silent, other := workers[0], workers[1]
+	t.Logf("runs at the silent worker and the other one: %d and %d before, %d and %d during, %d and %d of %d after, %d and %d of %d later",
+		silent.executed("before"), other.executed("before"), silent.executed("during"), other.executed("during"),
+		silent.executed("after"), other.executed("after"), len(after), silent.executed("later"), other.executed("later"), len(later))
+	if runs := silent.executed("after"); runs < len(after)/4 {
+		t.Errorf("%d of %d calls after the silence ran at the worker", runs, len(after))
+	}
+}
