Give a stream's server at least 1.4 s before another one is asked to go on

What callers would see: where a stream's targets are small (callers that wait 2 s for the next event), a server that is silent for 1.3 s and goes on has the rest of the stream run a second time elsewhere: the takeover begins after 0.6 of the 2 s.

Change: a stream counts as silent after 1.4 s or 0.6 of its caller's wait, whichever is longer; a takeover then still has 0.6 s of the 2 s.

Evidence: the new scenario of TestSlowStreamsAreKeptAndStalledOnesResumed had 2 sends before and has 1 now; a stream that stalls for good still gets its second.

--- a/entry/broken_server_test.go
+++ b/entry/broken_server_test.go
@@ -208,6 +208,7 @@
 	}{
 		{name: "slow but sound", body: pacedBody{interval: 900 * time.Millisecond, chunks: chunks}, sends: 1},
 		{name: "as slow as the route allows", pause: time.Second, body: pacedBody{interval: 1200 * time.Millisecond, chunks: chunks[:2]}, sends: 1},
+		{name: "silent for a second and a bit", body: pacedBody{interval: 1300 * time.Millisecond, chunks: chunks[:2]}, sends: 1},
 		{name: "a byte now and then", body: pacedBody{interval: 200 * time.Millisecond, chunks: chunks[:1], trickle: ":"}, sends: 2},
 	}
 	for _, scenario := range scenarios {
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -12,8 +12,10 @@
 
 const (
 	// streamIdleFraction is the fraction of the time for which the caller of a stream
-	// waits for its next event after which another server is asked to go on.
-	streamIdleFraction = 0.6
+	// waits for its next event after which another server is asked to go on, but not
+	// before minStreamIdleTimeout: a sound server may pause for a second or so.
+	streamIdleFraction   = 0.6
+	minStreamIdleTimeout = 1400 * time.Millisecond
 	// minFirstEventTimeout and firstEventTargets give the time after which another
 	// server is asked for the first event, whose prompt may wait in the engine's
 	// queue: the longer one of minFirstEventTimeout and firstEventTargets times the
@@ -169,7 +171,7 @@
 	w.silent = false
 	w.waitingSince = a.session.service.Clock()
 	w.takeover.resumeAfter = lastEventID
-	timeout := time.Duration(streamIdleFraction * float64(clientTimeout(a.session.route)))
+	timeout := max(minStreamIdleTimeout, time.Duration(streamIdleFraction*float64(clientTimeout(a.session.route))))
 	w.idleDeadline = w.waitingSince.Add(timeout)
 }
 
