Send no orders to a server that has left an earlier one unanswered

What callers would see: a server falls silent, and calls that can't be repeated go on being sent to it until the first of them has reached its deadline; each of these ends in 504. The watchdog, which knows earlier, watched only calls that may be repeated.

Change: every call that isn't streamed is watched. One that can't be repeated is never taken over; after 0.45 of its time its server counts as silent, unless it answered other calls, and new calls go elsewhere. Event 340 is logged once for each silence instead of once for each call, as it tells of a changed belief.

--- a/entry/silent_server_test.go
+++ b/entry/silent_server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -125,3 +126,57 @@
 		s.Board.RecordConnectTimeout("b", time.Now())
 	})
 }
+
+// hungBackend leaves the calls at one server unanswered, that of the first call, and
+// answers all others.
+type hungBackend struct {
+	mu    sync.Mutex
+	hung  string
+	sends map[string]int
+}
+
+func (b *hungBackend) Send(ctx context.Context, _ *pomelospring.Call, dispatch pomelospring.Dispatch) (*pomelospring.BackendAnswer, error) {
+	b.mu.Lock()
+	if b.hung == "" {
+		b.hung = dispatch.Server.ID
+	}
+	b.sends[dispatch.Server.ID]++
+	hung := b.hung == dispatch.Server.ID
+	b.mu.Unlock()
+	if hung {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(100 * time.Millisecond)
+	return &pomelospring.BackendAnswer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("done")), Signed: true, Length: -1}, nil
+}
+
+// TestOrdersAvoidASilentServer guards against calls that can't be repeated and are
+// sent to a server that has left an earlier one unanswered for long.
+func TestOrdersAvoidASilentServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(nil, false)
+		b := &hungBackend{sends: map[string]int{}}
+		service.Backend = b
+		order := func() outcome {
+			out := &responder{}
+			service.Serve(t.Context(), &pomelospring.Call{ID: "r1", Host: "shop.example", Path: "/order/1", Key: key, Arrived: time.Now()}, out)
+			return out.outcome
+		}
+		var group sync.WaitGroup
+		group.Go(func() { order() })
+		// The routes allow four seconds, and the first call waits for almost half of it.
+		time.Sleep(1900 * time.Millisecond)
+		for range 30 {
+			group.Go(func() {
+				if diff := cmp.Diff(outcome{Status: http.StatusOK, Body: "done"}, order()); diff != "" {
+					t.Error(diff)
+				}
+			})
+		}
+		group.Wait()
+		if diff := cmp.Diff(1, b.sends[b.hung]); diff != "" {
+			t.Errorf("sends to the silent server: %s", diff)
+		}
+	})
+}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -52,10 +52,14 @@
 	c := a.session
 	avoid := maps.Clone(c.avoid)
 	avoid[a.server.ID] = true
+	maxExecuted := 0
+	if c.mayExecuteAgain() {
+		maxExecuted = c.route.Attempts - c.attemptsExecuted - 1
+	}
 	return takeover{
 		avoid:       avoid,
 		maxSent:     maxAttempts - c.attemptsSent - 1,
-		maxExecuted: c.route.Attempts - c.attemptsExecuted - 1,
+		maxExecuted: maxExecuted,
 		resumeAfter: c.lastEventID,
 	}
 }
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -56,11 +56,12 @@
 	takeover     takeover
 }
 
-// startWatchdog watches a repeatable attempt, except the last one that the route
-// allows. ctx is the context of the call.
+// startWatchdog watches an attempt, so that its server counts as silent in time, or
+// another one takes the call over if the route allows a further attempt. Streams
+// are watched for the latter only. ctx is the context of the call.
 func (a *attempt) startWatchdog(ctx context.Context) {
 	c := a.session
-	if !c.route.Repeatable() || c.attemptsExecuted+1 >= c.route.Attempts {
+	if c.route.Streaming && !c.mayExecuteAgain() {
 		return
 	}
 	idleTimeout := max(minFirstEventTimeout, time.Duration(firstEventTargets*float64(c.route.Target)))
@@ -76,6 +77,11 @@
 	w.timer = time.AfterFunc(min(idleTimeout, watchdogInterval), func() { a.checkWatchdog(ctx) })
 }
 
+// mayExecuteAgain reports whether the route allows a further attempt while one runs.
+func (c *session) mayExecuteAgain() bool {
+	return c.route.Repeatable() && c.attemptsExecuted+1 < c.route.Attempts
+}
+
 // checkWatchdog starts a takeover if the server is silent, and schedules the next
 // check.
 func (a *attempt) checkWatchdog(ctx context.Context) {
@@ -125,13 +131,15 @@
 	w := &a.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.silent = service.Board.RecordSilence(a.server.ID, w.waitingSince, now)
-	events.Log(service.Logger, events.ServerQuiet, log.Fields{
-		"request":  a.session.call.ID,
-		"server":   a.server.ID,
-		"silent":   w.silent,
-		"waitedMs": now.Sub(w.waitingSince).Milliseconds(),
-	})
+	silent, began := service.Board.RecordSilence(a.server.ID, w.waitingSince, now)
+	w.silent = silent
+	if began {
+		events.Log(service.Logger, events.ServerQuiet, log.Fields{
+			"request":  a.session.call.ID,
+			"server":   a.server.ID,
+			"waitedMs": now.Sub(w.waitingSince).Milliseconds(),
+		})
+	}
 }
 
 // isSilent reports whether the server counts as silent because of this attempt.
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -63,7 +63,7 @@
 	PlacementFailed   = define(322, "wishFailed", log.WarnLevel, "A placement request for an adapter got no answer from the leader.")
 	ReportFailed      = define(323, "reportFailed", log.WarnLevel, "A model worker did not report its state.")
 	ServersListed     = define(324, "serversListed", log.InfoLevel, "The list of backend servers changed: one was added, removed or set to drain.")
-	ServerQuiet       = define(340, "serverQuiet", log.InfoLevel, "A call waits too long for a backend server; if that answers no other call either, it counts as silent and gets single calls until it answers.")
+	ServerQuiet       = define(340, "serverQuiet", log.InfoLevel, "A backend server left a call unanswered for too long and answered no other meanwhile; it gets single calls until it answers.")
 	ServerAnswered    = define(341, "serverAnswered", log.InfoLevel, "A backend server that counted as silent answers again.")
 	ServerMalformed   = define(325, "serverSpoiled", log.WarnLevel, "An entry of the list of backend servers is malformed and is not used.")
 
--- a/fleet/silence.go
+++ b/fleet/silence.go
@@ -33,19 +33,20 @@
 }
 
 // RecordSilence records that a call waits for a backend server since a time, and
-// reports whether the server counts as silent because of that: it does unless it
-// has answered another call meanwhile.
-func (b *Board) RecordSilence(server string, since, now time.Time) (silent bool) {
+// reports whether the server counts as silent, and whether it does so from now on.
+// It does unless it has answered another call meanwhile.
+func (b *Board) RecordSilence(server string, since, now time.Time) (silent, began bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := &b.ownLoad(server).silence
 	if s.answeredAt.After(since) {
-		return false
+		return false, false
 	}
-	if s.probeAt.IsZero() {
-		s.probeAt = now.Add(s.probeInterval())
+	if !s.probeAt.IsZero() {
+		return true, false
 	}
-	return true
+	s.probeAt = now.Add(s.probeInterval())
+	return true, true
 }
 
 // RecordProbe records that a call is sent to a backend server. If the server is
