Let no takeover begin while an attempt is settled

Found by reading; no run shows it. Between reading whether a takeover is in progress and stopping the watchdog, the timer could begin one: it was canceled, but settle did not wait for it, so a send that it had made counted neither as sent nor as executed, and one more attempt than the route allows could follow. Now the watchdog is stopped before, under the same lock.

--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -226,18 +226,18 @@
 	})
 }
 
-// settle is called when the attempt has ended. It waits for the takeover in
-// progress, adds the attempts of all takeovers to those of the call and returns the
-// attempt that goes on with the call, or nil.
+// settle is called when the attempt has ended. It lets no further takeover begin,
+// waits for the one in progress, adds the attempts of all takeovers to those of the
+// call and returns the attempt that goes on with the call, or nil.
 func (a *attempt) settle() *successor {
 	w := &a.watchdog
 	w.mu.Lock()
+	w.stop()
 	done := w.takeover.done
 	w.mu.Unlock()
 	if done != nil {
 		<-done
 	}
-	a.stopWatchdog()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t := &w.takeover
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -201,14 +201,19 @@
 	a.cancel()
 }
 
-func (a *attempt) stopWatchdog() {
-	w := &a.watchdog
-	w.mu.Lock()
-	defer w.mu.Unlock()
+// stop lets no further takeover begin. The caller holds the lock.
+func (w *watchdog) stop() {
 	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+}
+
+func (a *attempt) stopWatchdog() {
+	w := &a.watchdog
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stop()
 	if w.takeover.cancel != nil && w.takeover.successor == nil {
 		w.takeover.cancel()
 	}
