Name in the log that a stream ended inside an event or its server was silent

What operators saw: a stream that its server ended inside an event was explained with "EOF", and a call at a server that answered nothing with "context deadline exceeded". Now the reasons are "the stream ended inside an event" and "the backend server was idle for too long", which explain prints as the cause.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -29,6 +29,10 @@
 // errEventTooLong reports a stream of bytes that don't end as an event.
 var errEventTooLong = fmt.Errorf("an event exceeds %d bytes", maxEventBytes)
 
+// errInsideEvent reports a stream that was broken off although its connection ended
+// in order.
+var errInsideEvent = errors.New("the stream ended inside an event")
+
 // attempt is one send of a call to one backend server.
 type attempt struct {
 	session *session
@@ -184,8 +188,11 @@
 				return a.handleBrokenAnswer(ctx, errEventTooLong)
 			}
 		}
-		if errors.Is(err, io.EOF) && scanner.empty() && a.claim() {
-			return a.finishStream(answer)
+		if errors.Is(err, io.EOF) {
+			if scanner.empty() && a.claim() {
+				return a.finishStream(answer)
+			}
+			err = errInsideEvent
 		}
 		if err != nil {
 			return a.handleBrokenAnswer(ctx, err)
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -306,6 +306,15 @@
 			replies: []reply{{status: 200, body: "id: 1\ndata: a\n\n", broken: true}},
 			want:    outcome{Status: 200, Body: "id: 1\ndata: a\n\n", Aborted: true}, sends: 1,
 		},
+		{
+			name: "a stream that ends inside an event and can't be resumed is aborted", why: "the stream ended inside an event", path: "/brief/1", adapter: "m/x",
+			replies: []reply{{status: 200, body: "id: 1\ndata: a\n\nid: 2\nda"}},
+			want:    outcome{Status: 200, Body: "id: 1\ndata: a\n\n", Aborted: true}, sends: 1,
+		},
+		{
+			name: "an order at a server that answers nothing", why: "the backend server was idle for too long", path: "/order/1", replies: []reply{{unresponsive: true}},
+			want: outcome{Code: pomelospring.CodeTimeout, Outcome: pomelospring.OutcomeUnknown}, sends: 1,
+		},
 		{
 			name: "a stream whose resumption fails is aborted", why: "unexpected EOF", path: "/proof/1", adapter: "m/x",
 			replies: []reply{
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -184,7 +185,7 @@
 }
 
 // cause returns why the attempt failed: that it was taken over, and why, if it was,
-// else err.
+// else err, with the silence of the server before.
 func (a *attempt) cause(err error) error {
 	w := &a.watchdog
 	w.mu.Lock()
@@ -192,6 +193,9 @@
 	if w.takeover.successor != nil {
 		return w.takeover.reason
 	}
+	if w.silent {
+		return fmt.Errorf("%w: %w", errIdle, err)
+	}
 	return err
 }
 
