--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,11 +21,18 @@
 	maxBodyBytes = 8 << 20
 	// readBufferBytes is how much of a stream is read at once.
 	readBufferBytes = 4 << 10
+	// unknownLength is the length of a stream. One that a server declared may not
+	// hold after another server has gone on with the stream.
+	unknownLength = -1
 )
 
 // errEventTooLong reports a stream of bytes that don't end as an event.
 var errEventTooLong = fmt.Errorf("an event exceeds %d bytes", maxEventBytes)
 
+// errInsideEvent reports a stream that was broken off although its connection ended
+// in order.
+var errInsideEvent = errors.New("the stream ended inside an event")
+
 // attempt is one send of a call to one backend server.
 type attempt struct {
 	session *session
@@ -166,7 +173,7 @@
 // ended early, and reports whether the call has ended.
 func (a *attempt) handleBrokenAnswer(ctx context.Context, err error) (done bool) {
 	c := a.session
-	a.end(true)
+	a.end(!a.isSilent())
 	err = a.cause(err)
 	c.avoid[a.server.ID] = true
 	c.successor = a.settle()
@@ -207,8 +214,11 @@
 				return a.handleBrokenAnswer(ctx, errEventTooLong)
 			}
 		}
-		if errors.Is(err, io.EOF) && scanner.empty() && a.claim() {
-			return a.finishStream(answer, scanner.pending)
+		if errors.Is(err, io.EOF) {
+			if scanner.empty() && a.claim() {
+				return a.finishStream(answer, scanner.pending)
+			}
+			err = errInsideEvent
 		}
 		if err != nil {
 			a.checkForCrash(ctx)
@@ -250,15 +260,10 @@
 	return true
 }
 
-// beginStream sends the head of a stream. The length of one that may be resumed
-// depends on the servers that go on with it.
+// beginStream sends the head of a stream.
 func (c *session) beginStream(answer *pomelospring.BackendAnswer) {
 	c.forwarded = true
-	length := answer.Length
-	if c.route.Repeatable() {
-		length = -1
-	}
-	c.out.Head(answer, length)
+	c.out.Head(answer, unknownLength)
 }
 
 // countServed counts a stream as served, with the time until its first event.
--- a/entry/crash_check.go
+++ b/entry/crash_check.go
@@ -54,7 +54,7 @@
 // no output yet, and the worker has ended, the call's prompt parts are suspected.
 func (a *attempt) checkForCrash(ctx context.Context) {
 	c := a.session
-	if c.limits == nil || a.hasOutput || len(c.parts) == 0 || ctx.Err() != nil || a.cause(nil) != nil {
+	if c.limits == nil || a.hasOutput || len(c.parts) == 0 || ctx.Err() != nil || a.isTakenOver() {
 		return
 	}
 	s := c.service
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -50,10 +50,14 @@
 	c := a.session
 	avoid := maps.Clone(c.avoid)
 	avoid[a.server.ID] = true
+	maxExecuted := 0
+	if c.mayExecuteAgain() {
+		maxExecuted = c.route.Attempts - c.attemptsExecuted - 1
+	}
 	return takeover{
 		avoid:       avoid,
 		maxSent:     maxAttempts - c.attemptsSent - 1,
-		maxExecuted: c.route.Attempts - c.attemptsExecuted - 1,
+		maxExecuted: maxExecuted,
 		resumeAfter: c.lastEventID,
 	}
 }
@@ -192,6 +196,7 @@
 	}
 	if answer != nil {
 		_ = answer.Body.Close()
+		c.service.recordContact(server)
 		if answer.Misdirected && c.call.NeedsAdapter() {
 			c.service.Board.RemoveResident(server.ID, c.call.Adapter)
 		}
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
+
+	"github.com/apex/log"
+	"github.com/pomelospring/pomelospring/events"
 )
 
 const (
 	// streamIdleFraction is the fraction of the time for which the caller of a stream
-	// waits for its next event after which another server is asked to go on.
-	streamIdleFraction = 0.6
+	// waits for its next event after which another server is asked to go on, but not
+	// before minStreamIdleTimeout: a sound server may pause for a second or so.
+	streamIdleFraction   = 0.6
+	minStreamIdleTimeout = 1400 * time.Millisecond
 	// minFirstEventTimeout and firstEventTargets give the time after which another
 	// server is asked for the first event, whose prompt may wait in the engine's
 	// queue: the longer one of minFirstEventTimeout and firstEventTargets times the
@@ -38,6 +44,11 @@
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
+	// silent is set once the attempt's server counts as silent because of it.
+	silent bool
+	// waitingSince is when the server last sent a part of its answer, or got the
+	// call.
+	waitingSince time.Time
 	// forwarding is set while the attempt forwards a part of its answer.
 	forwarding bool
 	// idleDeadline is when the server counts as silent unless more of its answer
@@ -46,11 +57,12 @@
 	takeover     takeover
 }
 
-// startWatchdog watches a repeatable attempt, except the last one that the route
-// allows. ctx is the context of the call.
+// startWatchdog watches an attempt, so that its server counts as silent in time, or
+// another one takes the call over if the route allows a further attempt. Streams
+// are watched for the latter only. ctx is the context of the call.
 func (a *attempt) startWatchdog(ctx context.Context) {
 	c := a.session
-	if !c.route.Repeatable() || c.attemptsExecuted+1 >= c.route.Attempts {
+	if c.route.Streaming && !c.mayExecuteAgain() {
 		return
 	}
 	idleTimeout := max(minFirstEventTimeout, time.Duration(firstEventTargets*float64(c.route.Target)))
@@ -61,15 +73,22 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.takeover = newTakeover(a)
-	w.idleDeadline = c.service.Clock().Add(idleTimeout)
+	w.waitingSince = c.service.Clock()
+	w.idleDeadline = w.waitingSince.Add(idleTimeout)
 	w.timer = time.AfterFunc(min(idleTimeout, watchdogInterval), func() { a.checkWatchdog(ctx) })
 }
 
+// mayExecuteAgain reports whether the route allows a further attempt while one runs.
+func (c *session) mayExecuteAgain() bool {
+	return c.route.Repeatable() && c.attemptsExecuted+1 < c.route.Attempts
+}
+
 // checkWatchdog starts a takeover if the server is silent, and schedules the next
 // check.
 func (a *attempt) checkWatchdog(ctx context.Context) {
 	next := watchdogInterval
 	if reason := a.silence(); reason != nil {
+		a.recordSilence(reason)
 		a.takeOver(ctx, reason)
 		next = takeoverRetryInterval
 	}
@@ -102,6 +121,38 @@
 	return nil
 }
 
+// recordSilence records that the server is silent, unless it answered other calls
+// while this one waited.
+func (a *attempt) recordSilence(reason error) {
+	if !errors.Is(reason, errIdle) {
+		return
+	}
+	service := a.session.service
+	now := service.Clock()
+	w := &a.watchdog
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	silent, began := service.Board.RecordSilence(a.server.ID, w.waitingSince, now)
+	w.silent = silent
+	if began {
+		events.Log(service.Logger, events.ServerQuiet, log.Fields{
+			"request":  a.session.call.ID,
+			"server":   a.server.ID,
+			"waitedMs": now.Sub(w.waitingSince).Milliseconds(),
+		})
+	}
+}
+
+// isSilent reports whether the server counts as silent because of this attempt.
+// The attempt's end is then no failure: a sound server that goes on would be left
+// for as long as a broken one.
+func (a *attempt) isSilent() bool {
+	w := &a.watchdog
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.silent
+}
+
 // claim is called when the answer, or more of it, has arrived, and reports whether
 // the attempt still serves the call. If it does, a takeover in progress is
 // canceled.
@@ -126,13 +177,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.forwarding = false
+	w.silent = false
+	w.waitingSince = a.session.service.Clock()
 	w.takeover.resumeAfter = lastEventID
-	timeout := time.Duration(streamIdleFraction * float64(clientTimeout(a.session.route)))
-	w.idleDeadline = a.session.service.Clock().Add(timeout)
+	timeout := max(minStreamIdleTimeout, time.Duration(streamIdleFraction*float64(clientTimeout(a.session.route))))
+	w.idleDeadline = w.waitingSince.Add(timeout)
 }
 
 // cause returns why the attempt failed: that it was taken over, and why, if it was,
-// else err.
+// else err, with the silence of the server before.
 func (a *attempt) cause(err error) error {
 	w := &a.watchdog
 	w.mu.Lock()
@@ -140,9 +193,19 @@
 	if w.takeover.successor != nil {
 		return w.takeover.reason
 	}
+	if w.silent {
+		return fmt.Errorf("%w: %w", errIdle, err)
+	}
 	return err
 }
 
+func (a *attempt) isTakenOver() bool {
+	w := &a.watchdog
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.takeover.successor != nil
+}
+
 // stop ends the attempt and its watchdog.
 func (a *attempt) stop() {
 	a.stopWatchdog()
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -66,6 +66,8 @@
 	PlacementFailed   = define(322, "wishFailed", log.WarnLevel, "A placement request for an adapter got no answer from the leader.")
 	ReportFailed      = define(323, "reportFailed", log.WarnLevel, "A model worker did not report its state.")
 	ServersListed     = define(324, "serversListed", log.InfoLevel, "The list of backend servers changed: one was added, removed or set to drain.")
+	ServerQuiet       = define(340, "serverQuiet", log.InfoLevel, "A backend server left a call unanswered for too long and answered no other meanwhile; it gets single calls until it answers.")
+	ServerAnswered    = define(341, "serverAnswered", log.InfoLevel, "A backend server that counted as silent answers again.")
 	ServerMalformed   = define(325, "serverSpoiled", log.WarnLevel, "An entry of the list of backend servers is malformed and is not used.")
 
 	ServerLeaving = define(330, "serverLeaving", log.InfoLevel, "A backend server announced that it leaves, while the server list has it as ready; it gets no new work until it is started anew.")
--- a/fleet.go
+++ b/fleet.go
@@ -248,15 +248,20 @@
 }
 
 // ErrServerEnded marks a report that could not be had because the model worker has
-// ended: nothing listens at its address, or another worker does.
-var ErrServerEnded = errors.New("the model worker has ended")
+// ended: nothing listens at its address, or another worker does. ErrSilent marks one
+// that was requested over an open connection and not answered in time.
+var (
+	ErrServerEnded = errors.New("the model worker has ended")
+	ErrSilent      = errors.New("the model worker does not answer")
+)
 
 // Engine sends orders to model workers and reads their reports.
 type Engine interface {
 	// Do sends an order. err is set unless the order was accepted or is done.
 	Do(ctx context.Context, order Order) (result OrderResult, err error)
 	// Report asks a model worker for its state. An error that wraps ErrServerEnded
-	// guarantees that the worker has ended.
+	// guarantees that the worker has ended; one that wraps ErrSilent says that it
+	// accepted the connection and did not answer in time.
 	Report(ctx context.Context, server FleetServer) (report EngineReport, err error)
 }
 
--- a/fleet/server_load.go
+++ b/fleet/server_load.go
@@ -46,6 +46,7 @@
 	// the last outcome.
 	smoothedFailures float64
 	outcomeAt        time.Time
+	silence          silence
 	// cachedParts maps "adapter|part" to when the worker last prefilled it.
 	cachedParts map[string]time.Time
 }
@@ -175,54 +176,69 @@
 }
 
 // Candidates lists the backend servers of a service that can take a call. Servers
-// in failure domains that count as cut off are listed only if there are no others
-// and the call needs no adapter. For such calls it lists at most maxCandidates.
+// that are silent are listed only if there are no others; those in failure domains
+// that count as cut off only if there are none of these either and the call needs
+// no adapter. For such calls it lists at most maxCandidates.
 func (b *Board) Candidates(service string, call *pomelospring.Call, avoid map[string]bool, now time.Time) (candidates []dispatch.Candidate) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	oldestVersion := b.minVersion(call.Adapter, now)
 	candidates = make([]dispatch.Candidate, 0, b.index.count(service, call))
-	var cutOff []dispatch.Candidate
+	var silent, cutOff []dispatch.Candidate
 	for id := range b.index.possible(service, call, now) {
 		if len(candidates) == maxCandidates && !call.NeedsAdapter() {
 			break
 		}
-		if avoid[id] || b.paused(id, now) {
+		candidate, usable := b.candidate(id, service, call, now)
+		if !usable || avoid[id] || candidate.Version < oldestVersion && call.NeedsAdapter() {
 			continue
 		}
-		server, listed := b.servers[id]
-		if !listed || server.Service != service || server.Draining {
+		if b.cutOff(candidate.Server.Domain, now) {
+			cutOff = append(cutOff, candidate)
 			continue
 		}
-		version, canServe := b.canServe(&server, call, now)
-		if !canServe || version < oldestVersion && call.NeedsAdapter() {
-			continue
-		}
-		othersLoad := b.report(server.Domain).othersLoad[id]
-		candidate := dispatch.Candidate{
-			Server:        server,
-			Version:       version,
-			WaitingTokens: othersLoad.WaitingTokens,
-			Running:       othersLoad.Running,
-		}
-		if l := b.ownLoads[id]; l != nil {
-			candidate.WaitingTokens += l.waitingTokens
-			candidate.Running += l.running
-			candidate.FailureRate = l.failureRate(now)
-			candidate.CachedTokens = l.cachedTokens(call, now)
-		}
-		if b.cutOff(server.Domain, now) {
-			cutOff = append(cutOff, candidate)
+		if l := b.ownLoads[id]; l != nil && l.silence.avoids(now) {
+			silent = append(silent, candidate)
 			continue
 		}
 		candidates = append(candidates, candidate)
 	}
+	if len(candidates) == 0 {
+		candidates = silent
+	}
 	if len(candidates) == 0 && !call.NeedsAdapter() {
 		return cutOff
 	}
 	return candidates
 }
 
+// candidate returns what the choice of a server needs to know of one, and whether it
+// can take a call. The caller holds the lock.
+func (b *Board) candidate(id, service string, call *pomelospring.Call, now time.Time) (candidate dispatch.Candidate, usable bool) {
+	server, listed := b.servers[id]
+	if !listed || server.Service != service || server.Draining || b.paused(id, now) {
+		return dispatch.Candidate{}, false
+	}
+	version, canServe := b.canServe(&server, call, now)
+	if !canServe {
+		return dispatch.Candidate{}, false
+	}
+	othersLoad := b.report(server.Domain).othersLoad[id]
+	candidate = dispatch.Candidate{
+		Server:        server,
+		Version:       version,
+		WaitingTokens: othersLoad.WaitingTokens,
+		Running:       othersLoad.Running,
+	}
+	if l := b.ownLoads[id]; l != nil {
+		candidate.WaitingTokens += l.waitingTokens
+		candidate.Running += l.running
+		candidate.FailureRate = l.failureRate(now)
+		candidate.CachedTokens = l.cachedTokens(call, now)
+	}
+	return candidate, true
+}
+
 // canServe reports whether a server has the model and the adapter that a call
 // needs, and the resident version of the adapter.
 func (b *Board) canServe(server *pomelospring.FleetServer, call *pomelospring.Call, now time.Time) (version int64, canServe bool) {
