Let no takeover be a trial of blocked prompt parts

A takeover runs beside its call, so setting the call's trial there is a data race (found by reading, no run shows it), and a second server would be put at risk for one call.

--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -112,8 +112,8 @@
 	s := c.service
 	avoid := a.watchdog.takeover.avoid
 	now := s.Clock()
-	if refusal := c.checkQuarantine(now); refusal != nil {
-		a.logFailedTakeover("", refusal.Message)
+	if c.limits != nil && s.Quarantine.Blocked(c.team, c.parts, now) {
+		a.logFailedTakeover("", "model workers end under the call's prompt parts")
 		return choice, false
 	}
 	candidates := s.Board.Candidates(c.targetService, c.call, avoid, now)
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -165,6 +165,21 @@
 	return Admitted, Block{}, time.Time{}
 }
 
+// Blocked reports whether a call of a team with parts would be refused or tried.
+func (r *Register) Blocked(team string, parts []string, now time.Time) bool {
+	if !r.blocking.Load() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.blocks {
+		if r.blocks[i].covers(team, parts, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // refresh extends the crashes of a part whose calls still come. The lock is held.
 func (r *Register) refresh(part string, now time.Time) {
 	changed := false
