Let the stand-in store come back from a copy

Rewind restores the store from a copy of a given age: records written since are lost, their offsets are given out again, groups return to their state then, the era rises by one, and the store answers 503 for a while. Store-Era is in all its answers, and a read from an offset that the store doesn't have gets 410.

--- a/standin/store.go
+++ b/standin/store.go
@@ -24,6 +24,10 @@
 	unresponsive bool
 	// delay is added before every answer.
 	delay time.Duration
+	// era counts the restores from a copy; every answer carries it.
+	era int64
+	// awayUntil is when the store answers again after a restore.
+	awayUntil time.Time
 	// calls counts the calls by path.
 	calls map[string]int
 }
@@ -32,20 +36,46 @@
 type storeTopic struct {
 	// records hold the key's length in one byte, the key and the value.
 	records [][]byte
-	// keys holds the key of each record.
-	keys []string
+	// keys holds the key of each record, and appendedAt when it was appended.
+	keys       []string
+	appendedAt []time.Time
 	// first is the oldest offset that can be read.
 	first int64
 	// appended is closed and replaced at each append.
 	appended chan struct{}
 }
 
-// storeGroup is a consumer group with at most one member.
-type storeGroup struct {
+// groupState is the state of a consumer group with at most one member.
+type groupState struct {
 	generation int64
 	member     string
 	// deadline is when the membership expires unless the member joins again.
 	deadline time.Time
+	// changedAt is when the group got into this state.
+	changedAt time.Time
+}
+
+// storeGroup is a consumer group with its former states, oldest first.
+type storeGroup struct {
+	groupState
+	former []groupState
+}
+
+// change makes next the state of the group.
+func (g *storeGroup) change(next groupState) {
+	g.former = append(g.former, g.groupState)
+	next.changedAt = time.Now()
+	g.groupState = next
+}
+
+// restore returns the group to its state at a time. Times to live pause while the
+// store is restored.
+func (g *storeGroup) restore(at, now time.Time) {
+	for g.changedAt.After(at) && len(g.former) > 0 {
+		last := len(g.former) - 1
+		g.groupState, g.former = g.former[last], g.former[:last]
+	}
+	g.deadline = g.deadline.Add(now.Sub(at))
 }
 
 // NewStore returns an empty store.
@@ -72,6 +102,37 @@
 	s.delay = delay
 }
 
+// Rewind restores the store from a copy of the given age: what was written since is
+// lost, its offsets are given out again and the era rises by one. The store refuses
+// all calls until the outage is over.
+func (s *Store) Rewind(age, outage time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	copiedAt := now.Add(-age)
+	s.era++
+	s.awayUntil = now.Add(outage)
+	for _, t := range s.topics {
+		t.truncate(copiedAt)
+	}
+	for _, g := range s.groups {
+		g.restore(copiedAt, now)
+	}
+}
+
+// truncate removes the records that were appended after a time and wakes the reads
+// that wait.
+func (t *storeTopic) truncate(after time.Time) {
+	kept := len(t.records)
+	for kept > 0 && t.appendedAt[kept-1].After(after) {
+		kept--
+	}
+	t.records, t.keys, t.appendedAt = t.records[:kept], t.keys[:kept], t.appendedAt[:kept]
+	t.first = min(t.first, int64(kept))
+	close(t.appended)
+	t.appended = make(chan struct{})
+}
+
 // CallCount returns the number of calls of a path so far.
 func (s *Store) CallCount(path string) int {
 	s.mu.Lock()
@@ -87,6 +148,7 @@
 	record := append([]byte{byte(len(key))}, key...)
 	t.records = append(t.records, append(record, value...))
 	t.keys = append(t.keys, key)
+	t.appendedAt = append(t.appendedAt, time.Now())
 	close(t.appended)
 	t.appended = make(chan struct{})
 }
@@ -115,7 +177,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
-	down, unresponsive, delay := s.down, s.unresponsive, s.delay
+	unresponsive, delay := s.unresponsive, s.delay
 	s.mu.Unlock()
 	time.Sleep(delay)
 	if unresponsive {
@@ -125,8 +187,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if down {
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if s.refuses(w) {
 		return
 	}
 	switch r.URL.Path {
@@ -141,8 +202,31 @@
 	case "/api/log-owners":
 		s.owners(w, r)
 	default:
-		w.WriteHeader(http.StatusNotFound)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.answer(w, http.StatusNotFound, map[string]any{})
+	}
+}
+
+// eraHeader is in every answer.
+const eraHeader = "Store-Era"
+
+// refuses answers 503 if the store is down or being restored.
+func (s *Store) refuses(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.down && !time.Now().Before(s.awayUntil) {
+		return false
 	}
+	s.answer(w, http.StatusServiceUnavailable, map[string]any{})
+	return true
+}
+
+// answer answers with a JSON body. The lock is held, so that the era is the one of
+// the content.
+func (s *Store) answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
+	writeJSON(w, status, body)
 }
 
 // storeItem is the latest record of a key.
@@ -171,7 +255,7 @@
 			})
 		}
 	}
-	writeJSON(w, http.StatusOK, map[string]any{
+	s.answer(w, http.StatusOK, map[string]any{
 		"items":    items,
 		"has-more": false,
 		"end":      len(t.records),
@@ -179,7 +263,7 @@
 }
 
 // read answers with the records from an offset on, and waits for one if there is
-// none yet. A reader behind the oldest retained record gets 410.
+// none yet. A reader behind the oldest retained record or beyond the end gets 410.
 func (s *Store) read(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	// A missing or malformed number counts as 0, as in the platform's store.
@@ -187,7 +271,7 @@
 	wait, _ := strconv.ParseInt(query.Get("wait-ms"), 10, 64)
 	s.mu.Lock()
 	t := s.topic(query.Get("topic"))
-	appended, caughtUp := t.appended, int64(len(t.records)) <= from
+	appended, caughtUp := t.appended, int64(len(t.records)) == from
 	s.mu.Unlock()
 	if caughtUp && wait > 0 {
 		select {
@@ -199,8 +283,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if from < t.first {
-		writeJSON(w, http.StatusGone, map[string]any{
+	if time.Now().Before(s.awayUntil) {
+		s.answer(w, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
+	if from < t.first || from > int64(len(t.records)) {
+		s.answer(w, http.StatusGone, map[string]any{
 			"first": t.first,
 		})
 		return
@@ -211,6 +299,7 @@
 		body = binary.BigEndian.AppendUint32(body, uint32(len(t.records[i])))
 		body = append(body, t.records[i]...)
 	}
+	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
 	// A write fails only if the reader has disconnected.
 	_, _ = w.Write(body)
 }
@@ -226,29 +315,32 @@
 // membership expires.
 func (s *Store) join(w http.ResponseWriter, r *http.Request) {
 	var call groupRequest
-	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
+	err := json.NewDecoder(r.Body).Decode(&call)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err != nil {
+		s.answer(w, http.StatusBadRequest, map[string]any{})
+		return
+	}
 	g := s.groups[call.Group]
 	if g == nil {
 		g = &storeGroup{}
 		s.groups[call.Group] = g
 	}
 	partitions := [][]any{}
+	next := g.groupState
 	if g.member != call.Member && (g.member == "" || time.Now().After(g.deadline)) {
-		g.member = call.Member
-		g.generation++
+		next.member = call.Member
+		next.generation++
 	}
-	if g.member == call.Member {
-		g.deadline = time.Now().Add(time.Duration(call.TTL) * time.Millisecond)
+	if next.member == call.Member {
+		next.deadline = time.Now().Add(time.Duration(call.TTL) * time.Millisecond)
+		g.change(next)
 		for partition := range partitionsPerTopic {
 			partitions = append(partitions, []any{"orders", partition, 0})
 		}
 	}
-	writeJSON(w, http.StatusOK, map[string]any{
+	s.answer(w, http.StatusOK, map[string]any{
 		"generation": g.generation,
 		"parts":      partitions,
 	})
@@ -257,16 +349,19 @@
 // leave ends a membership.
 func (s *Store) leave(w http.ResponseWriter, r *http.Request) {
 	var call groupRequest
-	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
+	err := json.NewDecoder(r.Body).Decode(&call)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err != nil {
+		s.answer(w, http.StatusBadRequest, map[string]any{})
+		return
+	}
 	if g := s.groups[call.Group]; g != nil && g.member == call.Member {
-		g.member = ""
+		next := g.groupState
+		next.member = ""
+		g.change(next)
 	}
-	writeJSON(w, http.StatusOK, map[string]any{})
+	s.answer(w, http.StatusOK, map[string]any{})
 }
 
 // owners answers with the member that holds each partition.
@@ -279,7 +374,7 @@
 			rows = append(rows, []any{"orders", partition, g.member, 0})
 		}
 	}
-	writeJSON(w, http.StatusOK, map[string]any{
+	s.answer(w, http.StatusOK, map[string]any{
 		"owners": rows,
 	})
 }
