Follow a store that is restored from a copy

What callers would see (trials on the code before, stand-in fronts): a configuration that the operator wrote after a restore, at a lower offset than the one in force, never came into force (15 s, then given up), and a server that reported draining after a restore went on receiving requests (15 s). Restored groups could also name a former holder, which then ordered at once beside the present one, with a lower fence.

Cause: offsets were compared across restores, and groups were taken to outlast them.

Change: - Store-Era is read from all answers. Records that the store lost are kept, and exchanged while their digests differ, so that instances that start meanwhile learn them. - A server that the copy lacks stays listed for 3 s, in which it registers again. One that had left stays out although the copy lists it, until it writes again or the copy no longer explains its entry (6 s). - Each era has groups of its own, and the era is the upper half of the fence, which never falls. A holder with a valid lease goes on in the new era; any other waits until the leases of earlier eras have ended (13.5 s from when the fleet knew of the era), flight and handover time. Instances tell each other the era's age. - At a stop in the handover time, partitions are left rather than kept, since the next start takes kept ones for a leadership that may order.

Weighed for the leadership: stop, wait the handover time and join again at each rise (the holder of a valid lease knows that nobody else may order; all domains would load nothing for 3.7 s, and a leader that is cut off from the store would still order beside the next).

--- a/coordination/election.go
+++ b/coordination/election.go
@@ -89,8 +89,9 @@
 	// joined is set while this instance is in the group.
 	joined bool
 	// resumed is set until the first renewal if the instance held all partitions
-	// before it restarted.
-	resumed bool
+	// before it restarted, in resumedEra of the store.
+	resumed    bool
+	resumedEra int64
 	// heldAllPartitions says that the instance held all partitions since it
 	// joined, last at lastHeldAllAt.
 	heldAllPartitions bool
@@ -132,6 +133,11 @@
 	if !e.joined {
 		return
 	}
+	if _, allowed := e.Leader.mayOrder(); !allowed {
+		// The next start would take the handover time for over.
+		e.leave(restartJoinTimeout)
+		return
+	}
 	e.Leader.release()
 	ctx, cancel := context.WithTimeout(context.Background(), restartJoinTimeout)
 	defer cancel()
@@ -167,20 +173,21 @@
 // poll queries the group service for the leader, and joins the group if there is
 // none.
 func (e *Election) poll(ctx context.Context) {
-	owners, err := e.Groups.Owners(ctx, e.Group)
-	if err == nil && len(owners) == 0 {
+	ownership, err := e.Groups.Owners(ctx, e.Group)
+	if err == nil && len(ownership.Owners) == 0 {
 		// Other instances may find no leader either; the first one to query again
 		// after its delay joins.
 		if sleep(ctx, e.joinDelay()) != nil {
 			return
 		}
-		owners, err = e.Groups.Owners(ctx, e.Group)
+		ownership, err = e.Groups.Owners(ctx, e.Group)
 	}
 	if err != nil {
 		return
 	}
+	owners := ownership.Owners
 	if len(owners) == 0 || owners[e.Address] > 0 {
-		e.resumed = owners[e.Address] >= e.Leader.Parts()
+		e.resumed, e.resumedEra = owners[e.Address] >= e.Leader.Parts(), ownership.Era
 		e.joined = true
 		e.heldAllPartitions = false
 		e.renew(ctx)
@@ -224,7 +231,7 @@
 		return
 	}
 	e.generation = membership.Generation
-	e.Leader.joined(membership, sent, e.resumed)
+	e.Leader.joined(membership, sent, e.resumed && e.resumedEra == membership.Era)
 	e.resumed = false
 	if e.Leader.Leading() {
 		e.heldAllPartitions, e.lastHeldAllAt = true, e.Uptime()
@@ -235,7 +242,7 @@
 	// Of several candidates that joined at once, none keeps only some of the
 	// partitions.
 	if !e.heldAllPartitions || e.Uptime()-e.lastHeldAllAt > partialHoldLimit {
-		e.leave()
+		e.leave(leaveTimeout)
 	}
 }
 
@@ -248,7 +255,7 @@
 
 // leave leaves the group, so that another instance need not wait for the
 // membership to expire.
-func (e *Election) leave() {
+func (e *Election) leave(timeout time.Duration) {
 	if !e.joined {
 		return
 	}
@@ -256,7 +263,7 @@
 	e.generation = 0
 	e.Leader.release()
 	e.stepDown()
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := e.Groups.Leave(ctx, e.Group, e.Address); err != nil {
 		events.Log(e.Logger, events.RenewalMissed, log.Fields{
--- a/coordination/election_test.go
+++ b/coordination/election_test.go
@@ -40,14 +40,16 @@
 
 func (g *groups) Leave(context.Context, string, string) error { return nil }
 
-func (g *groups) Owners(context.Context, string) (map[string]int, error) {
+func (g *groups) Owners(context.Context, string) (pomelospring.Ownership, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queries++
 	if g.holder == "" {
-		return nil, nil
+		return pomelospring.Ownership{}, nil
 	}
-	return map[string]int{g.holder: groupParts}, nil
+	return pomelospring.Ownership{
+		Owners: map[string]int{g.holder: groupParts},
+	}, nil
 }
 
 // TestFirstStartElectsOneLeaderWithFewQueries starts a domain of instances at
@@ -69,6 +71,7 @@
 			leader.Logger = logger
 			leader.Clock = time.Now
 			leader.Uptime = func() time.Duration { return time.Since(began) }
+			leader.Eras = &coordination.StoreEras{Logger: logger, Uptime: leader.Uptime}
 			member := &coordination.Member{
 				Domain:   "north",
 				Address:  fmt.Sprint("instance", i),
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -61,6 +61,7 @@
 	Clock            pomelospring.Clock
 	// Uptime is a clock that keeps running while the process is suspended.
 	Uptime func() time.Duration
+	Eras   *StoreEras
 
 	mu     sync.Mutex
 	lease  lease.Lease
@@ -123,7 +124,9 @@
 	defer l.mu.Unlock()
 	now := l.Uptime()
 	before := l.lease.Holds(now)
-	l.lease.Renewed(membership, sent, now, resumed)
+	l.Eras.Answered(membership.Era)
+	_, eraOrdersFrom := l.Eras.ordersFrom(l.lease.HandoverTime)
+	l.lease.Renewed(membership, sent, now, resumed, eraOrdersFrom)
 	if after := l.lease.Holds(now); after != before {
 		l.leadershipChanged(after)
 	}
@@ -157,13 +160,19 @@
 	})
 }
 
+// ordersAllowed reports whether the lease allows an order now. The lock is held.
+func (l *Leader) ordersAllowed() bool {
+	l.lease.ShortenEraWait(l.Eras.ordersFrom(l.lease.HandoverTime))
+	return l.lease.MayOrder(l.Uptime())
+}
+
 // mayOrder returns the fencing number and whether an order may be sent now. It is
 // checked right before every order, because the lease may have expired while the
 // process was suspended.
 func (l *Leader) mayOrder() (fence int64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lease.Generation(), l.lease.MayOrder(l.Uptime())
+	return l.lease.Generation(), l.ordersAllowed()
 }
 
 // Run keeps the placement table up to date and sends the orders that no request
@@ -191,7 +200,7 @@
 	l.updateTable(now)
 	reports := l.table.DueReports(now)
 	var orders []loading.Maintenance
-	if l.lease.MayOrder(l.Uptime()) {
+	if l.ordersAllowed() {
 		orders = l.dueOrders(now)
 	}
 	l.mu.Unlock()
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -79,6 +79,7 @@
 	LeadsAny func() bool
 	// Servers applies the list of backend servers that the leader relays.
 	Servers *fleet.ServerList
+	Eras    *StoreEras
 
 	mu sync.Mutex
 	// leaderFound is signalled when a leader is found, so that the first exchange
@@ -100,9 +101,10 @@
 	lastReplyAt time.Time
 	operatorAge time.Duration
 	serverAge   time.Duration
-	// leaderOperatorOffset is the offset up to which the leader has the operators'
-	// records.
-	leaderOperatorOffset int64
+	// leaderOperators is the position up to which the leader has the operators'
+	// records, and leaderRetained the digest of those that the store lost.
+	leaderOperators pomelospring.TopicPosition
+	leaderRetained  uint64
 	// exchanges counts the exchanges since the last one with spending.
 	exchanges int
 }
@@ -116,7 +118,7 @@
 	}
 	m.address = address
 	m.failedExchanges = 0
-	m.leaderOperatorOffset = 0
+	m.leaderOperators = pomelospring.TopicPosition{}
 	if address != "" {
 		m.signalLeaderFound()
 	}
@@ -231,7 +233,7 @@
 // exchange sends this instance's report to the leader and applies the reply.
 func (m *Member) exchange(ctx context.Context) {
 	m.mu.Lock()
-	address, leaderOperatorOffset := m.address, m.leaderOperatorOffset
+	address := m.address
 	leader, serverVersion := m.leader, m.serverVersion
 	m.mu.Unlock()
 	if address == "" {
@@ -254,12 +256,11 @@
 		request.Spending = spendingToProto(m.Ledger.Spending())
 	}
 	if relayRequested {
-		request.OperatorOffset = m.Board.OperatorOffset()
+		position := m.Board.OperatorPosition()
+		request.OperatorOffset, request.OperatorEra = position.Offset, position.Era
 		request.ServerVersion = serverVersion
-		if leaderOperatorOffset > 0 {
-			request.Records = recordsToProto(m.Board.RecordsFrom(leaderOperatorOffset))
-		}
 	}
+	m.addStoreState(request)
 	reply, err := m.sendExchange(ctx, address, request)
 	if err == nil && !reply.Leading {
 		err = errNotLeading
@@ -274,6 +275,28 @@
 	m.applyReply(reply, relayRequested && address != m.Address, serverVersion == 0)
 }
 
+// addStoreState adds the store's era, the records that the leader lacks if the request
+// is for a relay, and those that the store lost if the leader has others.
+func (m *Member) addStoreState(request *coordinationpb.ExchangeRequest) {
+	m.mu.Lock()
+	leaderOperators, leaderRetained := m.leaderOperators, m.leaderRetained
+	m.mu.Unlock()
+	era, age := m.Eras.Current()
+	if era > 0 {
+		request.StoreEra, request.StoreEraAgeMilliseconds = era, age.Milliseconds()
+	}
+	request.RetainedDigest = m.Board.RetainedDigest()
+	if leaderOperators.Offset == 0 {
+		return
+	}
+	if request.Relay {
+		request.Records = recordsToProto(m.Board.RecordsFrom(leaderOperators))
+	}
+	if request.RetainedDigest != leaderRetained {
+		request.Records = append(request.Records, recordsToProto(m.Board.RetainedRecords())...)
+	}
+}
+
 // standbySpendingExchanges is how many exchanges with a leader that doesn't keep
 // the ledger's current report pass for one with spending, so that its report can
 // take over.
@@ -364,7 +387,11 @@
 	full := m.leader != reply.Leader
 	m.failedExchanges = 0
 	m.leader = reply.Leader
-	m.leaderOperatorOffset = reply.OperatorOffset
+	m.leaderOperators = pomelospring.TopicPosition{
+		Era:    reply.OperatorEra,
+		Offset: reply.OperatorOffset,
+	}
+	m.leaderRetained = reply.RetainedDigest
 	m.serverVersion = 0
 	if m.Relay && serverAge < maxRelayAge {
 		m.serverVersion = reply.ServerVersion
@@ -384,12 +411,10 @@
 	}
 	m.Board.SetReportStaleness(int(reply.Instances), interval)
 	m.Board.UpdateFromLeader(m.Domain, serverLoadsFromProto(reply.Uses), now.Add(max(minReportExpiry, reportExpiryIntervals*interval)))
+	m.Eras.Reported(reply.StoreEra, time.Duration(reply.StoreEraAgeMilliseconds)*time.Millisecond)
+	m.Local.AddRecords(recordsFromProto(reply.Records))
 	if relayed {
-		m.Local.AddRecords(recordsFromProto(reply.Records))
-		m.Board.ConfirmOperatorOffset(reply.OperatorOffset, now.Add(-operatorAge))
-		if serverAge < maxRelayAge {
-			m.Servers.Relay(serversFromProto(reply.Servers), reply.ServersGone, full || allServers, reply.ServerOffset, now.Add(-serverAge))
-		}
+		m.applyRelay(reply, full || allServers, now)
 	}
 	leaders := map[string]string{}
 	for _, leader := range reply.Leaders {
@@ -398,6 +423,23 @@
 	m.OnReply(int(reply.Instances), leaders)
 }
 
+// applyRelay applies how far the leader, on another instance, read the operators'
+// records, and its list of backend servers, all of them if full is set.
+func (m *Member) applyRelay(reply *coordinationpb.ExchangeReply, full bool, now time.Time) {
+	operatorAge := time.Duration(reply.OperatorAgeMilliseconds) * time.Millisecond
+	serverAge := time.Duration(reply.ServerAgeMilliseconds) * time.Millisecond
+	m.Board.ConfirmOperatorPosition(pomelospring.TopicPosition{
+		Era:    reply.OperatorEra,
+		Offset: reply.OperatorOffset,
+	}, now.Add(-operatorAge))
+	if serverAge < maxRelayAge {
+		m.Servers.Relay(serversFromProto(reply.Servers), reply.ServersGone, full, pomelospring.TopicPosition{
+			Era:    reply.ServerEra,
+			Offset: reply.ServerOffset,
+		}, now.Add(-serverAge))
+	}
+}
+
 // serverLoads lists this instance's load on the domain's servers.
 func (m *Member) serverLoads() (list []*coordinationpb.ServerUse) {
 	for id, load := range m.Board.ServerLoads(m.Domain) {
--- a/coordination/place.go
+++ b/coordination/place.go
@@ -91,7 +91,7 @@
 		return loading.Plan{}, false
 	}
 	plan = l.table.Plan(request, now)
-	if plan.Kind == loading.PlanLoad && !l.lease.MayOrder(l.Uptime()) {
+	if plan.Kind == loading.PlanLoad && !l.ordersAllowed() {
 		return loading.Plan{
 			Kind:   loading.PlanNone,
 			Reason: "the former leader's orders may still be under way",
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -24,6 +24,7 @@
 	// AddRecords applies operators' records that a calling instance received before
 	// this one.
 	AddRecords func(records []pomelospring.KeyedRecord)
+	Eras       *StoreEras
 }
 
 var _ coordinationpb.DRPCCoordinationServer = (*Server)(nil)
@@ -73,6 +74,7 @@
 
 // Exchange implements the RPC Exchange.
 func (s *Server) Exchange(_ context.Context, request *coordinationpb.ExchangeRequest) (reply *coordinationpb.ExchangeReply, err error) {
+	s.Eras.Reported(request.StoreEra, time.Duration(request.StoreEraAgeMilliseconds)*time.Millisecond)
 	if len(request.Records) > 0 {
 		s.AddRecords(recordsFromProto(request.Records))
 	}
@@ -135,8 +137,12 @@
 	}
 	reply.Instances, reply.Known = l.countInstances(now)
 	if request.Relay {
-		l.addRelay(request.OperatorOffset, serversSince, reply, now)
+		l.addRelay(pomelospring.TopicPosition{
+			Era:    request.OperatorEra,
+			Offset: request.OperatorOffset,
+		}, serversSince, reply, now)
 	}
+	l.addStoreState(request, reply)
 	return reply
 }
 
@@ -154,14 +160,28 @@
 	return loads
 }
 
+// addStoreState adds the store's era, how far the operators' records are known here,
+// and those that the store lost if the calling instance has others.
+func (l *Leader) addStoreState(request *coordinationpb.ExchangeRequest, reply *coordinationpb.ExchangeReply) {
+	position := l.Board.OperatorPosition()
+	era, age := l.Eras.Current()
+	reply.OperatorOffset, reply.OperatorEra = position.Offset, position.Era
+	if era > 0 {
+		reply.StoreEra, reply.StoreEraAgeMilliseconds = era, age.Milliseconds()
+	}
+	reply.RetainedDigest = l.Board.RetainedDigest()
+	if request.RetainedDigest != reply.RetainedDigest {
+		reply.Records = append(reply.Records, recordsToProto(l.Board.RetainedRecords())...)
+	}
+}
+
 // addRelay adds to a reply the operators' records and the server list that this
 // instance read from the store. The lock is held.
-func (l *Leader) addRelay(operatorOffset, serversSince int64, reply *coordinationpb.ExchangeReply, now time.Time) {
+func (l *Leader) addRelay(operators pomelospring.TopicPosition, serversSince int64, reply *coordinationpb.ExchangeReply, now time.Time) {
 	changed, removed, version, readTo := l.Servers.Changes(serversSince)
-	reply.OperatorOffset = l.Board.OperatorOffset()
-	reply.Records = recordsToProto(l.Board.RecordsFrom(operatorOffset))
+	reply.Records = recordsToProto(l.Board.RecordsFrom(operators))
 	reply.ServerVersion = version
-	reply.ServerOffset = readTo
+	reply.ServerOffset, reply.ServerEra = readTo.Offset, readTo.Era
 	reply.Servers = serversToProto(changed)
 	reply.ServersGone = removed
 	reply.OperatorAgeMilliseconds = l.Board.PolicyAge(now).Milliseconds()
@@ -280,6 +300,7 @@
 		records = append(records, pomelospring.KeyedRecord{
 			Key:    record.Key,
 			Value:  record.Value,
+			Era:    record.Era,
 			Offset: record.Offset,
 		})
 	}
@@ -291,6 +312,7 @@
 		list = append(list, &coordinationpb.OperatorRecord{
 			Key:    record.Key,
 			Value:  record.Value,
+			Era:    record.Era,
 			Offset: record.Offset,
 		})
 	}
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -168,7 +168,7 @@
 func newService(b *backend, none bool) *entry.Service {
 	board := fleet.NewBoard("north")
 	board.SetPolicy(policy())
-	board.ConfirmOperatorOffset(1, time.Now())
+	board.ConfirmOperatorPosition(pomelospring.TopicPosition{Offset: 1}, time.Now())
 	servers := map[string]pomelospring.FleetServer{}
 	for _, id := range []string{"a", "b", "c"} {
 		servers[id] = pomelospring.FleetServer{ID: id, Service: "llm", Domain: "north", Slots: 4, Models: []string{"m"}}
--- a/fleet.go
+++ b/fleet.go
@@ -239,11 +239,21 @@
 // Membership is a member's state in a group, as the platform's group service
 // returns it.
 type Membership struct {
+	// Era is the store's era in which the membership holds; memberships end with
+	// their era.
+	Era int64
+	// Generation rises with each change of the group, and with the era.
 	Generation int64
 	// Parts is the number of the group's partitions that the member holds.
 	Parts int
 }
 
+// Ownership is the number of partitions of each member of a group that holds any.
+type Ownership struct {
+	Era    int64
+	Owners map[string]int
+}
+
 // GroupService assigns the partitions of groups to their live members.
 type GroupService interface {
 	// Join adds a member, or renews it, for its time to live.
@@ -251,17 +261,51 @@
 	// Leave releases a member's partitions.
 	Leave(ctx context.Context, group, member string) (err error)
 	// Owners returns the number of partitions of each member that holds any.
-	Owners(ctx context.Context, group string) (owners map[string]int, err error)
+	Owners(ctx context.Context, group string) (ownership Ownership, err error)
 }
 
 // KeyedRecord is the latest record of a key in one of the platform's keyed
 // topics; an empty value deletes the key.
 type KeyedRecord struct {
-	Key    string
-	Value  []byte
+	Key   string
+	Value []byte
+	// Era and Offset are the position at which the record was read.
+	Era    int64
 	Offset int64
 }
 
+// Position returns the record's position in its topic.
+func (k *KeyedRecord) Position() TopicPosition {
+	return TopicPosition{
+		Era:    k.Era,
+		Offset: k.Offset,
+	}
+}
+
+// TopicPosition is a position in a topic of the platform's store.
+type TopicPosition struct {
+	// Era rises by one each time the store is restored from a copy, which gives
+	// offsets out again. It is 0 where the store doesn't say it.
+	Era    int64
+	Offset int64
+}
+
+// Before reports whether a position is older than another one.
+func (t TopicPosition) Before(other TopicPosition) bool {
+	if t.Era != other.Era {
+		return t.Era < other.Era
+	}
+	return t.Offset < other.Offset
+}
+
+// Later returns the newer one of two positions.
+func (t TopicPosition) Later(other TopicPosition) TopicPosition {
+	if t.Before(other) {
+		return other
+	}
+	return t
+}
+
 // Coordinator passes placement requests to the leader, the instance that sends
 // orders to model workers.
 type Coordinator interface {
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -30,14 +30,13 @@
 
 	policy atomic.Pointer[pomelospring.Policy]
 	// operatorConfirmedAt is when the operators' records were last known to be
-	// complete up to operatorOffset.
+	// complete up to operatorPosition.
 	operatorConfirmedAt atomic.Pointer[time.Time]
 
 	mu sync.Mutex
-	// records holds the latest operators' record of each key.
-	records        map[string]pomelospring.KeyedRecord
-	operatorOffset int64
-	declared       map[string]declaration
+	// operators holds the operators' records.
+	operators operatorRecords
+	declared  map[string]declaration
 
 	servers      map[string]pomelospring.FleetServer
 	serversKnown bool
@@ -87,7 +86,7 @@
 func NewBoard(domain string) *Board {
 	return &Board{
 		Domain:        domain,
-		records:       map[string]pomelospring.KeyedRecord{},
+		operators:     newOperatorRecords(),
 		declared:      map[string]declaration{},
 		servers:       map[string]pomelospring.FleetServer{},
 		changed:       map[string]int64{},
@@ -116,12 +115,12 @@
 	}
 }
 
-// ConfirmOperatorOffset records that the operators' records were known up to an
-// offset at a time.
-func (b *Board) ConfirmOperatorOffset(offset int64, at time.Time) {
+// ConfirmOperatorPosition records that the operators' records were known up to a
+// position at a time.
+func (b *Board) ConfirmOperatorPosition(position pomelospring.TopicPosition, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.operatorOffset = max(b.operatorOffset, offset)
+	b.operators.advance(position)
 	if confirmedAt := b.operatorConfirmedAt.Load(); confirmedAt == nil || confirmedAt.Before(at) {
 		b.operatorConfirmedAt.Store(&at)
 	}
@@ -140,54 +139,57 @@
 // unknown key or route permanently.
 func (b *Board) PolicyFresh(now time.Time) bool { return b.PolicyAge(now) < maxPolicyAge }
 
-// OperatorOffset returns the offset after the newest known operators' record.
-func (b *Board) OperatorOffset() int64 {
+// OperatorPosition returns the position after the newest known operators' record.
+func (b *Board) OperatorPosition() pomelospring.TopicPosition {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.operatorOffset
+	return b.operators.position
 }
 
 // StoreRecord stores an operators' record if it is newer than the known one of
-// its key, and reports whether it did.
-func (b *Board) StoreRecord(record pomelospring.KeyedRecord) bool {
+// its key, and reports whether it did. revision is the version that the record's
+// content states, or 0.
+func (b *Board) StoreRecord(record pomelospring.KeyedRecord, revision int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	known, found := b.records[record.Key]
-	if found && known.Offset >= record.Offset {
-		return false
-	}
-	b.records[record.Key] = record
-	b.operatorOffset = max(b.operatorOffset, record.Offset+1)
-	return true
+	return b.operators.store(record, revision)
 }
 
-// RecordsFrom lists the operators' records at or after an offset.
-func (b *Board) RecordsFrom(offset int64) (records []pomelospring.KeyedRecord) {
+// RecordsFrom lists the operators' records at or after a position.
+func (b *Board) RecordsFrom(position pomelospring.TopicPosition) (records []pomelospring.KeyedRecord) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if offset >= b.operatorOffset {
-		return nil
-	}
-	for _, record := range b.records {
-		if record.Offset >= offset {
-			records = append(records, record)
-		}
-	}
-	return records
+	return b.operators.from(position)
+}
+
+// RetainedRecords lists the operators' records that the store lost when it was
+// restored and that were not written again yet.
+func (b *Board) RetainedRecords() (records []pomelospring.KeyedRecord) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.operators.retained()
+}
+
+// RetainedDigest is equal on boards with the same retained records; 0 for none.
+func (b *Board) RetainedDigest() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.operators.retainedDigest()
 }
 
 // DeclareVersion records the version of an adapter that operators declared,
-// unless the known version is at least as new.
-func (b *Board) DeclareVersion(adapter string, version int64, now time.Time) {
+// unless the known version is at least as new, and reports whether it did.
+func (b *Board) DeclareVersion(adapter string, version int64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.declared[adapter].version >= version {
-		return
+		return false
 	}
 	b.declared[adapter] = declaration{
 		version:    version,
 		receivedAt: now,
 	}
+	return true
 }
 
 // DeclaredVersions returns the newest declared version of each adapter.
--- a/fleet/operator_records.go
+++ b/fleet/operator_records.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -30,22 +31,48 @@
 	mu sync.Mutex
 }
 
-// ApplyRead applies records read from the store; next is the offset up to which
+// ApplyRead applies records read from the store; next is the position up to which
 // the store was read.
-func (o *OperatorRecords) ApplyRead(records []pomelospring.KeyedRecord, _ bool, next int64, _ time.Duration) {
+func (o *OperatorRecords) ApplyRead(records []pomelospring.KeyedRecord, _ bool, next pomelospring.TopicPosition, _ time.Duration) {
+	before := o.Board.OperatorPosition()
 	o.AddRecords(records)
-	o.Board.ConfirmOperatorOffset(next, o.Clock())
+	o.Board.ConfirmOperatorPosition(next, o.Clock())
+	if before.Offset > 0 && before.Era < next.Era {
+		o.logRestored(before, next)
+	}
+}
+
+// logRestored logs which records the restored store lost.
+func (o *OperatorRecords) logRestored(before, next pomelospring.TopicPosition) {
+	retained := o.Board.RetainedRecords()
+	kept := make([]string, 0, len(retained))
+	for _, record := range retained {
+		kept = append(kept, record.Key)
+	}
+	slices.Sort(kept)
+	fields := log.Fields{
+		"eraBefore":    before.Era,
+		"eraAfter":     next.Era,
+		"offsetBefore": before.Offset,
+		"offsetAfter":  next.Offset,
+		"keptCount":    len(kept),
+		"kept":         kept[:min(len(kept), maxLoggedKeys)],
+	}
+	if policy := o.Board.Policy(); policy != nil {
+		fields["version"] = policy.Version
+	}
+	events.Log(o.Logger, events.OperatorRecordsKept, fields)
 }
 
+// maxLoggedKeys bounds the keys in one log line.
+const maxLoggedKeys = 20
+
 // AddRecords applies records from any source; records that are not newer than the
 // known ones are ignored.
 func (o *OperatorRecords) AddRecords(records []pomelospring.KeyedRecord) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, record := range records {
-		if !o.Board.StoreRecord(record) {
-			continue
-		}
 		if record.Key == o.PolicyKey {
 			o.policy(record)
 			continue
@@ -59,9 +86,13 @@
 func (o *OperatorRecords) policy(record pomelospring.KeyedRecord) {
 	policy, err := o.DecodePolicy(record.Value)
 	if err != nil {
+		o.Board.StoreRecord(record, 0)
 		o.logMalformed(record, err)
 		return
 	}
+	if !o.Board.StoreRecord(record, policy.Version) {
+		return
+	}
 	before := o.Board.Policy()
 	if !o.Board.SetPolicy(policy) {
 		return
@@ -97,12 +128,13 @@
 	adapter, version, declared, err := o.DecodeVersion(record)
 	if err != nil {
 		o.logMalformed(record, err)
+	}
+	if !o.Board.StoreRecord(record, version) || !declared {
 		return
 	}
-	if !declared {
+	if !o.Board.DeclareVersion(adapter, version, o.Clock()) {
 		return
 	}
-	o.Board.DeclareVersion(adapter, version, o.Clock())
 	events.Log(o.Logger, events.VersionDeclared, log.Fields{
 		"adapter": adapter,
 		"version": version,
--- a/fleet/server_list.go
+++ b/fleet/server_list.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,10 +33,12 @@
 
 	mu      sync.Mutex
 	servers map[string]pomelospring.FleetServer
-	// readTo is the offset in the store up to which the list was read. Several
+	// readTo is the position in the store up to which the list was read. Several
 	// leaders relay it, and reads of this instance may be under way meanwhile, so
 	// an older state may arrive after a newer one.
-	readTo int64
+	readTo pomelospring.TopicPosition
+	// departures protects against a copy from which the store is restored.
+	departures departures
 	// missing maps servers whose entry was removed to the time at which they are
 	// dropped.
 	missing map[string]time.Time
@@ -44,18 +47,18 @@
 	returnDeadline time.Time
 }
 
-// ApplyRead applies records read from the store up to the offset next. full says
+// ApplyRead applies records read from the store up to the position next. full says
 // that they are all records; outage is how long the store was unreachable before
 // this read.
-func (l *ServerList) ApplyRead(records []pomelospring.KeyedRecord, full bool, next int64, outage time.Duration) {
+func (l *ServerList) ApplyRead(records []pomelospring.KeyedRecord, full bool, next pomelospring.TopicPosition, outage time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock()
 	l.initialize()
-	if next < l.readTo {
+	if next.Before(l.readTo) {
 		return
 	}
-	l.readTo = next
+	restored := l.advance(next, now)
 	records = latestRecords(records)
 	removed := l.removedIn(records, full)
 	if outage > minExpiryOutage && float64(len(removed)) >= minExpiredFraction*float64(len(l.servers)) {
@@ -66,15 +69,55 @@
 	}
 	for _, record := range records {
 		if len(record.Value) > 0 {
-			l.applyEntry(record)
+			l.applyEntry(record, now)
 		}
 	}
+	l.applyDeadlines(now)
+	if restored {
+		l.logRestored()
+	}
+	l.Board.SetServers(maps.Clone(l.servers), now)
+}
+
+// advance raises the position up to which the list was read, and reports whether the
+// store was restored since the last read. What is listed then stays for the return
+// window, in which servers that the copy lacks register again.
+func (l *ServerList) advance(readTo pomelospring.TopicPosition, now time.Time) (restored bool) {
+	restored = l.readTo.Offset > 0 && l.readTo.Era < readTo.Era
+	l.readTo = readTo
+	if restored {
+		l.departures.restored(readTo, now)
+		l.returnDeadline = l.departures.returnUntil
+	}
+	return restored
+}
+
+// applyDeadlines drops servers that have not registered again in time, and lists those
+// that the restored store still has when the copy no longer explains it.
+func (l *ServerList) applyDeadlines(now time.Time) {
 	for id, deadline := range l.missing {
 		if !now.Before(deadline) {
 			l.drop(id, "its entry was removed from the store")
 		}
 	}
-	l.Board.SetServers(maps.Clone(l.servers), now)
+	for _, server := range l.departures.overdue(now) {
+		l.upsert(server)
+	}
+}
+
+// logRestored logs which servers a restore of the store left in doubt.
+func (l *ServerList) logRestored() {
+	missing := slices.Sorted(maps.Keys(l.missing))
+	withheld := slices.Sorted(maps.Keys(l.departures.withheld))
+	events.Log(l.Logger, events.ServersKept, log.Fields{
+		"eraAfter":      l.readTo.Era,
+		"offsetAfter":   l.readTo.Offset,
+		"servers":       len(l.servers),
+		"missingCount":  len(missing),
+		"missing":       missing[:min(len(missing), maxLoggedKeys)],
+		"withheldCount": len(withheld),
+		"withheld":      withheld[:min(len(withheld), maxLoggedKeys)],
+	})
 }
 
 // initialize makes the zero ServerList usable. The caller holds the lock.
@@ -82,43 +125,64 @@
 	if l.servers == nil {
 		l.servers = map[string]pomelospring.FleetServer{}
 		l.missing = map[string]time.Time{}
+		l.departures = newDepartures()
 	}
 }
 
-// Relay applies what the leader read from the store at readAt up to the offset
+// Relay applies what the leader read from the store at readAt up to the position
 // readTo: the servers that changed and those removed, or the complete list if full
 // is set. A state older than the one known is ignored, as it would bring back
 // servers that have left.
-func (l *ServerList) Relay(changed []pomelospring.FleetServer, removed []string, full bool, readTo int64, readAt time.Time) {
+func (l *ServerList) Relay(changed []pomelospring.FleetServer, removed []string, full bool, readTo pomelospring.TopicPosition, readAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.initialize()
-	if readTo < l.readTo {
+	if readTo.Before(l.readTo) {
 		return
 	}
-	l.readTo = readTo
+	now := l.Clock()
+	restored := l.advance(readTo, now)
 	listed := map[string]bool{}
 	for _, server := range changed {
 		listed[server.ID] = true
-		l.upsert(server)
-	}
-	for id := range l.servers {
-		if full && !listed[id] {
-			removed = append(removed, id)
+		if !l.departures.withhold(server, now) {
+			l.upsert(server)
 		}
 	}
 	for _, id := range removed {
+		delete(l.departures.withheld, id)
 		if _, known := l.servers[id]; known {
 			l.drop(id, "the leader no longer lists it")
 		}
 	}
+	if full {
+		l.removeUnlisted(listed, now)
+	}
+	l.applyDeadlines(now)
+	if restored {
+		l.logRestored()
+	}
 	l.Board.SetServers(maps.Clone(l.servers), readAt)
 }
 
+// removeUnlisted removes the servers that a complete list lacks.
+func (l *ServerList) removeUnlisted(listed map[string]bool, now time.Time) {
+	l.departures.keepWithheld(listed)
+	for id, server := range l.servers {
+		switch {
+		case listed[id]:
+		case now.Before(l.departures.returnUntil) && !server.Draining:
+			l.missing[id] = l.departures.returnUntil
+		default:
+			l.drop(id, "the leader no longer lists it")
+		}
+	}
+}
+
 // Changes lists the servers that changed or were removed after a version of the
-// list, and returns the current version with the offset in the store up to which
+// list, and returns the current version with the position in the store up to which
 // it was read.
-func (l *ServerList) Changes(since int64) (changed []pomelospring.FleetServer, removed []string, version, readTo int64) {
+func (l *ServerList) Changes(since int64) (changed []pomelospring.FleetServer, removed []string, version int64, readTo pomelospring.TopicPosition) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	changed, removed, version = l.Board.ServerChanges(since)
@@ -151,6 +215,14 @@
 			removed = append(removed, id)
 		}
 	}
+	if full {
+		l.departures.keepWithheld(present)
+	}
+	for id, listed := range present {
+		if !listed {
+			delete(l.departures.withheld, id)
+		}
+	}
 	return removed
 }
 
@@ -170,6 +242,7 @@
 
 // drop removes a server from the list and logs the reason.
 func (l *ServerList) drop(id, reason string) {
+	l.departures.add(l.servers[id], l.Clock())
 	delete(l.servers, id)
 	delete(l.missing, id)
 	events.Log(l.Logger, events.ServersListed, log.Fields{
@@ -180,7 +253,7 @@
 }
 
 // applyEntry applies a server's entry; a malformed one drops the server.
-func (l *ServerList) applyEntry(record pomelospring.KeyedRecord) {
+func (l *ServerList) applyEntry(record pomelospring.KeyedRecord, now time.Time) {
 	server, err := l.Decode(record.Key, record.Value)
 	if err != nil {
 		events.Log(l.Logger, events.ServerMalformed, log.Fields{
@@ -192,6 +265,9 @@
 		}
 		return
 	}
+	if l.departures.inCopy(record.Position()) && l.departures.withhold(server, now) {
+		return
+	}
 	l.upsert(server)
 }
 
@@ -207,6 +283,7 @@
 		server.Draining = true
 	}
 	delete(l.missing, server.ID)
+	l.departures.returned(server.ID)
 	l.servers[server.ID] = server
 	if !known || before.Draining != server.Draining || !before.Started.Equal(server.Started) {
 		events.Log(l.Logger, events.ServersListed, log.Fields{
--- a/fleet/server_list_relay_test.go
+++ b/fleet/server_list_relay_test.go
@@ -10,6 +10,13 @@
 	"github.com/pomelospring/pomelospring/fleet"
 )
 
+// at is a position in the store's first era.
+func at(offset int64) pomelospring.TopicPosition {
+	return pomelospring.TopicPosition{
+		Offset: offset,
+	}
+}
+
 // TestOlderListBringsNoServerBack plays the server lists that several leaders
 // relay, and own reads, which arrive in another order than they were read in.
 func TestOlderListBringsNoServerBack(t *testing.T) {
@@ -24,40 +31,40 @@
 		{
 			name: "a whole list that is older",
 			apply: func(list *fleet.ServerList) {
-				list.Relay([]pomelospring.FleetServer{a}, nil, true, 20, start)
-				list.Relay([]pomelospring.FleetServer{a, b}, nil, true, 19, start)
+				list.Relay([]pomelospring.FleetServer{a}, nil, true, at(20), start)
+				list.Relay([]pomelospring.FleetServer{a, b}, nil, true, at(19), start)
 			},
 			want: []string{"a"},
 		},
 		{
 			name: "an older change of a server that left",
 			apply: func(list *fleet.ServerList) {
-				list.Relay([]pomelospring.FleetServer{a}, []string{"b"}, false, 20, start)
-				list.Relay([]pomelospring.FleetServer{draining}, nil, false, 19, start)
+				list.Relay([]pomelospring.FleetServer{a}, []string{"b"}, false, at(20), start)
+				list.Relay([]pomelospring.FleetServer{draining}, nil, false, at(19), start)
 			},
 			want: []string{"a"},
 		},
 		{
 			name: "an own read that a newer relay overtook",
 			apply: func(list *fleet.ServerList) {
-				list.Relay([]pomelospring.FleetServer{a}, nil, true, 20, start)
-				list.ApplyRead([]pomelospring.KeyedRecord{put("a", "ready"), put("b", "ready")}, true, 19, 0)
+				list.Relay([]pomelospring.FleetServer{a}, nil, true, at(20), start)
+				list.ApplyRead([]pomelospring.KeyedRecord{put("a", "ready"), put("b", "ready")}, true, at(19), 0)
 			},
 			want: []string{"a"},
 		},
 		{
 			name: "a relay that a newer own read overtook",
 			apply: func(list *fleet.ServerList) {
-				list.ApplyRead([]pomelospring.KeyedRecord{put("a", "ready")}, true, 20, 0)
-				list.Relay([]pomelospring.FleetServer{b}, nil, false, 19, start)
+				list.ApplyRead([]pomelospring.KeyedRecord{put("a", "ready")}, true, at(20), 0)
+				list.Relay([]pomelospring.FleetServer{b}, nil, false, at(19), start)
 			},
 			want: []string{"a"},
 		},
 		{
 			name: "a newer list is applied",
 			apply: func(list *fleet.ServerList) {
-				list.Relay([]pomelospring.FleetServer{a}, nil, true, 20, start)
-				list.Relay([]pomelospring.FleetServer{b}, nil, false, 21, start)
+				list.Relay([]pomelospring.FleetServer{a}, nil, true, at(20), start)
+				list.Relay([]pomelospring.FleetServer{b}, nil, false, at(21), start)
 			},
 			want: []string{"a", "b"},
 		},
--- a/fleet/server_list_test.go
+++ b/fleet/server_list_test.go
@@ -153,7 +153,7 @@
 			}
 			for _, read := range scenario.reads {
 				now = now.Add(read.after)
-				list.ApplyRead(read.records, read.full, 0, read.outage)
+				list.ApplyRead(read.records, read.full, at(0), read.outage)
 			}
 			var got []string
 			for _, server := range board.Servers() {
--- a/front/front.go
+++ b/front/front.go
@@ -74,6 +74,7 @@
 	store    *platform.Store
 	backends *platform.BackendClient
 	engines  *platform.EngineClient
+	eras     *coordination.StoreEras
 	peers    *peer.Client
 	// leaders, members and elections each have one entry per failure domain, in
 	// the same order.
@@ -118,6 +119,12 @@
 	}
 	logger.Handler = f.metrics.CountEvents(logger.Handler)
 	f.store.Counters = f.metrics
+	f.eras = &coordination.StoreEras{
+		Logger:          logger,
+		Uptime:          uptime,
+		FirstFleetStart: config.FirstStart,
+	}
+	f.store.OnEra = f.eras.Answered
 	f.stopping, f.stop = context.WithCancel(context.Background())
 	f.operators = &fleet.OperatorRecords{
 		Board:         f.board,
@@ -171,6 +178,7 @@
 	f.server = &coordination.Server{
 		Leaders:    map[string]*coordination.Leader{},
 		AddRecords: f.operators.AddRecords,
+		Eras:       f.eras,
 	}
 	domains := slices.Clone(config.Domains)
 	slices.Sort(domains)
@@ -206,6 +214,7 @@
 	leader.Logger = f.logger
 	leader.Clock = f.clock
 	leader.Uptime = uptime
+	leader.Eras = f.eras
 	member := &coordination.Member{
 		Domain:      domain,
 		Relay:       domain == config.Domain,
@@ -215,6 +224,7 @@
 		Board:       f.board,
 		Ledger:      f.ledger,
 		Servers:     f.servers,
+		Eras:        f.eras,
 		Leader:      leader,
 		Local:       f.server,
 		Peers:       f.peers,
@@ -322,14 +332,14 @@
 
 func (f *Front) operatorFollower() *platform.Follower {
 	return &platform.Follower{
-		Store:       f.store,
-		Topic:       platform.OperatorTopic,
-		ReadWait:    operatorReadWait,
-		Apply:       f.operators.ApplyRead,
-		Suspended:   f.relayed((*coordination.Member).OperatorsRelayed),
-		KnownOffset: f.board.OperatorOffset,
-		Logger:      f.logger,
-		Clock:       f.clock,
+		Store:         f.store,
+		Topic:         platform.OperatorTopic,
+		ReadWait:      operatorReadWait,
+		Apply:         f.operators.ApplyRead,
+		Suspended:     f.relayed((*coordination.Member).OperatorsRelayed),
+		KnownPosition: f.board.OperatorPosition,
+		Logger:        f.logger,
+		Clock:         f.clock,
 	}
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -39,13 +39,19 @@
 	validUntil         time.Duration
 	ordersFrom         time.Duration
 	holdsAllPartitions bool
+	// heldSinceEra is the store's era in which the instance became the holder, and
+	// eraOrdersFrom when the leases of earlier eras no longer forbid orders.
+	heldSinceEra  int64
+	eraOrdersFrom time.Duration
 }
 
 // Renewed applies a response of the group service to a join or renewal. sent is
 // when the request was sent. resumed says that this instance held all
 // partitions before it restarted, so that no other holder's orders can be in
-// flight.
-func (l *Lease) Renewed(membership pomelospring.Membership, sent, now time.Duration, resumed bool) {
+// flight. eraOrdersFrom is when the leases of earlier eras no longer forbid orders.
+// A holder whose lease is valid goes on in the next era without a wait: others that
+// join wait for the end of its lease.
+func (l *Lease) Renewed(membership pomelospring.Membership, sent, now time.Duration, resumed bool, eraOrdersFrom time.Duration) {
 	l.generation = membership.Generation
 	if membership.Parts < l.Parts {
 		l.holdsAllPartitions = false
@@ -55,6 +61,8 @@
 		// Another instance may have held the lease since the last renewal
 		// expired.
 		l.holdsAllPartitions = true
+		l.heldSinceEra = membership.Era
+		l.eraOrdersFrom = eraOrdersFrom
 		l.ordersFrom = now
 		if !resumed {
 			l.ordersFrom = now + l.HandoverTime + maxOrderFlightTime
@@ -63,6 +71,14 @@
 	l.validUntil = sent + validity
 }
 
+// ShortenEraWait applies that the leases of eras before the given one forbid orders
+// only until a time.
+func (l *Lease) ShortenEraWait(era int64, eraOrdersFrom time.Duration) {
+	if era == l.heldSinceEra {
+		l.eraOrdersFrom = min(l.eraOrdersFrom, eraOrdersFrom)
+	}
+}
+
 // Release gives the lease up.
 func (l *Lease) Release() {
 	l.holdsAllPartitions = false
@@ -77,9 +93,9 @@
 
 // MayOrder reports whether an order may be sent now.
 func (l *Lease) MayOrder(now time.Duration) bool {
-	return l.Holds(now) && now >= l.ordersFrom
+	return l.Holds(now) && now >= max(l.ordersFrom, l.eraOrdersFrom)
 }
 
 // Generation returns the group's generation, which is the fencing number of
-// orders.
+// orders. It rises over the eras of the store.
 func (l *Lease) Generation() int64 { return l.generation }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -34,45 +34,45 @@
 		},
 		{
 			name:    "a new holder sends no order during the handover time",
-			prepare: func(l *lease.Lease) { l.Renewed(allPartitions, 0, 0, false) },
+			prepare: func(l *lease.Lease) { l.Renewed(allPartitions, 0, 0, false, 0) },
 			at:      handoverTime,
 		},
 		{
 			name:    "a new holder may order after the handover time",
-			prepare: func(l *lease.Lease) { l.Renewed(allPartitions, 0, 0, false) },
+			prepare: func(l *lease.Lease) { l.Renewed(allPartitions, 0, 0, false, 0) },
 			at:      handoverTime + 800*time.Millisecond,
 			want:    true,
 		},
 		{
 			name:    "a holder that restarted with all partitions may order at once",
-			prepare: func(l *lease.Lease) { l.Renewed(allPartitions, 0, 0, true) },
+			prepare: func(l *lease.Lease) { l.Renewed(allPartitions, 0, 0, true, 0) },
 			at:      time.Millisecond,
 			want:    true,
 		},
 		{
 			name:    "a holder of some partitions may not order",
-			prepare: func(l *lease.Lease) { l.Renewed(pomelospring.Membership{Generation: 4, Parts: 6}, 0, 0, true) },
+			prepare: func(l *lease.Lease) { l.Renewed(pomelospring.Membership{Generation: 4, Parts: 6}, 0, 0, true, 0) },
 			at:      5 * time.Second,
 		},
 		{
 			name: "losing partitions ends the lease at once",
 			prepare: func(l *lease.Lease) {
-				l.Renewed(allPartitions, 0, 0, true)
-				l.Renewed(pomelospring.Membership{Generation: 5, Parts: 6}, time.Second, time.Second, false)
+				l.Renewed(allPartitions, 0, 0, true, 0)
+				l.Renewed(pomelospring.Membership{Generation: 5, Parts: 6}, time.Second, time.Second, false, 0)
 			},
 			at: 2 * time.Second,
 		},
 		{
 			name:    "a holder that was suspended past its lease may not order",
-			prepare: func(l *lease.Lease) { l.Renewed(allPartitions, 0, 0, true) },
+			prepare: func(l *lease.Lease) { l.Renewed(allPartitions, 0, 0, true, 0) },
 			at:      lease.TimeToLive,
 		},
 		{
 			name: "a holder that renews after its lease expired waits again",
 			prepare: func(l *lease.Lease) {
-				l.Renewed(allPartitions, 0, 0, true)
+				l.Renewed(allPartitions, 0, 0, true, 0)
 				late := lease.TimeToLive + time.Second
-				l.Renewed(allPartitions, late, late, false)
+				l.Renewed(allPartitions, late, late, false, 0)
 			},
 			at: lease.TimeToLive + 2*time.Second,
 		},
@@ -148,7 +148,7 @@
 	}
 	if now >= m.cutOffUntil && now-m.renewedAt >= lease.RenewEvery {
 		if membership, ok := g.join(m.name, now); ok {
-			m.lease.Renewed(membership, now, now, false)
+			m.lease.Renewed(membership, now, now, false, 0)
 			m.renewedAt = now
 		}
 	}
