Recover from a power loss of all instances in a later era of the store

Change: a leader marks the era as settled in its group, by a committed offset, once all leases of earlier eras have ended: one call for each leader and era. An instance that finds the mark beside the group's owners doesn't wait.

--- a/coordination/election.go
+++ b/coordination/election.go
@@ -54,6 +54,8 @@
 	// partialHoldLimit is how long a former leader that lost some partitions
 	// waits to hold all of them again before it leaves the group.
 	partialHoldLimit = 3 * time.Second
+	// markRetryInterval is the time between attempts to mark an era as settled.
+	markRetryInterval = 10 * time.Second
 )
 
 // Election finds a domain's leader in the platform's group service, and makes
@@ -96,6 +98,10 @@
 	// joined, last at lastHeldAllAt.
 	heldAllPartitions bool
 	lastHeldAllAt     time.Duration
+	// markedEra is the store's era that this instance marked as settled last, and
+	// nextMarkAt when the next attempt is due.
+	markedEra  int64
+	nextMarkAt time.Duration
 }
 
 // Run takes part in the election until the context ends, then retains the
@@ -186,6 +192,10 @@
 		return
 	}
 	owners := ownership.Owners
+	if ownership.EraSettled {
+		e.Leader.Eras.Settled(ownership.Era)
+		e.markedEra = ownership.Era
+	}
 	if len(owners) == 0 || owners[e.Address] > 0 {
 		e.resumed, e.resumedEra = owners[e.Address] >= e.Leader.Parts(), ownership.Era
 		e.joined = true
@@ -236,6 +246,7 @@
 	if e.Leader.Leading() {
 		e.heldAllPartitions, e.lastHeldAllAt = true, e.Uptime()
 		e.Member.SetLeader(e.Address)
+		e.markEra(ctx, membership.Era)
 		return
 	}
 	e.stepDown()
@@ -246,6 +257,26 @@
 	}
 }
 
+// markEra marks the store's era as settled in the group once it is, so that instances
+// that start when no other one can tell them need not wait.
+func (e *Election) markEra(ctx context.Context, era int64) {
+	if era == e.markedEra || e.Uptime() < e.nextMarkAt {
+		return
+	}
+	generation, ok := e.Leader.eraToMark()
+	if !ok {
+		return
+	}
+	e.nextMarkAt = e.Uptime() + markRetryInterval
+	if err := e.Groups.MarkEraSettled(ctx, e.Group, e.Address, generation); err != nil {
+		events.Log(e.Logger, events.RenewalMissed, log.Fields{
+			"error": err.Error(),
+		})
+		return
+	}
+	e.markedEra = era
+}
+
 // stepDown clears the known leader if it is this instance.
 func (e *Election) stepDown() {
 	if e.Member.Known() == e.Address {
--- a/coordination/election_test.go
+++ b/coordination/election_test.go
@@ -38,6 +38,8 @@
 	return pomelospring.Membership{Generation: 1, Parts: groupParts}, nil
 }
 
+func (g *groups) MarkEraSettled(context.Context, string, string, int64) error { return nil }
+
 func (g *groups) Leave(context.Context, string, string) error { return nil }
 
 func (g *groups) Owners(context.Context, string) (pomelospring.Ownership, error) {
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -63,8 +63,11 @@
 	Uptime func() time.Duration
 	Eras   *StoreEras
 
-	mu     sync.Mutex
-	lease  lease.Lease
+	mu    sync.Mutex
+	lease lease.Lease
+	// membershipEra is the store's era at the last renewal.
+	membershipEra int64
+
 	table  *loading.PlacementTable
 	totals *quota.Totals
 	loads  *fleet.LoadTotals
@@ -125,6 +128,7 @@
 	now := l.Uptime()
 	before := l.lease.Holds(now)
 	l.Eras.Answered(membership.Era)
+	l.membershipEra = membership.Era
 	_, eraOrdersFrom := l.Eras.ordersFrom(l.lease.HandoverTime)
 	l.lease.Renewed(membership, sent, now, resumed, eraOrdersFrom)
 	if after := l.lease.Holds(now); after != before {
@@ -166,6 +170,15 @@
 	return l.lease.MayOrder(l.Uptime())
 }
 
+// eraToMark returns the membership's generation once all leases of earlier eras have
+// ended; ok is false before, and in the store's first era.
+func (l *Leader) eraToMark() (generation int64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	era, from := l.Eras.ordersFrom(l.lease.HandoverTime)
+	return l.lease.Generation(), era > 0 && era == l.membershipEra && l.Uptime() >= from && l.lease.Holds(l.Uptime())
+}
+
 // mayOrder returns the fencing number and whether an order may be sent now. It is
 // checked right before every order, because the lease may have expired while the
 // process was suspended.
--- a/coordination/store_eras.go
+++ b/coordination/store_eras.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// Settled records that all leases of earlier eras have ended.
+func (s *StoreEras) Settled(era int64) {
+	if era > 0 {
+		s.observe(era, lease.SettledAge, "group")
+	}
+}
+
 func (s *StoreEras) observe(era int64, age time.Duration, source string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/fleet.go
+++ b/fleet.go
@@ -252,12 +252,17 @@
 type Ownership struct {
 	Era    int64
 	Owners map[string]int
+	// EraSettled says that a member marked the era as settled.
+	EraSettled bool
 }
 
 // GroupService assigns the partitions of groups to their live members.
 type GroupService interface {
 	// Join adds a member, or renews it, for its time to live.
 	Join(ctx context.Context, group, member string, generation int64, timeToLive time.Duration) (membership Membership, err error)
+	// MarkEraSettled records in the group that all memberships of earlier eras have
+	// ended. generation is that of the member, who holds all partitions.
+	MarkEraSettled(ctx context.Context, group, member string, generation int64) (err error)
 	// Leave releases a member's partitions.
 	Leave(ctx context.Context, group, member string) (err error)
 	// Owners returns the number of partitions of each member that holds any.
--- a/lease/eras.go
+++ b/lease/eras.go
@@ -12,14 +12,14 @@
 	since time.Duration
 }
 
-// settledAge is the age of an era before which there are no leases.
-const settledAge = time.Hour
+// SettledAge is the age of an era in which no lease of an earlier one is valid.
+const SettledAge = time.Hour
 
 // Observe records that the store was in an era since a time, and reports whether a
 // lower era was known. settled says that no lease of an earlier era can exist.
 func (e *Eras) Observe(era int64, since, now time.Duration, settled bool) (before int64, rose bool) {
 	if settled || era == 0 {
-		since = now - settledAge
+		since = now - SettledAge
 	}
 	before = e.era
 	switch {
@@ -33,9 +33,9 @@
 	return before, rose
 }
 
-// Current returns the era and its age, at most settledAge.
+// Current returns the era and its age, at most SettledAge.
 func (e *Eras) Current(now time.Duration) (era int64, age time.Duration) {
-	return e.era, min(settledAge, now-e.since)
+	return e.era, min(SettledAge, now-e.since)
 }
 
 // OrdersFrom returns when the leases of earlier eras have ended for at least the
--- a/standin/store.go
+++ b/standin/store.go
@@ -51,6 +51,8 @@
 	member     string
 	// deadline is when the membership expires unless the member joins again.
 	deadline time.Time
+	// committed is the committed offset of the first partition.
+	committed int64
 	// changedAt is when the group got into this state.
 	changedAt time.Time
 }
@@ -197,6 +199,8 @@
 		s.read(w, r)
 	case "/api/log-join":
 		s.join(w, r)
+	case "/api/log-commit":
+		s.commit(w, r)
 	case "/api/log-leave":
 		s.leave(w, r)
 	case "/api/log-owners":
@@ -309,6 +313,7 @@
 	Group  string `json:"group"`
 	Member string `json:"member"`
 	TTL    int64  `json:"ttl-ms"`
+	Offset int64  `json:"offset"`
 }
 
 // join assigns all partitions to one member at a time, until it leaves or its
@@ -337,7 +342,7 @@
 		next.deadline = time.Now().Add(time.Duration(call.TTL) * time.Millisecond)
 		g.change(next)
 		for partition := range partitionsPerTopic {
-			partitions = append(partitions, []any{"orders", partition, 0})
+			partitions = append(partitions, []any{"orders", partition, g.committed})
 		}
 	}
 	s.answer(w, http.StatusOK, map[string]any{
@@ -346,6 +351,26 @@
 	})
 }
 
+// commit commits an offset of the first partition for its holder.
+func (s *Store) commit(w http.ResponseWriter, r *http.Request) {
+	var call groupRequest
+	err := json.NewDecoder(r.Body).Decode(&call)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.groups[call.Group]
+	switch {
+	case err != nil:
+		s.answer(w, http.StatusBadRequest, map[string]any{})
+	case g == nil || g.member != call.Member:
+		s.answer(w, http.StatusConflict, map[string]any{})
+	default:
+		next := g.groupState
+		next.committed = call.Offset
+		g.change(next)
+		s.answer(w, http.StatusOK, map[string]any{})
+	}
+}
+
 // leave ends a membership.
 func (s *Store) leave(w http.ResponseWriter, r *http.Request) {
 	var call groupRequest
@@ -371,7 +396,7 @@
 	rows := [][]any{}
 	if g := s.groups[r.URL.Query().Get("group")]; g != nil && g.member != "" && time.Now().Before(g.deadline) {
 		for partition := range partitionsPerTopic {
-			rows = append(rows, []any{"orders", partition, g.member, 0})
+			rows = append(rows, []any{"orders", partition, g.member, g.committed})
 		}
 	}
 	s.answer(w, http.StatusOK, map[string]any{
