Bring no server back that left, over restores and long outages of a leader's store

What callers would see: requests at servers that had left, for 2 to 6 s.

Only servers that a complete list lacks and that were not read since the restore may return. Withheld entries of own reads are forgotten once a leader relays, whose complete list is asked for after the withhold time.

The new row of TestOlderListBringsNoServerBack guards the held ones.

--- a/coordination/member.go
+++ b/coordination/member.go
@@ -239,6 +239,9 @@
 	if address == "" {
 		return
 	}
+	if m.Servers.NeedsCompleteList() {
+		serverVersion = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	relayRequested := m.Relay || m.storeStateIsStale()
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -274,6 +274,7 @@
 			Started:  server.Started.UnixMilli(),
 			Draining: server.Draining,
 			Models:   server.Models,
+			Awaited:  server.Awaited,
 		})
 	}
 	return list
@@ -290,6 +291,7 @@
 			Started:  time.UnixMilli(entry.Started),
 			Draining: entry.Draining,
 			Models:   entry.Models,
+			Awaited:  entry.Awaited,
 		})
 	}
 	return servers
--- a/fleet.go
+++ b/fleet.go
@@ -40,6 +40,9 @@
 	Started time.Time
 	// Draining servers get no new requests.
 	Draining bool
+	// Awaited is set while the server's entry is gone but may have expired, so that the
+	// server has to register again.
+	Awaited bool
 	// Models lists the loaded base models.
 	Models   []string
 	Resident []ResidentAdapter
@@ -64,6 +67,7 @@
 		f.Slots == other.Slots &&
 		f.Started.Equal(other.Started) &&
 		f.Draining == other.Draining &&
+		f.Awaited == other.Awaited &&
 		slices.Equal(f.Models, other.Models)
 }
 
--- a/fleet/departures.go
+++ b/fleet/departures.go
@@ -23,8 +23,13 @@
 // store is restored doesn't bring them back.
 type departures struct {
 	left map[string]departure
-	// withheld holds the servers that had left and that the copy lists.
+	// withheld holds the servers that had left and that the copy lists, as read here.
 	withheld map[string]pomelospring.FleetServer
+	// skipped is set once a leader listed such a server: its complete list is due after
+	// the withhold time.
+	skipped bool
+	// confirmed holds the servers whose entry was read since the store was restored.
+	confirmed map[string]bool
 	// copyEnd is the position up to which the restored store was first read; entries
 	// from there on were written since.
 	copyEnd pomelospring.TopicPosition
@@ -42,8 +47,9 @@
 
 func newDepartures() departures {
 	return departures{
-		left:     map[string]departure{},
-		withheld: map[string]pomelospring.FleetServer{},
+		left:      map[string]departure{},
+		withheld:  map[string]pomelospring.FleetServer{},
+		confirmed: map[string]bool{},
 	}
 }
 
@@ -66,11 +72,21 @@
 	delete(d.withheld, id)
 }
 
-// restored starts the return window and the withhold time.
-func (d *departures) restored(readTo pomelospring.TopicPosition, now time.Time) {
-	d.copyEnd = readTo
-	d.returnUntil = now.Add(restoredReturnWindow)
+// begin starts the withhold time at the first read in an era of the store. known says
+// that the servers were known before, so that the copy may lack some, or list some that
+// had left.
+func (d *departures) begin(readTo pomelospring.TopicPosition, known bool, now time.Time) {
 	d.withholdUntil = now.Add(withholdTime)
+	d.confirmed = map[string]bool{}
+	if known {
+		d.copyEnd = readTo
+		d.returnUntil = now.Add(restoredReturnWindow)
+	}
+}
+
+// mayReturn reports whether a server that the store lacks may register again.
+func (d *departures) mayReturn(server pomelospring.FleetServer, now time.Time) bool {
+	return now.Before(d.returnUntil) && !server.Draining && !d.confirmed[server.ID]
 }
 
 // inCopy reports whether an entry may be from the copy.
@@ -82,11 +98,26 @@
 // left before the store was restored.
 func (d *departures) withhold(server pomelospring.FleetServer, now time.Time) bool {
 	former, left := d.left[server.ID]
-	if !left || !now.Before(d.withholdUntil) || server.Started.After(former.started) {
-		return false
+	return left && now.Before(d.withholdUntil) && !server.Started.After(former.started)
+}
+
+// skip reports whether a server that a leader lists is to stay out of the list. The
+// leader may also wait for a server that is known here to have left.
+func (d *departures) skip(server pomelospring.FleetServer, now time.Time) bool {
+	_, left := d.left[server.ID]
+	withheld := d.withhold(server, now)
+	d.skipped = d.skipped || withheld
+	return withheld || left && server.Awaited
+}
+
+// followLeader forgets what was withheld of the own reads: a leader reports no removal
+// of a server that it doesn't list.
+func (d *departures) followLeader(full bool, now time.Time) {
+	if full && !now.Before(d.withholdUntil) {
+		d.skipped = false
 	}
-	d.withheld[server.ID] = server
-	return true
+	d.skipped = d.skipped || len(d.withheld) > 0
+	clear(d.withheld)
 }
 
 // keepWithheld forgets the withheld servers that a complete list lacks.
--- a/fleet/server_list.go
+++ b/fleet/server_list.go
@@ -60,7 +60,7 @@
 	}
 	restored := l.advance(next, now)
 	records = latestRecords(records)
-	removed := l.removedIn(records, full)
+	removed := l.removedIn(records, full, now)
 	if outage > minExpiryOutage && float64(len(removed)) >= minExpiredFraction*float64(len(l.servers)) {
 		l.returnDeadline = now.Add(returnWindow)
 	}
@@ -83,13 +83,13 @@
 // store was restored since the last read. What is listed then stays for the return
 // window, in which servers that the copy lacks register again.
 func (l *ServerList) advance(readTo pomelospring.TopicPosition, now time.Time) (restored bool) {
-	restored = l.readTo.Offset > 0 && l.readTo.Era < readTo.Era
+	known := l.readTo.Offset > 0
+	rises := l.readTo.Era < readTo.Era
 	l.readTo = readTo
-	if restored {
-		l.departures.restored(readTo, now)
-		l.returnDeadline = l.departures.returnUntil
+	if rises {
+		l.departures.begin(readTo, known, now)
 	}
-	return restored
+	return known && rises
 }
 
 // applyDeadlines drops servers that have not registered again in time, and lists those
@@ -142,15 +142,15 @@
 	}
 	now := l.Clock()
 	restored := l.advance(readTo, now)
+	l.departures.followLeader(full, now)
 	listed := map[string]bool{}
 	for _, server := range changed {
 		listed[server.ID] = true
-		if !l.departures.withhold(server, now) {
+		if !l.departures.skip(server, now) {
 			l.upsert(server)
 		}
 	}
 	for _, id := range removed {
-		delete(l.departures.withheld, id)
 		if _, known := l.servers[id]; known {
 			l.drop(id, "the leader no longer lists it")
 		}
@@ -165,14 +165,21 @@
 	l.Board.SetServers(maps.Clone(l.servers), readAt)
 }
 
+// NeedsCompleteList reports whether changes alone leave out servers that a leader
+// lists.
+func (l *ServerList) NeedsCompleteList() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.departures.skipped && !l.Clock().Before(l.departures.withholdUntil)
+}
+
 // removeUnlisted removes the servers that a complete list lacks.
 func (l *ServerList) removeUnlisted(listed map[string]bool, now time.Time) {
-	l.departures.keepWithheld(listed)
 	for id, server := range l.servers {
 		switch {
 		case listed[id]:
-		case now.Before(l.departures.returnUntil) && !server.Draining:
-			l.missing[id] = l.departures.returnUntil
+		case l.departures.mayReturn(server, now):
+			l.await(server, l.departures.returnUntil)
 		default:
 			l.drop(id, "the leader no longer lists it")
 		}
@@ -204,14 +211,19 @@
 }
 
 // removedIn lists the known servers whose entry the records delete, or omit if
-// the records are full.
-func (l *ServerList) removedIn(records []pomelospring.KeyedRecord, full bool) (removed []string) {
+// the records are full. Those that a restored store lacks only have to register again.
+func (l *ServerList) removedIn(records []pomelospring.KeyedRecord, full bool, now time.Time) (removed []string) {
 	present := make(map[string]bool, len(records))
 	for _, record := range records {
 		present[record.Key] = len(record.Value) > 0
 	}
-	for id := range l.servers {
-		if listed, named := present[id]; named && !listed || !named && full {
+	for id, server := range l.servers {
+		listed, named := present[id]
+		switch {
+		case listed || !named && !full:
+		case !named && l.departures.mayReturn(server, now):
+			l.await(server, l.departures.returnUntil)
+		default:
 			removed = append(removed, id)
 		}
 	}
@@ -221,6 +233,8 @@
 	for id, listed := range present {
 		if !listed {
 			delete(l.departures.withheld, id)
+		} else {
+			l.departures.confirmed[id] = true
 		}
 	}
 	return removed
@@ -234,12 +248,19 @@
 		return
 	}
 	if now.Before(l.returnDeadline) && !server.Draining {
-		l.missing[id] = l.returnDeadline
+		l.await(server, l.returnDeadline)
 		return
 	}
 	l.drop(id, "its entry was removed from the store")
 }
 
+// await keeps a server listed whose entry is gone until a deadline.
+func (l *ServerList) await(server pomelospring.FleetServer, deadline time.Time) {
+	server.Awaited = true
+	l.servers[server.ID] = server
+	l.missing[server.ID] = deadline
+}
+
 // drop removes a server from the list and logs the reason.
 func (l *ServerList) drop(id, reason string) {
 	l.departures.add(l.servers[id], l.Clock())
@@ -266,6 +287,7 @@
 		return
 	}
 	if l.departures.inCopy(record.Position()) && l.departures.withhold(server, now) {
+		l.departures.withheld[server.ID] = server
 		return
 	}
 	l.upsert(server)
--- a/fleet/server_list_relay_test.go
+++ b/fleet/server_list_relay_test.go
@@ -60,6 +60,15 @@
 			},
 			want: []string{"a"},
 		},
+		{
+			name: "a newer list of a leader that holds a server which left here",
+			apply: func(list *fleet.ServerList) {
+				list.Relay([]pomelospring.FleetServer{a, b}, nil, true, at(20), start)
+				list.Relay(nil, []string{"b"}, false, at(21), start)
+				list.Relay([]pomelospring.FleetServer{a, {ID: "b", Started: start, Awaited: true}}, nil, true, at(22), start)
+			},
+			want: []string{"a"},
+		},
 		{
 			name: "a newer list is applied",
 			apply: func(list *fleet.ServerList) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -29,7 +29,9 @@
 // Client calls other instances by address, over pooled connections.
 type Client struct {
 	// TLS is nil for plain TCP.
-	TLS  *tls.Config
+	TLS *tls.Config
+	// Dial connects to an address; over TCP unless set.
+	Dial func(ctx context.Context, address string) (conn net.Conn, err error)
 	pool *drpcpool.Pool[string, drpcpool.Conn]
 }
 
@@ -61,12 +63,20 @@
 	return c.pool.Get(ctx, address, c.dial)
 }
 
-func (c *Client) dial(ctx context.Context, address string) (conn drpcpool.Conn, err error) {
-	defer pomelospring.Annotate(&err, "dial instance at %s", address)
+func dialTCP(ctx context.Context, address string) (conn net.Conn, err error) {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 	}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+func (c *Client) dial(ctx context.Context, address string) (conn drpcpool.Conn, err error) {
+	defer pomelospring.Annotate(&err, "dial instance at %s", address)
+	connect := c.Dial
+	if connect == nil {
+		connect = dialTCP
+	}
+	raw, err := connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
