Keep out a server that a leader dropped, at an instance that read the copy itself

What callers would see: requests at a server that had left, for up to 4 s, at an instance that started while the store was restored: it listed the server as the copy did, dropped it by its leader's list, and listed it again at its next whole read.

Change: what an instance reads first in an era counts as the copy for a new instance too.

--- a/fleet/departures.go
+++ b/fleet/departures.go
@@ -73,13 +73,13 @@
 }
 
 // begin starts the withhold time at the first read in an era of the store. known says
-// that the servers were known before, so that the copy may lack some, or list some that
-// had left.
+// that the servers were known before, so that the copy may lack some. An instance that
+// just started learns from a leader which of the listed ones had left.
 func (d *departures) begin(readTo pomelospring.TopicPosition, known bool, now time.Time) {
+	d.copyEnd = readTo
 	d.withholdUntil = now.Add(withholdTime)
 	d.confirmed = map[string]bool{}
 	if known {
-		d.copyEnd = readTo
 		d.returnUntil = now.Add(restoredReturnWindow)
 	}
 }
--- a/fleet/restored_store_test.go
+++ b/fleet/restored_store_test.go
@@ -195,3 +195,27 @@
 		})
 	}
 }
+
+// An instance that just started lists what the copy lists, until a leader's list says
+// that a server had left. Its next whole read listed the server again.
+func TestNewInstanceListsNoServerAgainThatItsLeaderDropped(t *testing.T) {
+	board := fleet.NewBoard("north")
+	list := &fleet.ServerList{
+		Board:  board,
+		Logger: quiet(),
+		Clock:  func() time.Time { return start },
+		Decode: decode,
+	}
+	end := pomelospring.TopicPosition{Era: 1, Offset: 3}
+	listed := []pomelospring.KeyedRecord{inEra(1, 1, put("a", "ready")), inEra(1, 2, put("c", "ready"))}
+	list.ApplyRead(listed, true, end, 0)
+	list.Relay([]pomelospring.FleetServer{{ID: "a", Started: start}}, nil, true, end, start)
+	list.ApplyRead(listed, true, end, 0)
+	got := make([]string, 0, 1)
+	for _, server := range board.Servers() {
+		got = append(got, server.ID)
+	}
+	if diff := cmp.Diff([]string{"a"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
