Lock what the random test of restores shares with its timers

The race detector found the test's configuration version and its map of workers read by timers and engines while faults changed them.

--- a/coordination/restored_fleet_test.go
+++ b/coordination/restored_fleet_test.go
@@ -262,6 +262,8 @@
 // publish writes the newest configuration and adapter version. Each configuration
 // withdraws the key of the one before.
 func (f *restoredFleet) publish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.store.Put(platform.OperatorTopic, platform.PolicyKey, fmt.Appendf(nil,
 		`{"version":%d,"services":[{"name":"llm","engine":{"adapter-slots":8,"loads-per-s":1,"models":[{"name":"m"}]}}],"tenants":[{"name":"shop","api-keys":["k%d"]}]}`, f.version, f.version))
 	f.store.Put(platform.OperatorTopic, "version/m.a0", fmt.Appendf(nil, `{"model":"m","adapter":"a0","version":%d}`, f.version))
@@ -319,9 +321,10 @@
 	slices.Sort(present)
 	id := present[f.random.IntN(len(present))]
 	f.workers[id].left = true
+	domain := f.workers[id].domain
 	f.store.Put(platform.ServerTopic, id, nil)
 	f.mu.Unlock()
-	f.addWorker(f.workers[id].domain)
+	f.addWorker(domain)
 }
 
 // injectFault injects one random fault.
@@ -344,7 +347,9 @@
 	case 4:
 		f.replaceWorker()
 	default:
+		f.mu.Lock()
 		f.version++
+		f.mu.Unlock()
 		f.publish()
 	}
 }
@@ -449,6 +454,8 @@
 // checkSettled checks that all instances agree with the operator and the workers, and
 // that both domains carry out orders.
 func (f *restoredFleet) checkSettled() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	present, ordered := []string{}, map[string]bool{}
 	for id, w := range f.workers {
 		if !w.left {
