--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -39,7 +39,7 @@
 			name: "the list still has it as ready",
 			apply: func(list *fleet.ServerList, announce func(server fleet.LeavingServer)) {
 				announce(leaving)
-				list.Relay(ready, nil, true, 21, start)
+				list.Relay(ready, nil, true, at(21), start)
 			},
 			want: []string{"a"}, shared: []string{"b"},
 		},
@@ -47,7 +47,7 @@
 			name: "an older list arrives",
 			apply: func(list *fleet.ServerList, announce func(server fleet.LeavingServer)) {
 				announce(leaving)
-				list.Relay(ready, nil, true, 19, start)
+				list.Relay(ready, nil, true, at(19), start)
 			},
 			want: []string{"a"}, shared: []string{"b"},
 		},
@@ -55,8 +55,8 @@
 			name: "the list has it as draining and then, from an older state, as ready",
 			apply: func(list *fleet.ServerList, announce func(server fleet.LeavingServer)) {
 				announce(leaving)
-				list.Relay([]pomelospring.FleetServer{a, draining}, nil, true, 21, start)
-				list.Relay(ready, nil, true, 22, start)
+				list.Relay([]pomelospring.FleetServer{a, draining}, nil, true, at(21), start)
+				list.Relay(ready, nil, true, at(22), start)
 			},
 			want: []string{"a"},
 		},
@@ -64,17 +64,17 @@
 			name: "the list drops it and then, from an older state, has it again",
 			apply: func(list *fleet.ServerList, announce func(server fleet.LeavingServer)) {
 				announce(leaving)
-				list.Relay([]pomelospring.FleetServer{a}, nil, true, 21, start.Add(time.Second))
-				list.Relay(ready, nil, true, 22, start.Add(5*time.Second))
+				list.Relay([]pomelospring.FleetServer{a}, nil, true, at(21), start.Add(time.Second))
+				list.Relay(ready, nil, true, at(22), start.Add(5*time.Second))
 			},
 			want: []string{"a"}, shared: []string{"b"},
 		},
 		{
 			name: "it announces so before it is listed here",
 			apply: func(list *fleet.ServerList, announce func(server fleet.LeavingServer)) {
-				list.Relay([]pomelospring.FleetServer{a}, nil, true, 21, start)
+				list.Relay([]pomelospring.FleetServer{a}, nil, true, at(21), start)
 				announce(leaving)
-				list.Relay(ready, nil, true, 22, start)
+				list.Relay(ready, nil, true, at(22), start)
 			},
 			want: []string{"a"}, shared: []string{"b"},
 		},
@@ -82,14 +82,14 @@
 			name: "it was started anew under its name",
 			apply: func(list *fleet.ServerList, announce func(server fleet.LeavingServer)) {
 				announce(leaving)
-				list.Relay([]pomelospring.FleetServer{a, restarted}, nil, true, 21, start)
+				list.Relay([]pomelospring.FleetServer{a, restarted}, nil, true, at(21), start)
 			},
 			want: []string{"a", "b"},
 		},
 		{
 			name: "an announcement of before its new start arrives late",
 			apply: func(list *fleet.ServerList, announce func(server fleet.LeavingServer)) {
-				list.Relay([]pomelospring.FleetServer{a, restarted}, nil, true, 21, start)
+				list.Relay([]pomelospring.FleetServer{a, restarted}, nil, true, at(21), start)
 				announce(leaving)
 			},
 			want: []string{"a", "b"},
@@ -98,7 +98,7 @@
 			name: "the new start leaves too",
 			apply: func(list *fleet.ServerList, announce func(server fleet.LeavingServer)) {
 				announce(leaving)
-				list.Relay([]pomelospring.FleetServer{a, restarted}, nil, true, 21, start)
+				list.Relay([]pomelospring.FleetServer{a, restarted}, nil, true, at(21), start)
 				announce(fleet.LeavingServer{ID: "b", Started: restarted.Started})
 			},
 			want: []string{"a"}, shared: []string{"b"},
@@ -107,8 +107,8 @@
 			name: "it is forgotten long after the list dropped it",
 			apply: func(list *fleet.ServerList, announce func(server fleet.LeavingServer)) {
 				announce(leaving)
-				list.Relay([]pomelospring.FleetServer{a}, nil, true, 21, start.Add(2*time.Minute))
-				list.Relay(ready, nil, true, 22, start.Add(2*time.Minute))
+				list.Relay([]pomelospring.FleetServer{a}, nil, true, at(21), start.Add(2*time.Minute))
+				list.Relay(ready, nil, true, at(22), start.Add(2*time.Minute))
 			},
 			want: []string{"a", "b"},
 		},
@@ -122,7 +122,7 @@
 				Clock:  func() time.Time { return start },
 				Decode: decode,
 			}
-			list.Relay(ready, nil, true, 20, start)
+			list.Relay(ready, nil, true, at(20), start)
 			notices := fleet.Notices{Board: board, Logger: quiet(), Clock: list.Clock}
 			scenario.apply(list, func(server fleet.LeavingServer) { notices.RecordLeaving([]fleet.LeavingServer{server}, "test") })
 			candidates := board.Candidates("", &pomelospring.Call{}, nil, start)
