Don't end forwarded requests because their owner seems unreachable

Callers saw a stream broken off ("owner X: context canceled") though its owner was running it: one exchange over a second, or one failed forward of another request, marked the owner unreachable, and every forward to it was canceled within 200 ms. Output already sent can't be retried.

Being unreachable now keeps only new requests away. A running one ends when its own connection breaks, or when its owner has been unreachable and has sent nothing for 10 s without a break; before the first output for half of the time left to start, so that another owner can still be tried (OwnerSilence, a decision of its own).

TestSilentOwnerDoesNotEndItsRequests: got "a", "owner other: context canceled" before; "ab" after.

--- a/serving/serving.go
+++ b/serving/serving.go
@@ -23,16 +23,11 @@
 const (
 	// maxAttempts bounds the attempts of one request, including the first.
 	maxAttempts = 4
-	// ownerCheckInterval is the time between checks that the owner of a
-	// forwarded request is still reachable.
-	ownerCheckInterval = 200 * time.Millisecond
 	// unreachablePause is how long an owner is kept out of routing after a
 	// failed call.
 	unreachablePause = time.Second
 )
 
-var errOwnerUnreachable = errors.New("the owner is unreachable")
-
 // Server serves model requests that this instance received, on its own backend
 // servers or on those of other instances.
 type Server struct {
@@ -143,12 +138,13 @@
 }
 
 // forward sends the request to the instance that owns the target and streams its
-// answer. It fails as soon as that instance becomes unreachable.
+// answer. It fails when its connection breaks or the instance seems to be gone.
 func (s *Server) forward(ctx context.Context, work *pomelospring.Work, call engine.Request, target pomelospring.Target, emit func([]byte) error) (result ownership.ServeResult, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer s.Board.BeginUse(target.Owner)()
-	go s.watchOwner(ctx, target.Owner, cancel)
+	silence := NewOwnerSilence(work, s.Clock())
+	go s.watchOwner(ctx, target.Owner, silence, cancel)
 	stream, err := s.Peers.At(ctx, target.Address).Serve(ctx, peer.FromWork(work, call))
 	if err != nil {
 		return result, s.ownerFailure(ctx, target, err)
@@ -167,15 +163,15 @@
 			s.Board.Directory.UpdateLoad(result.Server, result.Running, result.Waiting)
 			return result, nil
 		}
+		silence.RecordOutput(s.Clock())
 		if err := emit(chunk.GetData()); err != nil {
 			return result, pomelospring.NewUnknown(pomelospring.CodeCallerGone, "%v", err)
 		}
 	}
 }
 
-// watchOwner cancels the request when its owner becomes unreachable, for example
-// because the owner stopped answering its peers.
-func (s *Server) watchOwner(ctx context.Context, owner string, cancel context.CancelCauseFunc) {
+// watchOwner cancels the request once its owner seems to be gone.
+func (s *Server) watchOwner(ctx context.Context, owner string, silence *OwnerSilence, cancel context.CancelCauseFunc) {
 	ticker := time.NewTicker(ownerCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -183,8 +179,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if !s.Board.Reachable(owner, s.Clock()) {
-				cancel(errOwnerUnreachable)
+			now := s.Clock()
+			if silence.Exceeded(s.Board.Reachable(owner, now), now) {
+				cancel(errOwnerSilent)
 				return
 			}
 		}
@@ -196,10 +193,12 @@
 // unreachablePause.
 func (s *Server) ownerFailure(ctx context.Context, target pomelospring.Target, err error) error {
 	cause := context.Cause(ctx)
-	if cause != nil && !errors.Is(cause, errOwnerUnreachable) {
+	switch {
+	case errors.Is(cause, errOwnerSilent):
+		err = cause
+	case cause != nil:
 		return pomelospring.NewUnknown(pomelospring.CodeCallerGone, "the request was ended")
-	}
-	if errors.Is(err, io.EOF) {
+	case errors.Is(err, io.EOF):
 		err = io.ErrUnexpectedEOF
 	}
 	s.Board.SetUnreachableUntil(target.Owner, s.Clock().Add(unreachablePause))
