Let orders outlive the placement request that caused them

A takeover that is canceled because its server goes on, or a caller that leaves, canceled the load or eviction in flight: its result is unknown, so the worker was out of step until its next report and took no other orders, and an eviction was not followed by its load. Since silent servers are common, callers would see "the order to the worker was not carried out" and wait for other workers.

The orders of a plan now run on their own, within the time that the engine client allows; only the wait for them ends with the caller. A request whose caller has left before its plan sends none.

TestPlacementWhoseCallerLeavesKeepsItsOrders, before: "loadAdapter m/x unknown" and one more report in all three cases; after: the orders are done, no report is needed, and the request ends when its caller leaves.

--- a/coordination/place.go
+++ b/coordination/place.go
@@ -25,7 +25,9 @@
 			return pomelospring.PlacementOutcome{}, errNotLeading
 		}
 		if plan.Kind == loading.PlanLoad {
-			plan = l.load(ctx, plan)
+			if plan, err = l.awaitLoad(ctx, plan); err != nil {
+				return pomelospring.PlacementOutcome{}, err
+			}
 		}
 		if plan.Kind == loading.PlanWait && !l.canPlaceInTime(request, now) {
 			plan.Kind = loading.PlanNone
@@ -100,6 +102,23 @@
 	return plan, true
 }
 
+// awaitLoad sends the orders of a plan and waits for them or for the end of the
+// context. The orders outlive the context, as a worker of which an order was canceled
+// has to be asked for its state.
+func (l *Leader) awaitLoad(ctx context.Context, plan loading.Plan) (result loading.Plan, err error) {
+	if err = ctx.Err(); err != nil {
+		return plan, err
+	}
+	loaded := make(chan loading.Plan, 1)
+	go func() { loaded <- l.load(context.WithoutCancel(ctx), plan) }()
+	select {
+	case <-ctx.Done():
+		return plan, ctx.Err()
+	case result = <-loaded:
+		return result, nil
+	}
+}
+
 // load sends the orders of a plan. It returns a plan that says when the adapter
 // is ready, or to plan again if the orders were not carried out.
 func (l *Leader) load(ctx context.Context, plan loading.Plan) loading.Plan {
--- a/fleet.go
+++ b/fleet.go
@@ -239,7 +239,8 @@
 
 // Engine sends orders to model workers and reads their reports.
 type Engine interface {
-	// Do sends an order. err is set unless the order was accepted or is done.
+	// Do sends an order and bounds the wait for its result. err is set unless the
+	// order was accepted or is done.
 	Do(ctx context.Context, order Order) (result OrderResult, err error)
 	// Report asks a model worker for its state.
 	Report(ctx context.Context, server FleetServer) (report EngineReport, err error)
