Give up a takeover that is silent itself for a third server

With three or more attempts allowed, a stream whose server fell silent, and whose second server never answered either, was closed at its deadline (15 s) without the third, sound server being asked; the same if the first server broke off meanwhile.

A takeover that has sent nothing for the first-event timeout now ends, if the limits and the retry budget allow one more and a server for it is found, the placement of the adapter included. The decision is taken under the watchdog's lock and never once a successor is adopted; without another server the takeover stays, as it may still answer. The retry for the next takeover is reserved before, and returned when it isn't needed.

--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -12,6 +12,7 @@
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/dispatch"
 	"github.com/pomelospring/pomelospring/events"
+	"github.com/pomelospring/pomelospring/retry"
 )
 
 // takeoverPlacementTimeout bounds the placement of an adapter for a takeover.
@@ -35,6 +36,9 @@
 	// cancel ends the takeover in progress; done is closed at its end.
 	cancel context.CancelFunc
 	done   chan struct{}
+	// retryReserved is set while a retry is kept for the takeover that follows one
+	// which was silent itself.
+	retryReserved bool
 	// successor goes on with the call, for reason; nil until a server has answered.
 	successor *successor
 	reason    error
@@ -62,13 +66,15 @@
 // before the attempt's own server goes on, it becomes the successor and the
 // attempt is canceled.
 func (a *attempt) takeOver(ctx context.Context, reason error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	cancel := func() { cancelCause(nil) }
 	resumeAfter, begun := a.beginTakeover(cancel)
 	if !begun {
 		cancel()
 		return
 	}
-	defer close(a.watchdog.takeover.done)
+	done := a.watchdog.takeover.done
+	defer close(done)
 	choice, found := a.chooseSuccessor(ctx)
 	if !found {
 		a.session.retries.Return()
@@ -77,6 +83,7 @@
 	}
 	b := a.session.newAttempt(choice)
 	b.cancel = cancel
+	go a.watchTakeover(ctx, b.server.ID, done, cancelCause)
 	answer, err := b.send(ctx, resumeAfter)
 	if err == nil && a.session.canUse(answer) && a.adopt(ctx, b, answer, reason) {
 		return
@@ -85,6 +92,70 @@
 	cancel()
 }
 
+// watchTakeover ends a takeover to a server that is silent itself, once yet another
+// one can be asked, unless the takeover is done before.
+func (a *attempt) watchTakeover(ctx context.Context, server string, done <-chan struct{}, cancel context.CancelCauseFunc) {
+	timer := time.NewTimer(a.session.firstEventTimeout())
+	defer timer.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if a.canTakeOverAgain(ctx, server) && a.endSilentTakeover(cancel) {
+			return
+		}
+		timer.Reset(takeoverRetryInterval)
+	}
+}
+
+// canTakeOverAgain reports whether there is a server for a takeover that follows one
+// to a silent server.
+func (a *attempt) canTakeOverAgain(ctx context.Context, silent string) bool {
+	w := &a.watchdog
+	w.mu.Lock()
+	allowed := w.takeover.allowsAnother()
+	avoid := maps.Clone(w.takeover.avoid)
+	w.mu.Unlock()
+	if !allowed {
+		return false
+	}
+	avoid[silent] = true
+	_, _, refusal := a.findSuccessor(ctx, avoid)
+	return refusal == ""
+}
+
+// allowsAnother reports whether the limits allow one more takeover after the one in
+// progress. The caller holds the lock.
+func (t *takeover) allowsAnother() bool {
+	return t.successor == nil && t.sent+1 < t.maxSent && t.executed+1 < t.maxExecuted
+}
+
+// endSilentTakeover ends the takeover in progress and reserves a retry for the next
+// one. It reports false if there can be none.
+func (a *attempt) endSilentTakeover(cancel context.CancelCauseFunc) bool {
+	w := &a.watchdog
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.takeover.allowsAnother() || w.forwarding || !a.session.retries.Take() {
+		return false
+	}
+	w.takeover.retryReserved = true
+	cancel(errIdle)
+	return true
+}
+
+// returnRetry returns a reserved retry. The caller holds the lock.
+func (t *takeover) returnRetry(retries *retry.Budget) {
+	if t.retryReserved {
+		t.retryReserved = false
+		retries.Return()
+	}
+}
+
 // beginTakeover takes a retry from the budget, which a takeover that is not sent
 // returns, and says after which event another server is to go on. It reports false
 // if none may be asked.
@@ -93,24 +164,37 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t := &w.takeover
-	if w.stopped || w.forwarding || t.sent >= t.maxSent || t.executed >= t.maxExecuted || !a.session.retries.Take() {
+	if w.stopped || w.forwarding || t.sent >= t.maxSent || t.executed >= t.maxExecuted {
+		return "", false
+	}
+	if !t.retryReserved && !a.session.retries.Take() {
 		return "", false
 	}
+	t.retryReserved = false
 	t.cancel = cancel
 	t.done = make(chan struct{})
 	return t.resumeAfter, true
 }
 
-// chooseSuccessor picks a server that can take the call over. If none has its
-// adapter, it asks the leader to place it.
+// chooseSuccessor picks a server that can take the call over.
 func (a *attempt) chooseSuccessor(ctx context.Context) (choice dispatch.Choice, found bool) {
+	choice, candidates, refusal := a.findSuccessor(ctx, a.watchdog.takeover.avoid)
+	if refusal != "" {
+		a.logFailedTakeover("", refusal)
+		return choice, false
+	}
+	a.session.logRouted(choice, candidates, a.session.service.Clock())
+	return choice, true
+}
+
+// findSuccessor looks for a server that can take the call over. If none has its
+// adapter, it asks the leader to place it. refusal says why there is none.
+func (a *attempt) findSuccessor(ctx context.Context, avoid map[string]bool) (choice dispatch.Choice, candidateCount int, refusal string) {
 	c := a.session
 	s := c.service
-	avoid := a.watchdog.takeover.avoid
 	now := s.Clock()
 	if refusal := c.checkQuarantine(now); refusal != nil {
-		a.logFailedTakeover("", refusal.Message)
-		return choice, false
+		return choice, 0, refusal.Message
 	}
 	candidates := s.Board.Candidates(c.targetService, c.call, avoid, now)
 	choice = dispatch.Choose(candidates, c.requirements())
@@ -123,19 +207,15 @@
 			Avoid:    slices.Collect(maps.Keys(avoid)),
 		})
 		if err != nil || outcome.Server == "" {
-			a.logFailedTakeover("", placementFailure(outcome, err))
-			return choice, false
+			return choice, 0, placementFailure(outcome, err)
 		}
-		now = s.Clock()
-		candidates = s.Board.Candidates(c.targetService, c.call, avoid, now)
+		candidates = s.Board.Candidates(c.targetService, c.call, avoid, s.Clock())
 		choice = dispatch.Choose(candidates, c.requirements())
 	}
 	if !choice.Found {
-		a.logFailedTakeover("", "no backend server can take the call")
-		return choice, false
+		return choice, 0, "no backend server can take the call"
 	}
-	c.logRouted(choice, len(candidates), now)
-	return choice, true
+	return choice, len(candidates), ""
 }
 
 // placementFailure says why an adapter was not placed.
@@ -180,7 +260,7 @@
 	c := a.session
 	server := b.server
 	notSent := errors.Is(err, pomelospring.ErrNotSent)
-	canceled := ctx.Err() != nil
+	canceled := ctx.Err() != nil && !isSilent(ctx)
 	b.end(!canceled && (answer == nil || !answer.Misdirected))
 	if notSent && !canceled {
 		c.service.Board.RecordUnreachable(server.ID, c.service.Clock())
@@ -195,16 +275,7 @@
 	w := &a.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	reason := "the call has ended"
-	switch {
-	case answer != nil:
-		reason = http.StatusText(answer.Status)
-	case !canceled:
-		reason = err.Error()
-	case w.forwarding:
-		reason = "the silent backend server went on"
-	}
-	a.logFailedTakeover(server.ID, reason)
+	a.logFailedTakeover(server.ID, w.takeoverFailure(ctx, answer, err))
 	t := &w.takeover
 	if !canceled {
 		t.avoid[server.ID] = true
@@ -219,6 +290,27 @@
 	}
 }
 
+// takeoverFailure says why a takeover failed. The caller holds the lock.
+func (w *watchdog) takeoverFailure(ctx context.Context, answer *pomelospring.BackendAnswer, err error) string {
+	switch {
+	case isSilent(ctx):
+		return errIdle.Error()
+	case answer != nil:
+		return http.StatusText(answer.Status)
+	case ctx.Err() == nil:
+		return err.Error()
+	case w.forwarding:
+		return "the silent backend server went on"
+	}
+	return "the call has ended"
+}
+
+// isSilent reports whether a takeover with a context was ended because its server was
+// silent.
+func isSilent(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errIdle)
+}
+
 func (a *attempt) logFailedTakeover(server, reason string) {
 	events.Log(a.session.service.Logger, events.TakeoverFailed, log.Fields{
 		"request": a.session.call.ID,
@@ -244,6 +336,7 @@
 	defer w.mu.Unlock()
 	t := &w.takeover
 	c := a.session
+	t.returnRetry(c.retries)
 	c.attemptsSent += t.sent
 	c.attemptsExecuted += t.executed
 	t.sent, t.executed = 0, 0
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -53,10 +53,7 @@
 	if !c.route.Repeatable() || c.attemptsExecuted+1 >= c.route.Attempts {
 		return
 	}
-	idleTimeout := max(minFirstEventTimeout, time.Duration(firstEventTargets*float64(c.route.Target)))
-	if !c.route.Streaming {
-		idleTimeout = time.Duration(idleTimeoutFraction * float64(c.deadline.Sub(c.service.Clock())))
-	}
+	idleTimeout := c.firstEventTimeout()
 	w := &a.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -65,6 +62,15 @@
 	w.timer = time.AfterFunc(min(idleTimeout, watchdogInterval), func() { a.checkWatchdog(ctx) })
 }
 
+// firstEventTimeout is how long a server may send nothing of its answer to the call
+// before another one is asked.
+func (c *session) firstEventTimeout() time.Duration {
+	if !c.route.Streaming {
+		return time.Duration(idleTimeoutFraction * float64(c.deadline.Sub(c.service.Clock())))
+	}
+	return max(minFirstEventTimeout, time.Duration(firstEventTargets*float64(c.route.Target)))
+}
+
 // checkWatchdog starts a takeover if the server is silent, and schedules the next
 // check.
 func (a *attempt) checkWatchdog(ctx context.Context) {
@@ -82,6 +88,9 @@
 	if remaining := w.idleDeadline.Sub(a.session.service.Clock()); remaining > 0 {
 		next = min(next, remaining)
 	}
+	if w.takeover.retryReserved {
+		next = 0
+	}
 	w.timer.Reset(next)
 }
 
@@ -115,6 +124,7 @@
 	if w.takeover.cancel != nil {
 		w.takeover.cancel()
 	}
+	w.takeover.returnRetry(a.session.retries)
 	w.forwarding = true
 	return true
 }
@@ -154,6 +164,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopTimer()
+	w.takeover.returnRetry(a.session.retries)
 	if w.takeover.cancel != nil && w.takeover.successor == nil {
 		w.takeover.cancel()
 	}
