Ask another server when a resumption is answered with a failure

A stream that had been forwarded in part was closed when the server that was to go on with it answered 500, or anything else that is no stream, although the route allowed another attempt.

Such an answer counts as a failed attempt: the call goes on within its attempts and retries, and a takeover in progress is left to answer.

TestFailedResumptionIsFollowedByAnother (500, 404): aborted after event 1 before, the whole answer of a third server after.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -77,7 +77,8 @@
 // forwardComplete forwards an answer once it is complete.
 func (a *attempt) forwardComplete(ctx context.Context, answer *pomelospring.BackendAnswer) (done bool) {
 	c := a.session
-	failed := answer.Status >= http.StatusInternalServerError
+	// A partly forwarded stream can't continue with an answer that isn't a stream.
+	failed := answer.Status >= http.StatusInternalServerError || c.forwarded
 	body, err := readComplete(answer)
 	if err == nil && !failed && !a.claim() {
 		err = errTakenOver
@@ -89,7 +90,7 @@
 	if !failed && !a.queued && c.limits == nil {
 		c.service.Board.RecordPlainCall(c.targetService, c.service.Clock().Sub(a.sentAt))
 	}
-	a.end(failed)
+	a.end(answer.Status >= http.StatusInternalServerError)
 	c.avoid[a.server.ID] = true
 	c.successor = a.settle()
 	if failed && a.replaceFailure(ctx, answer, body) {
@@ -99,7 +100,6 @@
 		return a.forwardLong(ctx, answer, body)
 	}
 	if c.forwarded {
-		// A partly forwarded stream can't continue with a failed answer.
 		c.giveUp(ctx, c.unansweredRefusal())
 		return true
 	}
@@ -127,7 +127,7 @@
 func (a *attempt) replaceFailure(ctx context.Context, answer *pomelospring.BackendAnswer, body []byte) bool {
 	c := a.session
 	isLong := len(body) > maxBodyBytes
-	if c.successor == nil && (isLong || c.forwarded || ctx.Err() != nil || !c.mayRetry(false)) {
+	if c.successor == nil && (isLong && !c.forwarded || ctx.Err() != nil || !c.mayRetry(false)) {
 		return false
 	}
 	if !isLong {
--- a/entry/silent_takeover_test.go
+++ b/entry/silent_takeover_test.go
@@ -82,3 +82,25 @@
 		})
 	}
 }
+
+// TestFailedResumptionIsFollowedByAnother guards against streams that were closed with
+// attempts left, because the server that was to go on with them failed.
+func TestFailedResumptionIsFollowedByAnother(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusNotFound} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service := newServiceWithAttempts(3)
+				service.Backend = inOrder(
+					script{status: http.StatusOK, chunks: []timedChunk{{text: event1}}, bodyErr: io.ErrUnexpectedEOF},
+					script{status: status, chunks: []timedChunk{{text: "no"}}},
+					script{status: http.StatusOK, chunks: []timedChunk{{text: rest}}},
+				)
+				out := &responder{}
+				service.Serve(t.Context(), streamCall(), out)
+				if diff := cmp.Diff(outcome{Status: http.StatusOK, Body: events3}, out.outcome); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
