Don't end an instance whose standard output is broken

Once the reader of standard output had gone, the next log line ended the instance with all its calls: the runtime ends a process that writes to a closed standard output (SIGPIPE), and without that the log writer's loop returned its error, which stops the run group of the front.

SIGPIPE is ignored, and the writer goes on: lines that the output did not take are dropped and counted like those that it was too slow for (105). Only an error of the last write, at the stop, is returned.

TestBrokenOutputCountsItsLines: "write log lines: broken pipe" before; 4 lines counted and the next ones written after.

--- a/cmd/pomelospringd/front.go
+++ b/cmd/pomelospringd/front.go
@@ -57,6 +57,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
+	// Without this a write to a closed standard output ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	output := events.NewBoundedWriter(os.Stdout)
 	logger := &log.Logger{
 		Handler: jsonhandler.New(output),
--- a/cmd/pomelospringd/serve.go
+++ b/cmd/pomelospringd/serve.go
@@ -47,6 +47,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
+	// Without this a write to a closed standard output ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	logger := &log.Logger{
 		Handler: jsonhandler.New(os.Stdout),
 		Level:   log.MustParseLevel(config.Logging.Level),
--- a/events/bounded_writer.go
+++ b/events/bounded_writer.go
@@ -18,8 +18,8 @@
 )
 
 // BoundedWriter buffers log lines and writes them in the background, so that a
-// slow output never blocks the code that logs. Lines beyond its buffer are
-// dropped and counted.
+// slow output never blocks the code that logs. Lines beyond its buffer, and those
+// that the output did not take, are dropped and counted.
 type BoundedWriter struct {
 	out     io.Writer
 	mu      sync.Mutex
@@ -45,23 +45,26 @@
 	return b.pending.Write(line)
 }
 
-// Run writes buffered lines until the context ends, then writes the rest.
+// Run writes buffered lines until the context ends, then writes the rest. Only an
+// error of the last write is returned, as the instance goes on without its output.
 func (b *BoundedWriter) Run(ctx context.Context) (err error) {
 	var spare bytes.Buffer
 	for {
 		// Lines that arrive while a flush blocks need one more flush at the end.
 		last := ctx.Err() != nil
-		if err = b.flush(&spare); err != nil {
-			return fmt.Errorf("write log lines: %w", err)
-		}
+		err = b.flush(&spare)
 		if last {
-			return nil
+			break
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(flushInterval):
 		}
 	}
+	if err != nil {
+		return fmt.Errorf("write log lines: %w", err)
+	}
+	return nil
 }
 
 // flush writes the buffered lines and, if lines were dropped, an event with their
@@ -72,10 +75,17 @@
 	dropped := b.dropped
 	b.dropped = 0
 	b.mu.Unlock()
+	buffered := spare.Len()
 	if dropped > 0 {
 		fmt.Fprintf(spare, "{\"level\":\"warn\",\"message\":\"logLinesDropped\",\"fields\":{\"event\":%d,\"lines\":%d}}\n", LinesDropped.Number, dropped)
 	}
-	_, err := b.out.Write(spare.Bytes())
+	written, err := b.out.Write(spare.Bytes())
+	if err != nil {
+		lost := bytes.Count(spare.Bytes()[min(written, buffered):buffered], []byte("\n"))
+		b.mu.Lock()
+		b.dropped += dropped + lost
+		b.mu.Unlock()
+	}
 	spare.Reset()
 	return err
 }
--- a/events/bounded_writer_test.go
+++ b/events/bounded_writer_test.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -55,3 +58,43 @@
 		t.Error(diff)
 	}
 }
+
+// brokenOutput takes nothing while it is broken.
+type brokenOutput struct {
+	broken  atomic.Bool
+	written bytes.Buffer
+}
+
+func (b *brokenOutput) Write(lines []byte) (int, error) {
+	if b.broken.Load() {
+		return 0, errors.New("broken pipe")
+	}
+	return b.written.Write(lines)
+}
+
+// TestBrokenOutputCountsItsLines guards against an instance that ended because its
+// standard output was broken.
+func TestBrokenOutputCountsItsLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &brokenOutput{}
+		writer := events.NewBoundedWriter(out)
+		ctx, stop := context.WithCancel(t.Context())
+		runEnded := make(chan error, 1)
+		go func() { runEnded <- writer.Run(ctx) }()
+		for _, lines := range []string{"one\ntwo\n", "three\nfour\n", "five\n", "six\n"} {
+			out.broken.Store(lines == "one\ntwo\n" || lines == "three\nfour\n")
+			if _, err := writer.Write([]byte(lines)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(1100 * time.Millisecond)
+		}
+		stop()
+		if err := <-runEnded; err != nil {
+			t.Error(err)
+		}
+		want := "five\n" + `{"level":"warn","message":"logLinesDropped","fields":{"event":105,"lines":4}}` + "\nsix\n"
+		if diff := cmp.Diff(want, out.written.String()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -25,7 +25,7 @@
 	PartFailed        = define(103, "partFailed", log.ErrorLevel, "A component of the daemon ended with an error; the daemon stops.")
 	CertificateFailed = define(104, "certificateReloadFailed", log.ErrorLevel, "A changed certificate could not be read; the previous one stays in use.")
 
-	LinesDropped = define(105, "logLinesDropped", log.WarnLevel, "Log lines were dropped because standard output was blocked; the fields count them.")
+	LinesDropped = define(105, "logLinesDropped", log.WarnLevel, "Log lines were dropped because standard output was blocked or broken; the fields count them.")
 
 	RequestRouted   = define(200, "requestRouted", log.InfoLevel, "A request was sent to the owner of a backend server; the fields give the reason and the runner-up.")
 	RequestRefused  = define(201, "requestRefused", log.InfoLevel, "A request was refused; the fields give code, outcome and when to retry.")
