Log the panic of a call as an event

A fault in the code that ended a call closed its caller's connection with nothing but text on standard error: no request id, no event, and `explain` called the request open.

`explain` names it as the cause. What the HTTP servers report themselves becomes event 107 (listenerError), in front and daemon.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -330,6 +330,7 @@
 		ReadHeaderTimeout: d.settings.Callers.HeaderTime,
 		MaxHeaderBytes:    d.settings.Callers.HeaderBytes,
 		IdleTimeout:       d.settings.Callers.IdleTime,
+		ErrorLog:          events.NewErrorLog(d.logger),
 	}
 }
 
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -26,6 +26,8 @@
 	CertificateFailed = define(104, "certificateReloadFailed", log.ErrorLevel, "A changed certificate could not be read; the previous one stays in use.")
 
 	LinesDropped = define(105, "logLinesDropped", log.WarnLevel, "Log lines were dropped because standard output was blocked or broken; the fields count them.")
+	CallPanicked = define(106, "callPanicked", log.ErrorLevel, "A fault in the code ended a call: its connection was closed; the fields give the panic and where it happened.")
+	ServerFailed = define(107, "listenerError", log.WarnLevel, "An HTTP listener reported an error, such as a connection that could not be accepted; the field gives its text.")
 
 	RequestRouted   = define(200, "requestRouted", log.InfoLevel, "A request was sent to the owner of a backend server; the fields give the reason and the runner-up.")
 	RequestRefused  = define(201, "requestRefused", log.InfoLevel, "A request was refused; the fields give code, outcome and when to retry.")
--- a/explanation/cause.go
+++ b/explanation/cause.go
@@ -76,6 +76,12 @@
 			Kind: strings.TrimSpace(line.text("code") + " " + stablePrefix(reasonOf(line)) + lastFailedAttempt(earlier)),
 			Text: fmt.Sprintf("broken off midway: %s %s%s", line.text("code"), reasonOf(line), failedAttempts(earlier)),
 		}, true
+	case events.CallPanicked.Number:
+		return Cause{
+			End:  EndBroken,
+			Kind: "fault in the code",
+			Text: "ended by a fault in the code: " + line.text("panic"),
+		}, true
 	case events.CallerLeft.Number:
 		return Cause{
 			End:  EndCallerLeft,
--- a/explanation/log_test.go
+++ b/explanation/log_test.go
@@ -17,6 +17,7 @@
 	brokenLine  = `{"fields":{"event":224,"request":"r1","reason":"the backend server gave no answer"},"level":"warn","timestamp":"2026-12-04T05:00:03Z","message":"callBroken"}`
 	leftLine    = `{"fields":{"event":225,"request":"r1","sends":1},"level":"info","timestamp":"2026-12-04T05:00:03Z","message":"callerLeft"}`
 	servedLine  = `{"fields":{"event":223,"request":"r1","server":"i-2","status":200,"firstMs":812,"pauseMs":40,"placedMs":300},"level":"info","timestamp":"2026-12-04T05:00:03Z","message":"callServed"}`
+	panicLine   = `{"fields":{"event":106,"request":"r1","panic":"index out of range","stack":"goroutine 7"},"level":"error","timestamp":"2026-12-04T05:00:03Z","message":"callPanicked"}`
 	startLine   = `{"fields":{"event":100},"level":"info","timestamp":"2026-12-04T05:00:09Z","message":"started"}`
 	droppedLine = `{"fields":{"event":105,"lines":12},"level":"warn","timestamp":"2026-12-04T05:00:09Z","message":"logLinesDropped"}`
 )
@@ -63,6 +64,15 @@
 				Text: "broken off midway:  the backend server gave no answer; server i-1: read tcp: connection reset",
 			},
 		},
+		{
+			name:  "ended by a fault in the code",
+			lines: []string{routedLine, panicLine},
+			want: explanation.Cause{
+				End:  explanation.EndBroken,
+				Kind: "fault in the code",
+				Text: "ended by a fault in the code: index out of range",
+			},
+		},
 		{
 			name:  "the caller left",
 			lines: []string{routedLine, leftLine},
--- a/front/front.go
+++ b/front/front.go
@@ -437,6 +437,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          events.NewErrorLog(f.logger),
 	}
 	f.addServer(group, server, listener)
 	interrupted, interrupt := context.WithCancel(context.Background())
@@ -482,6 +483,7 @@
 	return &http.Server{
 		Handler:           router,
 		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          events.NewErrorLog(f.logger),
 	}
 }
 
@@ -491,5 +493,6 @@
 	return &http.Server{
 		Handler:           router,
 		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          events.NewErrorLog(f.logger),
 	}
 }
