Tell the leader which server lacked the adapter at a takeover

A server that answers 421 to a takeover was passed to the leader as one that failed, not as one that lacks the adapter. The leader then neither learns that its load is late nor places the call there once it is done, but loads the adapter on a further worker or finds no room.

Takeovers keep such servers apart, as retries do, and hand them on to the call's later attempts; the request to the leader is built in one place.

TestTakeoverTellsTheLeaderWhichServerLacksTheAdapter: aborted after event 1 before, with no server reported missing; whole answer after.

--- a/entry/run.go
+++ b/entry/run.go
@@ -137,19 +137,8 @@
 
 // requestPlacement asks the leader to place the call's adapter and waits for it.
 func (c *session) requestPlacement(ctx context.Context, now time.Time) *pomelospring.Refusal {
-	request := pomelospring.PlacementRequest{
-		Request:  c.call.ID,
-		Adapter:  c.call.Adapter,
-		Domain:   c.service.Board.Domain,
-		Deadline: now.Add(time.Duration(placementTimeFraction * float64(c.firstEventDeadline.Sub(now)))),
-	}
-	for id := range c.avoid {
-		if c.missing[id] {
-			request.Missing = append(request.Missing, id)
-		} else {
-			request.Avoid = append(request.Avoid, id)
-		}
-	}
+	deadline := now.Add(time.Duration(placementTimeFraction * float64(c.firstEventDeadline.Sub(now))))
+	request := c.placementRequest(c.avoid, c.missing, deadline)
 	requestedAt := now
 	outcome, err := c.service.Coordinator.Place(ctx, request)
 	now = c.service.Clock()
@@ -171,6 +160,25 @@
 	return nil
 }
 
+// placementRequest returns a request to place the call's adapter on another server
+// than those to avoid, of which those in missing answered to lack it.
+func (c *session) placementRequest(avoid, missing map[string]bool, deadline time.Time) pomelospring.PlacementRequest {
+	request := pomelospring.PlacementRequest{
+		Request:  c.call.ID,
+		Adapter:  c.call.Adapter,
+		Domain:   c.service.Board.Domain,
+		Deadline: deadline,
+	}
+	for id := range avoid {
+		if missing[id] {
+			request.Missing = append(request.Missing, id)
+		} else {
+			request.Avoid = append(request.Avoid, id)
+		}
+	}
+	return request
+}
+
 // requestCopies asks for one more copy of an adapter that is resident: if its
 // queue is long, or if this domain has none and calls often enough.
 //
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -23,9 +22,11 @@
 // answered, and goes on if its own server does before that. It is protected by the
 // lock of the watchdog.
 type takeover struct {
-	// avoid has the servers that are not asked. sent counts those that were, and
+	// avoid has the servers that are not asked, and missing those of them that
+	// answered to lack the adapter. sent counts the servers that were asked, and
 	// executed those of them that may have executed the call.
 	avoid    map[string]bool
+	missing  map[string]bool
 	sent     int
 	executed int
 	// maxSent and maxExecuted limit sent and executed.
@@ -56,6 +57,7 @@
 	avoid[a.server.ID] = true
 	return takeover{
 		avoid:       avoid,
+		missing:     maps.Clone(c.missing),
 		maxSent:     maxAttempts - c.attemptsSent - 1,
 		maxExecuted: c.route.Attempts - c.attemptsExecuted - 1,
 		resumeAfter: c.lastEventID,
@@ -118,16 +120,21 @@
 	w := &a.watchdog
 	w.mu.Lock()
 	allowed := w.takeover.allowsAnother()
-	avoid := maps.Clone(w.takeover.avoid)
+	avoid, missing := w.takeover.excluded()
 	w.mu.Unlock()
 	if !allowed {
 		return false
 	}
 	avoid[silent] = true
-	_, _, refusal := a.findSuccessor(ctx, avoid)
+	_, _, refusal := a.findSuccessor(ctx, avoid, missing)
 	return refusal == ""
 }
 
+// excluded returns copies of avoid and missing. The caller holds the lock.
+func (t *takeover) excluded() (avoid, missing map[string]bool) {
+	return maps.Clone(t.avoid), maps.Clone(t.missing)
+}
+
 // allowsAnother reports whether the limits allow one more takeover after the one in
 // progress. The caller holds the lock.
 func (t *takeover) allowsAnother() bool {
@@ -178,7 +185,11 @@
 
 // chooseSuccessor picks a server that can take the call over.
 func (a *attempt) chooseSuccessor(ctx context.Context) (choice dispatch.Choice, found bool) {
-	choice, candidates, refusal := a.findSuccessor(ctx, a.watchdog.takeover.avoid)
+	w := &a.watchdog
+	w.mu.Lock()
+	avoid, missing := w.takeover.excluded()
+	w.mu.Unlock()
+	choice, candidates, refusal := a.findSuccessor(ctx, avoid, missing)
 	if refusal != "" {
 		a.logFailedTakeover("", refusal)
 		return choice, false
@@ -189,7 +200,7 @@
 
 // findSuccessor looks for a server that can take the call over. If none has its
 // adapter, it asks the leader to place it. refusal says why there is none.
-func (a *attempt) findSuccessor(ctx context.Context, avoid map[string]bool) (choice dispatch.Choice, candidateCount int, refusal string) {
+func (a *attempt) findSuccessor(ctx context.Context, avoid, missing map[string]bool) (choice dispatch.Choice, candidateCount int, refusal string) {
 	c := a.session
 	s := c.service
 	now := s.Clock()
@@ -199,16 +210,14 @@
 	candidates := s.Board.Candidates(c.targetService, c.call, avoid, now)
 	choice = dispatch.Choose(candidates, c.requirements())
 	if !choice.Found && c.call.NeedsAdapter() {
-		outcome, err := s.Coordinator.Place(ctx, pomelospring.PlacementRequest{
-			Request:  c.call.ID,
-			Adapter:  c.call.Adapter,
-			Domain:   s.Board.Domain,
-			Deadline: now.Add(takeoverPlacementTimeout),
-			Avoid:    slices.Collect(maps.Keys(avoid)),
-		})
+		outcome, err := s.Coordinator.Place(ctx, c.placementRequest(avoid, missing, now.Add(takeoverPlacementTimeout)))
 		if err != nil || outcome.Server == "" {
 			return choice, 0, placementFailure(outcome, err)
 		}
+		if missing[outcome.Server] {
+			// The adapter was still loading there, which the leader knows.
+			delete(avoid, outcome.Server)
+		}
 		candidates = s.Board.Candidates(c.targetService, c.call, avoid, s.Clock())
 		choice = dispatch.Choose(candidates, c.requirements())
 	}
@@ -280,6 +289,9 @@
 	if !canceled {
 		t.avoid[server.ID] = true
 	}
+	if answer != nil && answer.Misdirected && c.call.NeedsAdapter() {
+		t.missing[server.ID] = true
+	}
 	if notSent {
 		c.retries.Return()
 		return
@@ -341,5 +353,6 @@
 	c.attemptsExecuted += t.executed
 	t.sent, t.executed = 0, 0
 	maps.Copy(c.avoid, t.avoid)
+	maps.Copy(c.missing, t.missing)
 	return t.successor
 }
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -22,6 +22,7 @@
 	"github.com/apex/log/handlers/json"
 	"github.com/google/go-cmp/cmp"
 	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/fleet"
 )
 
 // script is what a server does with one attempt: it takes some time to connect, then
@@ -33,7 +34,9 @@
 	err    error
 	status int
 	notRun bool
-	chunks []timedChunk
+	// misdirected says that the server lacks the call's adapter.
+	misdirected bool
+	chunks      []timedChunk
 	// bodyErr ends the body in place of io.EOF.
 	bodyErr error
 	// length is the length that the head states; 0 if it states none.
@@ -124,6 +127,8 @@
 		NotRun: s.notRun,
 		Signed: true,
 		Length: -1,
+
+		Misdirected: s.misdirected,
 	}
 	if s.length > 0 {
 		answer.Length = s.length
@@ -351,6 +356,50 @@
 	})
 }
 
+// TestTakeoverTellsTheLeaderWhichServerLacksTheAdapter guards against a placement of
+// the adapter on further workers because a load was late on the one that was asked.
+func TestTakeoverTellsTheLeaderWhichServerLacksTheAdapter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService(nil, false)
+		leader := &lateLoadLeader{board: service.Board}
+		service.Coordinator = leader
+		backend := inOrder(
+			script{status: http.StatusOK, chunks: []timedChunk{{text: event1}, {after: time.Hour, text: rest}}},
+			script{status: http.StatusMisdirectedRequest, notRun: true, misdirected: true},
+			script{status: http.StatusOK, chunks: []timedChunk{{text: rest}}},
+		)
+		service.Backend = backend
+		out := &responder{}
+		service.Serve(t.Context(), streamCall(), out)
+		if diff := cmp.Diff(outcome{Status: http.StatusOK, Body: events3}, out.outcome); diff != "" {
+			t.Error(diff)
+		}
+		silent, late := backend.attempts[0].server, backend.attempts[1].server
+		if diff := cmp.Diff([]string{silent}, leader.request.Avoid); diff != "" {
+			t.Errorf("servers to avoid: %s", diff)
+		}
+		if diff := cmp.Diff([]string{late}, leader.request.Missing); diff != "" {
+			t.Errorf("servers without the adapter: %s", diff)
+		}
+	})
+}
+
+// lateLoadLeader places the adapter on the server that lacks it, where its load ends
+// soon, if it is told.
+type lateLoadLeader struct {
+	board   *fleet.Board
+	request pomelospring.PlacementRequest
+}
+
+func (l *lateLoadLeader) Place(_ context.Context, request pomelospring.PlacementRequest) (pomelospring.PlacementOutcome, error) {
+	l.request = request
+	if len(request.Missing) == 0 {
+		return pomelospring.PlacementOutcome{Reason: "all slots in use"}, nil
+	}
+	l.board.AddResident(request.Missing[0], request.Adapter, 1)
+	return pomelospring.PlacementOutcome{Server: request.Missing[0], Version: 1}, nil
+}
+
 // byAdapter has a backend for the calls of each adapter.
 type byAdapter map[string]pomelospring.Backend
 
