Keep a silent server until its successor's plain answer is whole

A lookup at a silent server was taken over as soon as another server had sent the head of its answer. If that answer then broke off, both were lost, although the first server would have gone on.

--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"maps"
 	"net/http"
 	"time"
@@ -87,6 +89,9 @@
 	b.cancel = cancel
 	go a.watchTakeover(ctx, b.server.ID, done, cancelCause)
 	answer, err := b.send(ctx, resumeAfter)
+	if err == nil && !a.session.route.Streaming && a.session.canUse(answer) {
+		answer, err = completed(answer)
+	}
 	if err == nil && a.session.canUse(answer) && a.adopt(ctx, b, answer, reason) {
 		return
 	}
@@ -94,6 +99,28 @@
 	cancel()
 }
 
+// completed returns an answer with the whole body, or at least the beginning of a long
+// one, as a silent server is not given up for an answer that breaks off.
+func completed(answer *pomelospring.BackendAnswer) (*pomelospring.BackendAnswer, error) {
+	body, err := readComplete(answer)
+	if err != nil {
+		_ = answer.Body.Close()
+		return nil, err
+	}
+	rest := answer.Body
+	answer.Body = &replayedBody{
+		Reader: io.MultiReader(bytes.NewReader(body), rest),
+		Closer: rest,
+	}
+	return answer, nil
+}
+
+// replayedBody is a body of which a part was read before.
+type replayedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // watchTakeover ends a takeover to a server that is silent itself, once yet another
 // one can be asked, unless the takeover is done before.
 func (a *attempt) watchTakeover(ctx context.Context, server string, done <-chan struct{}, cancel context.CancelCauseFunc) {
