Ask an owner in use also after it has left the list of instances

Since running forwards are ended only after 10 s without a sign of their owner, the owner must be asked for so long. An instance that is lost leaves the platform's list after 10 s, at a planned stop at once, and was then no longer asked; the pause of 2 s over, it counted as reachable, and a request there would have waited until its total time. A failed forward could also shorten that pause to a second, and so break the silence.

Instances in use are kept with their address and asked until their last request ends. A failed forward only lengthens the time for which its owner is unreachable.

TestLostOwnerDoesNotHoldItsRequests also checks that its owner isn't made reachable; that check failed before.

--- a/blackboard/blackboard.go
+++ b/blackboard/blackboard.go
@@ -39,7 +39,8 @@
 	refusing         atomic.Bool
 	unreachableUntil sync.Map
 	peerFences       sync.Map
-	inUse            sync.Map
+	useMu            sync.Mutex
+	inUse            map[string]*usedInstance
 	leaseDeadline    atomic.Int64
 }
 
@@ -51,6 +52,7 @@
 		Bank:      budget.NewBank(),
 		Running:   NewRunning(),
 		Usage:     NewUsage(),
+		inUse:     map[string]*usedInstance{},
 	}
 	b.Configuration.init(configuration.NewState())
 	b.Budget.init(budget.NewState())
@@ -162,17 +164,42 @@
 	return report.fence, now.Before(report.expiresAt)
 }
 
-// BeginUse marks an instance as serving a request of this instance until release
-// is called, so that the directory controller keeps polling it.
-func (b *Blackboard) BeginUse(id string) (release func()) {
-	value, _ := b.inUse.LoadOrStore(id, &atomic.Int64{})
-	count := value.(*atomic.Int64)
-	count.Add(1)
-	return func() { count.Add(-1) }
+// usedInstance is an instance that serves requests of this one.
+type usedInstance struct {
+	address  string
+	requests int
 }
 
-// InUse reports whether an instance serves a request of this instance.
-func (b *Blackboard) InUse(id string) bool {
-	value, known := b.inUse.Load(id)
-	return known && value.(*atomic.Int64).Load() > 0
+// BeginUse marks an instance with a peer address as serving a request of this
+// instance until release is called, so that the directory controller keeps polling
+// it, also after it has left the list of instances.
+func (b *Blackboard) BeginUse(id, address string) (release func()) {
+	b.useMu.Lock()
+	defer b.useMu.Unlock()
+	used := b.inUse[id]
+	if used == nil {
+		used = &usedInstance{}
+		b.inUse[id] = used
+	}
+	used.address = address
+	used.requests++
+	return func() {
+		b.useMu.Lock()
+		defer b.useMu.Unlock()
+		if used.requests--; used.requests == 0 {
+			delete(b.inUse, id)
+		}
+	}
+}
+
+// InUse returns the peer addresses of the instances that serve requests of this
+// instance, by ID.
+func (b *Blackboard) InUse() map[string]string {
+	b.useMu.Lock()
+	defer b.useMu.Unlock()
+	addresses := make(map[string]string, len(b.inUse))
+	for id, used := range b.inUse {
+		addresses[id] = used.address
+	}
+	return addresses
 }
--- a/controllers/directory.go
+++ b/controllers/directory.go
@@ -173,19 +173,27 @@
 }
 
 // peersToAsk returns all peers of a small fleet. In a large fleet an instance
-// asks the hub of its domain and the peers that serve its requests; the hub asks
+// asks the hub of its domain and the peers that serve its requests, also those that
+// have left the list; the hub asks
 // its domain and the other hubs. An instance whose lease has lapsed asks its whole
 // domain, since it needs the peers' fencing numbers.
 func (d *DirectoryController) peersToAsk() []pomelospring.Instance {
 	peers := d.Board.Peers.Get()
 	state := d.Board.Domain.Get()
 	hub := state.Writer("directory")
+	inUse := d.Board.InUse()
 	chosen := map[string]pomelospring.Instance{}
+	for id, address := range inUse {
+		chosen[id] = pomelospring.Instance{
+			ID:          id,
+			PeerAddress: address,
+		}
+	}
 	hubs := map[string]pomelospring.Instance{}
 	for id, instance := range peers {
 		switch {
 		case id == d.Board.Self.ID:
-		case len(peers) <= fullMeshLimit, id == hub, d.Board.InUse(id):
+		case len(peers) <= fullMeshLimit, id == hub, inUse[id] != "":
 			chosen[id] = instance
 		case instance.Domain == d.Board.Self.Domain:
 			if hub == d.Board.Self.ID || !d.Board.LeaseDeadline().After(d.Clock()) {
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -142,7 +142,7 @@
 func (s *Server) forward(ctx context.Context, work *pomelospring.Work, call engine.Request, target pomelospring.Target, emit func([]byte) error) (result ownership.ServeResult, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer s.Board.BeginUse(target.Owner)()
+	defer s.Board.BeginUse(target.Owner, target.Address)()
 	silence := NewOwnerSilence(work, s.Clock())
 	go s.watchOwner(ctx, target.Owner, silence, cancel)
 	stream, err := s.Peers.At(ctx, target.Address).Serve(ctx, peer.FromWork(work, call))
@@ -201,6 +201,8 @@
 	case errors.Is(err, io.EOF):
 		err = io.ErrUnexpectedEOF
 	}
-	s.Board.SetUnreachableUntil(target.Owner, s.Clock().Add(unreachablePause))
+	if until := s.Clock().Add(unreachablePause); s.Board.Reachable(target.Owner, until) {
+		s.Board.SetUnreachableUntil(target.Owner, until)
+	}
 	return pomelospring.NewUnknown(pomelospring.CodeBackendServerError, "%v", fmt.Errorf("owner %s: %w", target.Owner, err))
 }
--- a/serving/silent_owner_test.go
+++ b/serving/silent_owner_test.go
@@ -106,6 +106,9 @@
 	if refusal := pomelospring.AsRefusal(err); refusal == nil || refusal.Code != pomelospring.CodeBackendServerError {
 		t.Errorf("the request ended with %v", err)
 	}
+	if s.Board.Reachable("other", startedAt.Add(59*time.Minute)) {
+		t.Error("the failed request made the owner reachable again")
+	}
 	if took := s.Clock().Sub(startedAt); took < 10*time.Second || took > 30*time.Second {
 		t.Errorf("the request ended after %v", took)
 	}
