Keep a silent takeover if the call could not start again

A takeover that was silent was given up for a third server also if the first one had broken off without an event and its caller's time for one was over: the call was then refused ("the wait exceeds the caller's timeout", seen as 502 backendServerError), although the server that had it might have answered. Ready answers are delivered, also late.

TestSilentTakeoverIsGivenUpForAThirdServer, new case: 502 before, the whole late answer after.

--- a/entry/run.go
+++ b/entry/run.go
@@ -87,7 +87,7 @@
 	if !choice.Found {
 		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeNoBackendServer, retryAfter(now), "no backend server can take the call")
 	}
-	if requirements.Model && !c.forwarded && now.Add(choice.Wait).After(c.firstEventDeadline) {
+	if c.startsTooLate(now.Add(choice.Wait)) {
 		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(now), "the wait of %s exceeds the caller's timeout", choice.Wait)
 	}
 	if requirements.Model && c.call.NeedsAdapter() {
@@ -97,6 +97,12 @@
 	return choice, nil
 }
 
+// startsTooLate reports whether the caller would have left before a call starts at a
+// model worker.
+func (c *session) startsTooLate(startsAt time.Time) bool {
+	return c.limits != nil && !c.forwarded && startsAt.After(c.firstEventDeadline)
+}
+
 // logRouted logs the choice of a server among a number of candidates.
 func (c *session) logRouted(choice dispatch.Choice, candidates int, now time.Time) {
 	events.Log(c.service.Logger, events.CallRouted, log.Fields{
--- a/entry/silent_takeover_test.go
+++ b/entry/silent_takeover_test.go
@@ -42,6 +42,9 @@
 	late := func() script {
 		return script{head: 6 * time.Second, status: http.StatusOK, chunks: []timedChunk{{text: rest}}}
 	}
+	lateWhole := func() script {
+		return script{head: 6 * time.Second, status: http.StatusOK, chunks: []timedChunk{{text: events3}}}
+	}
 	scenarios := []struct {
 		name     string
 		attempts int
@@ -54,6 +57,7 @@
 		{name: "the first server is silent", attempts: 3, servers: 3, scripts: []script{begun(), silent, sound()}, within: 5 * time.Second, sends: 3},
 		{name: "the first server breaks off", attempts: 3, servers: 3, scripts: []script{broken(), silent, sound()}, within: 5 * time.Second, sends: 3},
 		{name: "no further attempt is allowed", attempts: 2, servers: 3, scripts: []script{begun(), late()}, within: 8 * time.Second, sends: 2},
+		{name: "the first server ends without an event, after its caller's time for that", attempts: 3, servers: 3, scripts: []script{{head: 3 * time.Second, err: io.ErrUnexpectedEOF}, lateWhole()}, within: 9 * time.Second, sends: 2},
 		{name: "no third server has room, and the first one broke off", attempts: 3, servers: 2, scripts: []script{broken(), late()}, within: 8 * time.Second, sends: 2},
 	}
 	for _, scenario := range scenarios {
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -134,27 +134,28 @@
 			return
 		case <-timer.C:
 		}
-		if a.canTakeOverAgain(ctx, server) && a.endSilentTakeover(cancel) {
+		startsAt, found := a.findNextTakeover(ctx, server)
+		if found && a.endSilentTakeover(startsAt, cancel) {
 			return
 		}
 		timer.Reset(takeoverRetryInterval)
 	}
 }
 
-// canTakeOverAgain reports whether there is a server for a takeover that follows one
-// to a silent server.
-func (a *attempt) canTakeOverAgain(ctx context.Context, silent string) bool {
+// findNextTakeover reports whether there is a server for a takeover that follows one
+// to a silent server, and when the call would start there.
+func (a *attempt) findNextTakeover(ctx context.Context, silent string) (startsAt time.Time, found bool) {
 	w := &a.watchdog
 	w.mu.Lock()
 	allowed := w.takeover.allowsAnother()
 	avoid, missing := w.takeover.excluded()
 	w.mu.Unlock()
 	if !allowed {
-		return false
+		return startsAt, false
 	}
 	avoid[silent] = true
-	_, _, refusal := a.findSuccessor(ctx, avoid, missing)
-	return refusal == ""
+	choice, _, refusal := a.findSuccessor(ctx, avoid, missing)
+	return a.session.service.Clock().Add(choice.Wait), refusal == ""
 }
 
 // excluded returns copies of avoid and missing. The caller holds the lock.
@@ -170,10 +171,14 @@
 
 // endSilentTakeover ends the takeover in progress and reserves a retry for the next
 // one. It reports false if there can be none.
-func (a *attempt) endSilentTakeover(cancel context.CancelCauseFunc) bool {
+func (a *attempt) endSilentTakeover(startsAt time.Time, cancel context.CancelCauseFunc) bool {
 	w := &a.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	// With its own server gone too, the call would be refused.
+	if w.stopped && a.session.startsTooLate(startsAt) {
+		return false
+	}
 	if !w.takeover.allowsAnother() || w.forwarding || !a.session.retries.Take() {
 		return false
 	}
