Keep a silent server until its successor's first event

What plain answers showed holds for streams: a silent server was canceled at the head of another one's stream. If that one then broke off or stayed without an event, and no attempt was left, its caller got neither, although the first server would have gone on.

A takeover of a stream is adopted with its first complete event (or its end). A takeover whose connection breaks is now checked for a crash of its model worker like any other attempt, since these breaks no longer reach the successor's own check; before the head that check was missing already.

TestSuccessorWhoseAnswerBreaksLeavesTheFirst, two new cases: aborted after event 1 before, whole answers of the first server after. TestTakeoverThatBreaksOffIsCheckedForACrash: no worker asked before, the one that broke off after.

The random play counted a stream as answered at its head; now at its first event, before which the first server may no longer be canceled.

--- a/entry/crashing_prompt_test.go
+++ b/entry/crashing_prompt_test.go
@@ -115,3 +115,52 @@
 		}
 	})
 }
+
+// askedEngine records which model workers were asked for their report.
+type askedEngine struct {
+	soundEngine
+	mu    sync.Mutex
+	asked []string
+}
+
+func (e *askedEngine) Report(_ context.Context, server pomelospring.FleetServer) (pomelospring.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked = append(e.asked, server.ID)
+	return pomelospring.EngineReport{}, nil
+}
+
+// TestTakeoverThatBreaksOffIsCheckedForACrash guards against prompt parts that ended
+// one model worker after another through takeovers, with none of them noticed.
+func TestTakeoverThatBreaksOffIsCheckedForACrash(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		second script
+		asked  int
+	}{
+		{name: "before the head", second: script{err: io.EOF}, asked: 1},
+		{name: "before an event", second: script{status: http.StatusOK, bodyErr: io.ErrUnexpectedEOF}, asked: 1},
+		{name: "no connection", second: script{err: errors.Join(pomelospring.ErrNotSent, errors.New("refused"))}},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service := newService(nil, false)
+				engine := &askedEngine{}
+				service.Engine = engine
+				backend := inOrder(
+					script{head: 3 * time.Second, status: http.StatusOK, chunks: []timedChunk{{text: events3}}},
+					scenario.second,
+				)
+				service.Backend = backend
+				call := streamCall()
+				call.Parts = []pomelospring.PromptPart{{ID: "system", Tokens: 600}, {ID: "last", Tokens: 100}}
+				service.Serve(t.Context(), call, &responder{})
+				synctest.Wait()
+				if len(engine.asked) != scenario.asked || scenario.asked == 1 && engine.asked[0] != backend.attempts[1].server {
+					t.Errorf("asked %v", engine.asked)
+				}
+			})
+		})
+	}
+}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -89,32 +89,61 @@
 	b.cancel = cancel
 	go a.watchTakeover(ctx, b.server.ID, done, cancelCause)
 	answer, err := b.send(ctx, resumeAfter)
-	if err == nil && !a.session.route.Streaming && a.session.canUse(answer) {
-		answer, err = completed(answer)
+	if err == nil && a.session.canUse(answer) {
+		answer, err = a.session.begun(answer)
 	}
 	if err == nil && a.session.canUse(answer) && a.adopt(ctx, b, answer, reason) {
 		return
 	}
+	if err != nil && !errors.Is(err, pomelospring.ErrNotSent) {
+		b.checkForCrash(ctx)
+	}
 	a.recordFailedTakeover(ctx, b, answer, err)
 	cancel()
 }
 
-// completed returns an answer with the whole body, or at least the beginning of a long
-// one, as a silent server is not given up for an answer that breaks off.
-func completed(answer *pomelospring.BackendAnswer) (*pomelospring.BackendAnswer, error) {
-	body, err := readComplete(answer)
+// begun returns an answer once a part of it that can be forwarded has arrived: an
+// event of a stream, else the whole body or the beginning of a long one. A silent
+// server is not given up for an answer that breaks off before.
+func (c *session) begun(answer *pomelospring.BackendAnswer) (*pomelospring.BackendAnswer, error) {
+	read := readComplete
+	if c.route.Streaming {
+		read = readFirstEvent
+	}
+	beginning, err := read(answer)
 	if err != nil {
 		_ = answer.Body.Close()
 		return nil, err
 	}
 	rest := answer.Body
 	answer.Body = &replayedBody{
-		Reader: io.MultiReader(bytes.NewReader(body), rest),
+		Reader: io.MultiReader(bytes.NewReader(beginning), rest),
 		Closer: rest,
 	}
 	return answer, nil
 }
 
+// readFirstEvent reads a stream until an event is complete, or to its end if it has
+// none.
+func readFirstEvent(answer *pomelospring.BackendAnswer) (beginning []byte, err error) {
+	scanner := &eventScanner{}
+	buffer := make([]byte, readBufferBytes)
+	for {
+		n, err := answer.Body.Read(buffer)
+		beginning = append(beginning, buffer[:n]...)
+		switch {
+		case len(scanner.add(buffer[:n])) > 0:
+			return beginning, nil
+		case scanner.tooLong():
+			return nil, errEventTooLong
+		case errors.Is(err, io.EOF) && scanner.empty():
+			return beginning, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // replayedBody is a body of which a part was read before.
 type replayedBody struct {
 	io.Reader
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -67,8 +67,8 @@
 	// it.
 	reached  bool
 	executed bool
-	// answered is when the head of a usable stream arrived, or the whole of another
-	// answer.
+	// answered is when the first event of a usable stream arrived, or the whole of
+	// another answer.
 	answered time.Time
 	// endedAt is when the attempt ended; canceled is set if the caller of the backend
 	// ended it and not the server.
@@ -118,17 +118,14 @@
 	}
 	b.update(func() {
 		a.open = true
-		switch {
-		case s.status != http.StatusOK:
+		if s.status != http.StatusOK {
 			a.end(false)
-		case call.NeedsAdapter():
-			a.answered = time.Now()
 		}
 	})
 	answer := &pomelospring.BackendAnswer{
 		Status: s.status,
 		Header: http.Header{},
-		Body:   &scriptedBody{ctx: ctx, backend: b, attempt: a, script: s},
+		Body:   &scriptedBody{ctx: ctx, backend: b, attempt: a, script: s, streaming: call.NeedsAdapter()},
 		NotRun: s.notRun,
 		Signed: true,
 		Length: -1,
@@ -146,15 +143,24 @@
 	backend *scriptedBackend
 	attempt *scriptedAttempt
 	script  script
+
+	streaming bool
+	read      string
+}
+
+// recordAnswer records when the first event, or the whole of another answer, arrived.
+func (b *scriptedBody) recordAnswer(isWhole bool) {
+	usable := b.script.status == http.StatusOK && (isWhole || b.streaming && strings.Contains(b.read, "\n\n"))
+	if usable && b.attempt.answered.IsZero() {
+		b.attempt.answered = time.Now()
+	}
 }
 
 func (b *scriptedBody) Read(p []byte) (int, error) {
 	if len(b.script.chunks) == 0 {
 		b.backend.update(func() {
 			b.attempt.end(false)
-			if b.attempt.answered.IsZero() && b.script.status == http.StatusOK && b.script.bodyErr == nil {
-				b.attempt.answered = time.Now()
-			}
+			b.recordAnswer(b.script.bodyErr == nil)
 		})
 		if b.script.bodyErr != nil {
 			return 0, b.script.bodyErr
@@ -170,6 +176,8 @@
 	if chunk.text == "" {
 		b.script.chunks = b.script.chunks[1:]
 	}
+	b.read += string(p[:n])
+	b.backend.update(func() { b.recordAnswer(false) })
 	return n, nil
 }
 
@@ -366,21 +374,58 @@
 	})
 }
 
-// TestSuccessorWhoseAnswerBreaksLeavesTheFirst guards against lookups that lost a sound
-// answer because another server had sent the head of one that broke off.
+// TestSuccessorWhoseAnswerBreaksLeavesTheFirst guards against calls that lost a sound
+// server because another one had sent the head of an answer that broke off.
 func TestSuccessorWhoseAnswerBreaksLeavesTheFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		service := newService(nil, false)
-		service.Backend = inOrder(
-			script{head: 3 * time.Second, status: http.StatusOK, chunks: []timedChunk{{text: "done"}}},
-			script{status: http.StatusOK, chunks: []timedChunk{{after: 300 * time.Millisecond, text: "do"}}, bodyErr: io.ErrUnexpectedEOF},
-		)
-		out := &responder{}
-		service.Serve(t.Context(), lookupCall(), out)
-		if diff := cmp.Diff(outcome{Status: http.StatusOK, Body: "done"}, out.outcome); diff != "" {
-			t.Error(diff)
-		}
-	})
+	scenarios := []struct {
+		name    string
+		call    *pomelospring.Call
+		scripts []script
+		want    string
+	}{
+		{
+			name: "a lookup",
+			call: lookupCall(),
+			scripts: []script{
+				{head: 3 * time.Second, status: http.StatusOK, chunks: []timedChunk{{text: "done"}}},
+				{status: http.StatusOK, chunks: []timedChunk{{after: 300 * time.Millisecond, text: "do"}}, bodyErr: io.ErrUnexpectedEOF},
+			},
+			want: "done",
+		},
+		{
+			name: "a stream, before an event",
+			call: streamCall(),
+			scripts: []script{
+				{status: http.StatusOK, chunks: []timedChunk{{text: event1}, {after: 1900 * time.Millisecond, text: rest}}},
+				{status: http.StatusOK, chunks: []timedChunk{{after: 300 * time.Millisecond, text: "id: 2"}}, bodyErr: io.ErrUnexpectedEOF},
+			},
+			want: events3,
+		},
+		{
+			name: "a stream that stays without an event",
+			call: streamCall(),
+			scripts: []script{
+				{status: http.StatusOK, chunks: []timedChunk{{text: event1}, {after: 1900 * time.Millisecond, text: rest}}},
+				{status: http.StatusOK, chunks: []timedChunk{{after: time.Hour, text: rest}}},
+			},
+			want: events3,
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service := newService(nil, false)
+				service.Backend = inOrder(scenario.scripts...)
+				scenario.call.Arrived = time.Now()
+				out := &responder{}
+				service.Serve(t.Context(), scenario.call, out)
+				if diff := cmp.Diff(outcome{Status: http.StatusOK, Body: scenario.want}, out.outcome); diff != "" {
+					t.Error(diff)
+				}
+				synctest.Wait()
+			})
+		})
+	}
 }
 
 // TestTakeoverTellsTheLeaderWhichServerLacksTheAdapter guards against a placement of
