--- a/entry/run.go
+++ b/entry/run.go
@@ -88,7 +88,7 @@
 	if !choice.Found {
 		return dispatch.Choice{}, c.noServerRefusal(now)
 	}
-	if requirements.Model && !c.forwarded && now.Add(choice.Wait).After(c.firstEventDeadline) {
+	if c.startsTooLate(now.Add(choice.Wait)) {
 		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(now), "the wait of %s exceeds the caller's timeout", choice.Wait)
 	}
 	if requirements.Model && c.call.NeedsAdapter() {
@@ -98,6 +98,12 @@
 	return choice, nil
 }
 
+// startsTooLate reports whether the caller would have left before a call starts at a
+// model worker.
+func (c *session) startsTooLate(startsAt time.Time) bool {
+	return c.limits != nil && !c.forwarded && startsAt.After(c.firstEventDeadline)
+}
+
 // logRouted logs the choice of a server among a number of candidates.
 func (c *session) logRouted(choice dispatch.Choice, candidates int, now time.Time) {
 	events.Log(c.service.Logger, events.CallRouted, log.Fields{
@@ -141,21 +147,8 @@
 	if refusal := c.pausedRefusal(now); refusal != nil {
 		return refusal
 	}
-	request := pomelospring.PlacementRequest{
-		Request:  c.call.ID,
-		Adapter:  c.call.Adapter,
-		Domain:   c.service.Board.Domain,
-		Deadline: now.Add(time.Duration(placementTimeFraction * float64(c.firstEventDeadline.Sub(now)))),
-		Unusable: c.service.Board.UnusableServers(c.targetService, now),
-	}
-	for id := range c.avoid {
-		switch {
-		case c.missing[id]:
-			request.Missing = append(request.Missing, id)
-		case !slices.Contains(request.Unusable, id):
-			request.Avoid = append(request.Avoid, id)
-		}
-	}
+	deadline := now.Add(time.Duration(placementTimeFraction * float64(c.firstEventDeadline.Sub(now))))
+	request := c.placementRequest(c.avoid, c.missing, deadline)
 	requestedAt := now
 	outcome, err := c.service.Coordinator.Place(ctx, request)
 	now = c.service.Clock()
@@ -177,6 +170,27 @@
 	return nil
 }
 
+// placementRequest returns a request to place the call's adapter on another server
+// than those to avoid, of which those in missing answered to lack it.
+func (c *session) placementRequest(avoid, missing map[string]bool, deadline time.Time) pomelospring.PlacementRequest {
+	request := pomelospring.PlacementRequest{
+		Request:  c.call.ID,
+		Adapter:  c.call.Adapter,
+		Domain:   c.service.Board.Domain,
+		Deadline: deadline,
+		Unusable: c.service.Board.UnusableServers(c.targetService, c.service.Clock()),
+	}
+	for id := range avoid {
+		switch {
+		case missing[id]:
+			request.Missing = append(request.Missing, id)
+		case !slices.Contains(request.Unusable, id):
+			request.Avoid = append(request.Avoid, id)
+		}
+	}
+	return request
+}
+
 // requestCopies asks for one more copy of an adapter that is resident: if its
 // queue is long, or if this domain has none and calls often enough.
 //
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -1,17 +1,19 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/dispatch"
 	"github.com/pomelospring/pomelospring/events"
+	"github.com/pomelospring/pomelospring/retry"
 )
 
 // takeoverPlacementTimeout bounds the placement of an adapter for a takeover.
@@ -22,9 +24,11 @@
 // answered, and goes on if its own server does before that. It is protected by the
 // lock of the watchdog.
 type takeover struct {
-	// avoid has the servers that are not asked. sent counts those that were, and
+	// avoid has the servers that are not asked, and missing those of them that
+	// answered to lack the adapter. sent counts the servers that were asked, and
 	// executed those of them that may have executed the call.
 	avoid    map[string]bool
+	missing  map[string]bool
 	sent     int
 	executed int
 	// maxSent and maxExecuted limit sent and executed.
@@ -35,6 +39,9 @@
 	// cancel ends the takeover in progress; done is closed at its end.
 	cancel context.CancelFunc
 	done   chan struct{}
+	// retryReserved is set while a retry is kept for the takeover that follows one
+	// which was silent itself.
+	retryReserved bool
 	// successor goes on with the call, for reason; nil until a server has answered.
 	successor *successor
 	reason    error
@@ -56,6 +63,7 @@
 	}
 	return takeover{
 		avoid:       avoid,
+		missing:     maps.Clone(c.missing),
 		maxSent:     maxAttempts - c.attemptsSent - 1,
 		maxExecuted: maxExecuted,
 		resumeAfter: c.lastEventID,
@@ -66,13 +74,15 @@
 // before the attempt's own server goes on, it becomes the successor and the
 // attempt is canceled.
 func (a *attempt) takeOver(ctx context.Context, reason error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	cancel := func() { cancelCause(nil) }
 	resumeAfter, begun := a.beginTakeover(cancel)
 	if !begun {
 		cancel()
 		return
 	}
-	defer close(a.watchdog.takeover.done)
+	done := a.watchdog.takeover.done
+	defer close(done)
 	choice, found := a.chooseSuccessor(ctx)
 	if !found {
 		a.session.retries.Return()
@@ -81,14 +91,143 @@
 	}
 	b := a.session.newAttempt(choice)
 	b.cancel = cancel
+	go a.watchTakeover(ctx, b.server.ID, done, cancelCause)
 	answer, err := b.send(ctx, resumeAfter)
+	if err == nil && a.session.canUse(answer) {
+		answer, err = a.session.begun(answer)
+	}
 	if err == nil && a.session.canUse(answer) && a.adopt(ctx, b, answer, reason) {
 		return
 	}
+	if err != nil && !errors.Is(err, pomelospring.ErrNotSent) {
+		b.checkForCrash(ctx)
+	}
 	a.recordFailedTakeover(ctx, b, answer, err)
 	cancel()
 }
 
+// begun returns an answer once a part of it that can be forwarded has arrived: an
+// event of a stream, else the whole body or the beginning of a long one. A silent
+// server is not given up for an answer that breaks off before.
+func (c *session) begun(answer *pomelospring.BackendAnswer) (*pomelospring.BackendAnswer, error) {
+	read := readComplete
+	if c.route.Streaming {
+		read = readFirstEvent
+	}
+	beginning, err := read(answer)
+	if err != nil {
+		_ = answer.Body.Close()
+		return nil, err
+	}
+	rest := answer.Body
+	answer.Body = &replayedBody{
+		Reader: io.MultiReader(bytes.NewReader(beginning), rest),
+		Closer: rest,
+	}
+	return answer, nil
+}
+
+// readFirstEvent reads a stream until an event is complete, or to its end if it has
+// none.
+func readFirstEvent(answer *pomelospring.BackendAnswer) (beginning []byte, err error) {
+	scanner := &eventScanner{}
+	buffer := make([]byte, readBufferBytes)
+	for {
+		n, err := answer.Body.Read(buffer)
+		beginning = append(beginning, buffer[:n]...)
+		switch {
+		case len(scanner.add(buffer[:n])) > 0:
+			return beginning, nil
+		case scanner.tooLong():
+			return nil, errEventTooLong
+		case errors.Is(err, io.EOF) && scanner.empty():
+			return beginning, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// replayedBody is a body of which a part was read before.
+type replayedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// watchTakeover ends a takeover to a server that is silent itself, once yet another
+// one can be asked, unless the takeover is done before.
+func (a *attempt) watchTakeover(ctx context.Context, server string, done <-chan struct{}, cancel context.CancelCauseFunc) {
+	timer := time.NewTimer(a.session.firstEventTimeout())
+	defer timer.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		startsAt, found := a.findNextTakeover(ctx, server)
+		if found && a.endSilentTakeover(startsAt, cancel) {
+			return
+		}
+		timer.Reset(takeoverRetryInterval)
+	}
+}
+
+// findNextTakeover reports whether there is a server for a takeover that follows one
+// to a silent server, and when the call would start there.
+func (a *attempt) findNextTakeover(ctx context.Context, silent string) (startsAt time.Time, found bool) {
+	w := &a.watchdog
+	w.mu.Lock()
+	allowed := w.takeover.allowsAnother()
+	avoid, missing := w.takeover.excluded()
+	w.mu.Unlock()
+	if !allowed {
+		return startsAt, false
+	}
+	avoid[silent] = true
+	choice, _, refusal := a.findSuccessor(ctx, avoid, missing)
+	return a.session.service.Clock().Add(choice.Wait), refusal == ""
+}
+
+// excluded returns copies of avoid and missing. The caller holds the lock.
+func (t *takeover) excluded() (avoid, missing map[string]bool) {
+	return maps.Clone(t.avoid), maps.Clone(t.missing)
+}
+
+// allowsAnother reports whether the limits allow one more takeover after the one in
+// progress. The caller holds the lock.
+func (t *takeover) allowsAnother() bool {
+	return t.successor == nil && t.sent+1 < t.maxSent && t.executed+1 < t.maxExecuted
+}
+
+// endSilentTakeover ends the takeover in progress and reserves a retry for the next
+// one. It reports false if there can be none.
+func (a *attempt) endSilentTakeover(startsAt time.Time, cancel context.CancelCauseFunc) bool {
+	w := &a.watchdog
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// With its own server gone too, the call would be refused.
+	if w.stopped && a.session.startsTooLate(startsAt) {
+		return false
+	}
+	if !w.takeover.allowsAnother() || w.forwarding || !a.session.retries.Take() {
+		return false
+	}
+	w.takeover.retryReserved = true
+	cancel(errIdle)
+	return true
+}
+
+// returnRetry returns a reserved retry. The caller holds the lock.
+func (t *takeover) returnRetry(retries *retry.Budget) {
+	if t.retryReserved {
+		t.retryReserved = false
+		retries.Return()
+	}
+}
+
 // beginTakeover takes a retry from the budget, which a takeover that is not sent
 // returns, and says after which event another server is to go on. It reports false
 // if none may be asked.
@@ -97,50 +236,60 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t := &w.takeover
-	if w.stopped || w.forwarding || t.sent >= t.maxSent || t.executed >= t.maxExecuted || !a.session.retries.Take() {
+	if w.stopped || w.forwarding || t.sent >= t.maxSent || t.executed >= t.maxExecuted {
+		return "", false
+	}
+	if !t.retryReserved && !a.session.retries.Take() {
 		return "", false
 	}
+	t.retryReserved = false
 	t.cancel = cancel
 	t.done = make(chan struct{})
 	return t.resumeAfter, true
 }
 
-// chooseSuccessor picks a server that can take the call over. If none has its
-// adapter, it asks the leader to place it.
+// chooseSuccessor picks a server that can take the call over.
 func (a *attempt) chooseSuccessor(ctx context.Context) (choice dispatch.Choice, found bool) {
+	w := &a.watchdog
+	w.mu.Lock()
+	avoid, missing := w.takeover.excluded()
+	w.mu.Unlock()
+	choice, candidates, refusal := a.findSuccessor(ctx, avoid, missing)
+	if refusal != "" {
+		a.logFailedTakeover("", refusal)
+		return choice, false
+	}
+	a.session.logRouted(choice, candidates, a.session.service.Clock())
+	return choice, true
+}
+
+// findSuccessor looks for a server that can take the call over. If none has its
+// adapter, it asks the leader to place it. refusal says why there is none.
+func (a *attempt) findSuccessor(ctx context.Context, avoid, missing map[string]bool) (choice dispatch.Choice, candidateCount int, refusal string) {
 	c := a.session
 	s := c.service
-	avoid := a.watchdog.takeover.avoid
 	now := s.Clock()
 	if c.limits != nil && s.Quarantine.Blocked(c.team, c.parts, now) {
-		a.logFailedTakeover("", "model workers end under the call's prompt parts")
-		return choice, false
+		return choice, 0, "model workers end under the call's prompt parts"
 	}
 	candidates := s.Board.Candidates(c.targetService, c.call, avoid, now)
 	choice = dispatch.Choose(candidates, c.requirements())
 	if !choice.Found && c.call.NeedsAdapter() {
-		outcome, err := s.Coordinator.Place(ctx, pomelospring.PlacementRequest{
-			Request:  c.call.ID,
-			Adapter:  c.call.Adapter,
-			Domain:   s.Board.Domain,
-			Deadline: now.Add(takeoverPlacementTimeout),
-			Avoid:    slices.Collect(maps.Keys(avoid)),
-			Unusable: s.Board.UnusableServers(c.targetService, now),
-		})
+		outcome, err := s.Coordinator.Place(ctx, c.placementRequest(avoid, missing, now.Add(takeoverPlacementTimeout)))
 		if err != nil || outcome.Server == "" {
-			a.logFailedTakeover("", placementFailure(outcome, err))
-			return choice, false
+			return choice, 0, placementFailure(outcome, err)
 		}
-		now = s.Clock()
-		candidates = s.Board.Candidates(c.targetService, c.call, avoid, now)
+		if missing[outcome.Server] {
+			// The adapter was still loading there, which the leader knows.
+			delete(avoid, outcome.Server)
+		}
+		candidates = s.Board.Candidates(c.targetService, c.call, avoid, s.Clock())
 		choice = dispatch.Choose(candidates, c.requirements())
 	}
 	if !choice.Found {
-		a.logFailedTakeover("", "no backend server can take the call")
-		return choice, false
+		return choice, 0, "no backend server can take the call"
 	}
-	c.logRouted(choice, len(candidates), now)
-	return choice, true
+	return choice, len(candidates), ""
 }
 
 // placementFailure says why an adapter was not placed.
@@ -185,11 +334,8 @@
 	c := a.session
 	server := b.server
 	notSent := errors.Is(err, pomelospring.ErrNotSent)
-	canceled := ctx.Err() != nil
+	canceled := ctx.Err() != nil && !isSilent(ctx)
 	b.end(!canceled && (answer == nil || !answer.Misdirected))
-	if err != nil && !notSent {
-		b.checkForCrash(ctx)
-	}
 	if notSent && !canceled {
 		c.service.Board.RecordUnreachable(server.ID, c.service.Clock())
 		c.service.recordConnectTimeout(server, err)
@@ -204,11 +350,14 @@
 	w := &a.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	a.logFailedTakeover(server.ID, takeoverFailure(answer, err, canceled, w.forwarding))
+	a.logFailedTakeover(server.ID, w.takeoverFailure(ctx, answer, err))
 	t := &w.takeover
 	if !canceled {
 		t.avoid[server.ID] = true
 	}
+	if answer != nil && answer.Misdirected && c.call.NeedsAdapter() {
+		t.missing[server.ID] = true
+	}
 	if notSent {
 		c.retries.Return()
 		return
@@ -219,19 +368,27 @@
 	}
 }
 
-// takeoverFailure says why a takeover failed.
-func takeoverFailure(answer *pomelospring.BackendAnswer, err error, canceled, wentOn bool) string {
+// takeoverFailure says why a takeover failed. The caller holds the lock.
+func (w *watchdog) takeoverFailure(ctx context.Context, answer *pomelospring.BackendAnswer, err error) string {
 	switch {
+	case isSilent(ctx):
+		return errIdle.Error()
 	case answer != nil:
 		return http.StatusText(answer.Status)
-	case !canceled:
+	case ctx.Err() == nil:
 		return err.Error()
-	case wentOn:
+	case w.forwarding:
 		return "the silent backend server went on"
 	}
 	return "the call has ended"
 }
 
+// isSilent reports whether a takeover with a context was ended because its server was
+// silent.
+func isSilent(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errIdle)
+}
+
 func (a *attempt) logFailedTakeover(server, reason string) {
 	events.Log(a.session.service.Logger, events.TakeoverFailed, log.Fields{
 		"request": a.session.call.ID,
@@ -257,9 +414,11 @@
 	defer w.mu.Unlock()
 	t := &w.takeover
 	c := a.session
+	t.returnRetry(c.retries)
 	c.attemptsSent += t.sent
 	c.attemptsExecuted += t.executed
 	t.sent, t.executed = 0, 0
 	maps.Copy(c.avoid, t.avoid)
+	maps.Copy(c.missing, t.missing)
 	return t.successor
 }
