--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -21,6 +21,7 @@
 	commander.Register(&capacityCommand{}, "")
 	commander.Register(&overheadCommand{}, "")
 	commander.Register(&refusalsCommand{}, "")
+	commander.Register(&compulsoryCommand{}, "")
 	flag.Parse()
 	os.Exit(int(commander.Execute(context.Background())))
 }
