Expose the Go runtime's metrics of an instance

The metrics had no count of goroutines, so a leak of them could be seen only from inside. The collector of the Prometheus client adds go_goroutines and the other metrics of the runtime to each registry. Tests of metrics pass with -race.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/blackboard"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 )
@@ -29,6 +30,7 @@
 // run in one process.
 func New() *Metrics {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
 	reporter := promreporter.NewReporter(promreporter.Options{
 		Registerer: registry,
 		Gatherer:   registry,
