Add a fault soak of the real program

cmd/soak, a module of its own, starts four pomelospringd front processes in two failure domains between stand-ins of callers, backend servers and the store, and plays faults drawn from a seed: kill, SIGTERM, SIGSTOP, resets and dropped answers by a loopback proxy, silent, leaving, pausing and restarting servers, a prompt part that crashes workers, changed configurations, withdrawn keys, and a store that is down, silent or cut off. Sixteen pure checks judge the recorded history; a table test has for each a history that breaks its promise, and where a bound or fault allows it, one that doesn't. Commands: run, many, replay.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-PROGRAMS := pomelospringd pomelospringctl standins measure
+PROGRAMS := pomelospringd pomelospringctl standins measure soak
 
 .PHONY: build run stop test bench lint generate
 
--- /dev/null
+++ b/cmd/soak/arena/server.go
@@ -0,0 +1,293 @@
+package arena
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pomelospring/pomelospring/cmd/soak/history"
+	"github.com/pomelospring/pomelospring/platform"
+	"github.com/pomelospring/pomelospring/standin"
+)
+
+// HTTP headers that the stand-ins read or write.
+const (
+	headerRequestID    = "X-Pomelospring-Request-Id"
+	headerStamp        = "X-Pomelospring-Server-Stamp"
+	headerAdapter      = "X-Pomelospring-Model-Id"
+	headerTeam         = "X-Pomelospring-Tenant-Id"
+	headerExpectServer = "X-Pomelospring-Expect-Instance"
+	headerNotExecuted  = "X-Pomelospring-Not-Executed"
+	headerPromptPrefix = "X-Pomelospring-Prompt-Prefix"
+	headerTokenCount   = "X-Pomelospring-Token-Count"
+	headerDeadline     = "X-Pomelospring-Deadline-Ms"
+)
+
+const (
+	workerSlots     = 8
+	adapterLoadTime = 100 * time.Millisecond
+	// streamEvents and orderEvents are the numbers of events of whole answers.
+	streamEvents  = 5
+	orderEvents   = 1
+	eventInterval = 20 * time.Millisecond
+	// crashingPartPrefix begins the ids of prompt parts that crash workers.
+	crashingPartPrefix = "bad"
+)
+
+// server is the stand-in of a backend server, a model worker or a plain one.
+type server struct {
+	recorder *history.Recorder
+	service  string
+	domain   string
+	id       string
+	born     time.Time
+	proxy    *proxy
+	http     *http.Server
+	// onCrash is called when a prompt part crashed the server.
+	onCrash func(s *server)
+
+	mu          sync.Mutex
+	gone        bool
+	leaving     bool
+	pausedUntil time.Time
+	silentUntil time.Time
+	sequence    int64
+	// readyAt has the times at which adapters are loaded.
+	readyAt map[string]time.Time
+}
+
+func startServer(recorder *history.Recorder, service, domain, id string, onCrash func(s *server)) (s *server, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s = &server{
+		recorder: recorder,
+		service:  service,
+		domain:   domain,
+		id:       id,
+		born:     time.Now(),
+		onCrash:  onCrash,
+		readyAt:  map[string]time.Time{},
+	}
+	s.http = &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: requestTimeout,
+	}
+	go func() { _ = s.http.Serve(listener) }()
+	s.proxy, err = newProxy(listener.Addr().String())
+	return s, err
+}
+
+// list enters the server in the server list.
+func (s *server) list(store *standin.Store, state string) {
+	record, err := json.Marshal(map[string]any{
+		"service": s.service,
+		"address": s.proxy.address(),
+		"zone":    s.domain,
+		"slots":   workerSlots,
+		"state":   state,
+		"born":    s.born.UnixMilli(),
+		"models":  s.models(nil),
+		"seq":     0,
+	})
+	if err == nil {
+		store.Put(platform.ServerTopic, s.id, record)
+	}
+}
+
+func (s *server) models(resident []string) []any {
+	if s.service != modelService {
+		return []any{}
+	}
+	if resident == nil {
+		resident = []string{}
+	}
+	return []any{map[string]any{"name": modelName, "version": 1, "adapters": resident}}
+}
+
+// end ends the server with all its connections.
+func (s *server) end() {
+	s.mu.Lock()
+	s.gone = true
+	s.mu.Unlock()
+	s.proxy.close()
+	_ = s.http.Close()
+}
+
+func (s *server) isGone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gone
+}
+
+// ServeHTTP implements http.Handler.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	silence := time.Until(s.silentUntil)
+	if s.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	s.mu.Unlock()
+	time.Sleep(silence)
+	switch r.URL.Path {
+	case "/api/report":
+		s.report(w)
+	case "/api/order":
+		s.order(w, r)
+	default:
+		s.execute(w, r)
+	}
+}
+
+func (s *server) report(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	resident, loading := []string{}, []string{}
+	for name, at := range s.readyAt {
+		if time.Now().Before(at) {
+			loading = append(loading, modelName+"/"+name+"@1")
+		} else {
+			resident = append(resident, name+"@1")
+		}
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"born":    s.born.UnixMilli(),
+		"seq":     s.sequence,
+		"models":  s.models(resident),
+		"loading": loading,
+	})
+}
+
+func (s *server) order(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Opcode  string `json:"opcode"`
+		Adapter string `json:"adapter"`
+		Expect  int64  `json:"expect"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if expected := r.Header.Get(headerExpectServer); expected != "" && expected != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if order.Expect != s.sequence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.sequence++
+	if order.Opcode == "model_unload" {
+		delete(s.readyAt, order.Adapter)
+		return
+	}
+	if _, known := s.readyAt[order.Adapter]; !known {
+		s.readyAt[order.Adapter] = time.Now().Add(adapterLoadTime)
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// admit decides whether a request runs, and records its arrival. status is zero for
+// one that runs; index is that of the arrival in the history.
+func (s *server) admit(r *http.Request, part string) (status, index int, pausedUntil time.Time) {
+	_, adapter, _ := strings.Cut(r.Header.Get(headerAdapter), "/")
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	readyAt, loaded := s.readyAt[adapter]
+	switch {
+	case r.Context().Err() != nil || s.gone:
+		return http.StatusServiceUnavailable, 0, time.Time{}
+	case r.Header.Get(headerExpectServer) != s.id:
+		return http.StatusMisdirectedRequest, 0, time.Time{}
+	case now.Before(s.pausedUntil):
+		status, pausedUntil = http.StatusServiceUnavailable, s.pausedUntil
+	case s.service == modelService && (!loaded || now.Before(readyAt)):
+		return http.StatusMisdirectedRequest, 0, time.Time{}
+	}
+	s.recorder.Record(func(h *history.History) {
+		index = len(h.Arrivals)
+		h.Arrivals = append(h.Arrivals, history.Arrival{
+			RequestID:   r.Header.Get(headerRequestID),
+			Server:      s.id,
+			At:          now,
+			Part:        part,
+			Ran:         status == 0,
+			Crashed:     status == 0 && part != "",
+			Leaving:     s.leaving,
+			PausedUntil: pausedUntil,
+		})
+	})
+	return status, index, pausedUntil
+}
+
+// execute runs a request, or rejects it as not run.
+func (s *server) execute(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(headerRequestID)
+	part := crashingPart(r.Header.Get(headerPromptPrefix))
+	status, index, pausedUntil := s.admit(r, part)
+	w.Header().Set(headerRequestID, id)
+	if status != 0 {
+		if !pausedUntil.IsZero() {
+			w.Header().Set("Retry-After", strconv.FormatFloat(time.Until(pausedUntil).Seconds(), 'f', 3, 64))
+		}
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(status)
+		return
+	}
+	if part != "" {
+		go s.onCrash(s)
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(headerStamp, s.id)
+	if s.write(w, r, id) {
+		s.recorder.Record(func(h *history.History) { h.Arrivals[index].Completed = true })
+	}
+}
+
+// write writes the answer and reports whether it was written whole.
+func (s *server) write(w http.ResponseWriter, r *http.Request, id string) (whole bool) {
+	_, adapter, _ := strings.Cut(r.Header.Get(headerAdapter), "/")
+	count := streamEvents
+	if s.service != modelService {
+		count = orderEvents
+	}
+	for i := range count {
+		event, err := json.Marshal(history.Event{
+			Number:    i + 1,
+			RequestID: id,
+			Adapter:   adapter,
+			Team:      r.Header.Get(headerTeam),
+		})
+		if err != nil {
+			return false
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, event); err != nil {
+			return false
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return false
+		}
+		time.Sleep(eventInterval)
+	}
+	return r.Context().Err() == nil && !s.isGone()
+}
+
+// crashingPart returns the part of a prompt that crashes workers, if there is one.
+func crashingPart(prefix string) string {
+	for _, part := range strings.Split(prefix, ",") {
+		id, _, _ := strings.Cut(part, ":")
+		if strings.HasPrefix(id, crashingPartPrefix) {
+			return id
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/cmd/soak/history/judge.go
@@ -0,0 +1,441 @@
+package history
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	// withdrawalBound is the time from the withdrawal of a key to its last use.
+	withdrawalBound = 6 * time.Second
+	// drainBound is the time from the announcement that a server leaves to the last
+	// request that goes there.
+	drainBound = 3 * time.Second
+	// stableWindow is how long an instance must have been undisturbed before bounds
+	// hold for it.
+	stableWindow = 3 * time.Second
+	// pauseGrace is the time from a rejection to the begin of the pause it asks for.
+	pauseGrace = 500 * time.Millisecond
+	// maxPauseRequests is the number of requests that a server may get from one
+	// instance in a pause.
+	maxPauseRequests = 2
+	// blockingCrashes is the number of crashes after which a prompt part must be
+	// blocked, and maxBlockedRequests the number of requests with it that may still
+	// reach servers.
+	blockingCrashes    = 5
+	maxBlockedRequests = 3
+	// recoveryBound is the time to serve again after the last fault.
+	recoveryBound = 20 * time.Second
+	// StopBound is the time from SIGTERM to the end of a process.
+	StopBound = 10 * time.Second
+	// levelFactor and the slacks bound resources after the faults.
+	levelFactor      = 2
+	goroutineSlack   = 100
+	descriptorSlack  = 50
+	memorySlackBytes = 64 << 20
+	// faultTail is how long the effects of a fault of a server last.
+	faultTail = time.Second
+)
+
+// Violation is a promise that was not kept.
+type Violation struct {
+	Check string `json:"check"`
+	Text  string `json:"text"`
+}
+
+// Check finds violations of one promise.
+type Check struct {
+	Name string
+	find func(j *judge) []string
+}
+
+// Checks returns all checks.
+func Checks() []Check {
+	return []Check{
+		{Name: "rightAdapter", find: (*judge).wrongAdapters},
+		{Name: "rightTeam", find: (*judge).wrongTeams},
+		{Name: "delivery", find: (*judge).misdeliveries},
+		{Name: "streamsWhole", find: (*judge).cutStreams},
+		{Name: "answerLost", find: (*judge).lostAnswers},
+		{Name: "notRun", find: (*judge).falseRefusals},
+		{Name: "atMostOnce", find: (*judge).repetitions},
+		{Name: "denied", find: (*judge).denials},
+		{Name: "withdrawnKey", find: (*judge).usedKeys},
+		{Name: "leftServer", find: (*judge).usedServers},
+		{Name: "pause", find: (*judge).ignoredPauses},
+		{Name: "crashingPart", find: (*judge).unblockedParts},
+		{Name: "plannedStop", find: (*judge).cutStops},
+		{Name: "processEnded", find: (*judge).crashes},
+		{Name: "recovery", find: (*judge).slowRecoveries},
+		{Name: "levels", find: (*judge).raisedLevels},
+	}
+}
+
+// Judge returns all violations in a history.
+func Judge(h *History) []Violation {
+	j := newJudge(h)
+	var violations []Violation
+	for _, check := range Checks() {
+		for _, text := range check.find(j) {
+			violations = append(violations, Violation{
+				Check: check.Name,
+				Text:  text,
+			})
+		}
+	}
+	return violations
+}
+
+// judge is a history with indexes.
+type judge struct {
+	*History
+	requests  map[string]Request
+	arrivals  map[string][]Arrival
+	withdrawn map[string]time.Time
+}
+
+func newJudge(h *History) *judge {
+	j := &judge{
+		History:   h,
+		requests:  map[string]Request{},
+		arrivals:  map[string][]Arrival{},
+		withdrawn: map[string]time.Time{},
+	}
+	for _, r := range h.Requests {
+		j.requests[r.ID] = r
+	}
+	for _, a := range h.Arrivals {
+		j.arrivals[a.RequestID] = append(j.arrivals[a.RequestID], a)
+	}
+	for _, w := range h.Withdrawals {
+		j.withdrawn[w.Key] = w.At
+	}
+	return j
+}
+
+// disturbed reports whether a target had a fault at some time from begin to end.
+func (j *judge) disturbed(target string, begin, end time.Time) bool {
+	for _, f := range j.Faults {
+		if f.Target == target && f.Begin.Before(end) && f.End.After(begin) {
+			return true
+		}
+	}
+	return false
+}
+
+// inTouch reports whether neither an instance nor the store was disturbed from the
+// stable window before begin to end.
+func (j *judge) inTouch(instance string, begin, end time.Time) bool {
+	begin = begin.Add(-stableWindow)
+	return !j.disturbed(instance, begin, end) && !j.disturbed(Store, begin, end)
+}
+
+// excused reports whether a fault of the request's instance, or of a server that it
+// reached, explains an answer that isn't whole.
+func (j *judge) excused(r Request) bool {
+	if j.disturbed(r.Instance, r.Sent, r.Ended) {
+		return true
+	}
+	for _, a := range j.arrivals[r.ID] {
+		if a.Crashed || j.disturbed(a.Server, r.Sent.Add(-faultTail), r.Ended) {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *judge) ran(id string) (count int) {
+	for _, a := range j.arrivals[id] {
+		if a.Ran {
+			count++
+		}
+	}
+	return count
+}
+
+func (j *judge) wrongAdapters() (texts []string) {
+	for _, r := range j.Requests {
+		for _, e := range r.Events {
+			if e.Adapter != r.Adapter {
+				texts = append(texts, fmt.Sprintf("%s for %q was answered by %q", r.ID, r.Adapter, e.Adapter))
+			}
+		}
+	}
+	return texts
+}
+
+func (j *judge) wrongTeams() (texts []string) {
+	for _, r := range j.Requests {
+		for _, e := range r.Events {
+			if e.Team != r.Team {
+				texts = append(texts, fmt.Sprintf("%s of team %s ran as %q", r.ID, r.Team, e.Team))
+			}
+		}
+	}
+	return texts
+}
+
+// misdeliveries finds events of other requests and events out of order or doubled.
+func (j *judge) misdeliveries() (texts []string) {
+	for _, r := range j.Requests {
+		for i, e := range r.Events {
+			if e.RequestID != r.ID {
+				texts = append(texts, fmt.Sprintf("%s got event %d of %s", r.ID, e.Number, e.RequestID))
+			}
+			if e.Number != i+1 {
+				texts = append(texts, fmt.Sprintf("%s got event %d in place of %d", r.ID, e.Number, i+1))
+			}
+		}
+	}
+	return texts
+}
+
+func (j *judge) cutStreams() (texts []string) {
+	for _, r := range j.Requests {
+		if r.Status == http.StatusOK && len(r.Events) < r.EventCount && !j.excused(r) {
+			texts = append(texts, fmt.Sprintf("%s at %s got %d of %d events: %s", r.ID, r.Instance, len(r.Events), r.EventCount, r.Broken))
+		}
+	}
+	return texts
+}
+
+// lostAnswers finds requests whose answer a server completed and the caller didn't
+// get, and requests that got no answer though their instance was sound.
+func (j *judge) lostAnswers() (texts []string) {
+	for _, r := range j.Requests {
+		if r.Status == http.StatusOK || r.Unreached || j.excused(r) {
+			continue
+		}
+		for _, a := range j.arrivals[r.ID] {
+			if a.Completed {
+				texts = append(texts, fmt.Sprintf("%s at %s: %s completed the answer, the caller got %d %s", r.ID, r.Instance, a.Server, r.Status, r.Broken))
+			}
+		}
+	}
+	return texts
+}
+
+func isNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+func (j *judge) falseRefusals() (texts []string) {
+	for _, r := range j.Requests {
+		if isNotRun(r.Status) && j.ran(r.ID) > 0 {
+			texts = append(texts, fmt.Sprintf("%s at %s got %d and ran", r.ID, r.Instance, r.Status))
+		}
+	}
+	return texts
+}
+
+func (j *judge) repetitions() (texts []string) {
+	for _, r := range j.Requests {
+		if count := j.ran(r.ID); count > 1 {
+			texts = append(texts, fmt.Sprintf("%s at %s ran %d times", r.ID, r.Instance, count))
+		}
+	}
+	return texts
+}
+
+// denials finds proper requests that were called improper.
+func (j *judge) denials() (texts []string) {
+	for _, r := range j.Requests {
+		_, withdrawn := j.withdrawn[r.Key]
+		switch r.Status {
+		case http.StatusUnauthorized, http.StatusForbidden:
+			if withdrawn {
+				continue
+			}
+		case http.StatusNotFound, http.StatusBadRequest:
+		default:
+			continue
+		}
+		texts = append(texts, fmt.Sprintf("%s at %s got %d", r.ID, r.Instance, r.Status))
+	}
+	return texts
+}
+
+func (j *judge) usedKeys() (texts []string) {
+	for _, r := range j.Requests {
+		at, withdrawn := j.withdrawn[r.Key]
+		if !withdrawn || r.Sent.Before(at.Add(withdrawalBound)) || !j.inTouch(r.Instance, at, r.Sent) {
+			continue
+		}
+		if j.ran(r.ID) > 0 {
+			texts = append(texts, fmt.Sprintf("%s at %s ran %s after %s was withdrawn", r.ID, r.Instance, r.Sent.Sub(at), r.Key))
+		}
+	}
+	return texts
+}
+
+// pair is an instance and a server that it sends requests to.
+type pair struct {
+	instance string
+	server   string
+}
+
+// announcements returns when an instance first passed on an answer in which a server
+// announced that it leaves.
+func (j *judge) announcements() map[pair]time.Time {
+	announced := map[pair]time.Time{}
+	for _, a := range j.Arrivals {
+		r, found := j.requests[a.RequestID]
+		if !found || !a.Leaving || !a.Completed || r.Status != http.StatusOK {
+			continue
+		}
+		p := pair{r.Instance, a.Server}
+		if at, known := announced[p]; !known || r.Ended.Before(at) {
+			announced[p] = r.Ended
+		}
+	}
+	return announced
+}
+
+// usedServers finds requests for servers that were known to leave: by an answer that
+// the same instance had passed on, or by the server list.
+func (j *judge) usedServers() (texts []string) {
+	announced := j.announcements()
+	listed := map[string]time.Time{}
+	for _, d := range j.Departures {
+		listed[d.Server] = d.At
+	}
+	for _, a := range j.Arrivals {
+		r, found := j.requests[a.RequestID]
+		if !found {
+			continue
+		}
+		at, known := announced[pair{r.Instance, a.Server}]
+		if known && r.Sent.After(at.Add(drainBound)) && !j.disturbed(r.Instance, at, r.Sent) {
+			texts = append(texts, fmt.Sprintf("%s at %s reached %s, sent %s after its announcement", r.ID, r.Instance, a.Server, r.Sent.Sub(at)))
+			continue
+		}
+		if at, known = listed[a.Server]; known && r.Sent.After(at.Add(drainBound)) && j.inTouch(r.Instance, at, r.Sent) {
+			texts = append(texts, fmt.Sprintf("%s at %s reached %s, sent %s after it was listed as draining", r.ID, r.Instance, a.Server, r.Sent.Sub(at)))
+		}
+	}
+	return texts
+}
+
+// ignoredPauses looks at each pause once, from the rejection that asked for it first.
+func (j *judge) ignoredPauses() (texts []string) {
+	arrivals := map[pair][]Arrival{}
+	for _, a := range j.Arrivals {
+		if r, found := j.requests[a.RequestID]; found {
+			p := pair{r.Instance, a.Server}
+			arrivals[p] = append(arrivals[p], a)
+		}
+	}
+	for p, all := range arrivals {
+		for _, asked := range all {
+			if asked.PausedUntil.IsZero() || j.disturbed(p.instance, asked.At, asked.PausedUntil) || j.disturbed(p.server, asked.At, asked.At.Add(faultTail)) {
+				continue
+			}
+			count := 0
+			for _, a := range all {
+				if a.At.After(asked.At.Add(pauseGrace)) && a.At.Before(asked.PausedUntil) {
+					count++
+				}
+			}
+			if count > maxPauseRequests {
+				texts = append(texts, fmt.Sprintf("%s sent %d requests to %s in its pause to %s", p.instance, count, p.server, asked.PausedUntil))
+				break
+			}
+		}
+	}
+	return texts
+}
+
+func (j *judge) unblockedParts() (texts []string) {
+	crashes := map[string][]time.Time{}
+	for _, a := range j.Arrivals {
+		if a.Crashed && a.Part != "" {
+			crashes[a.Part] = append(crashes[a.Part], a.At)
+		}
+	}
+	for part, times := range crashes {
+		if len(times) < blockingCrashes {
+			continue
+		}
+		blockedAt := times[blockingCrashes-1].Add(stableWindow)
+		count := 0
+		for _, a := range j.Arrivals {
+			r := j.requests[a.RequestID]
+			if a.Part == part && a.Ran && a.At.After(blockedAt) && j.inTouch(r.Instance, a.At, a.At) {
+				count++
+			}
+		}
+		if count > maxBlockedRequests {
+			texts = append(texts, fmt.Sprintf("%d requests with part %s ran after %s", count, part, blockedAt))
+		}
+	}
+	return texts
+}
+
+// cutStops finds requests that ran and were cut while their instance stopped as
+// planned, and stops that failed or took too long.
+func (j *judge) cutStops() (texts []string) {
+	for _, s := range j.Stops {
+		if !s.Planned {
+			continue
+		}
+		if s.ExitCode != 0 || s.EndedAt.Sub(s.SignalledAt) > StopBound {
+			texts = append(texts, fmt.Sprintf("%s ended with %d after %s", s.Instance, s.ExitCode, s.EndedAt.Sub(s.SignalledAt)))
+		}
+		for _, r := range j.Requests {
+			if r.Instance != s.Instance || r.Sent.After(s.EndedAt) || r.Ended.Before(s.SignalledAt) {
+				continue
+			}
+			if r.Broken != "" && j.ran(r.ID) > 0 && !j.serverExcuses(r) {
+				texts = append(texts, fmt.Sprintf("%s was cut by the planned stop of %s: %s", r.ID, s.Instance, r.Broken))
+			}
+		}
+	}
+	return texts
+}
+
+// serverExcuses reports whether a fault of a server explains an answer that was cut.
+func (j *judge) serverExcuses(r Request) bool {
+	for _, a := range j.arrivals[r.ID] {
+		if a.Crashed || j.disturbed(a.Server, r.Sent.Add(-faultTail), r.Ended) {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *judge) crashes() (texts []string) {
+	for _, s := range j.Stops {
+		if !s.Planned && !s.Forced {
+			texts = append(texts, fmt.Sprintf("%s ended by itself with %d at %s", s.Instance, s.ExitCode, s.EndedAt))
+		}
+	}
+	return texts
+}
+
+func (j *judge) slowRecoveries() (texts []string) {
+	for _, r := range j.Recoveries {
+		switch {
+		case r.End.IsZero():
+			texts = append(texts, fmt.Sprintf("%s did not recover", r.Subject))
+		case r.End.Sub(r.Begin) > recoveryBound:
+			texts = append(texts, fmt.Sprintf("%s recovered after %s", r.Subject, r.End.Sub(r.Begin)))
+		}
+	}
+	return texts
+}
+
+func (j *judge) raisedLevels() (texts []string) {
+	for _, l := range j.Levels {
+		if l.After.Goroutines > levelFactor*l.Before.Goroutines+goroutineSlack ||
+			l.After.Descriptors > levelFactor*l.Before.Descriptors+descriptorSlack ||
+			l.After.MemoryBytes > levelFactor*l.Before.MemoryBytes+memorySlackBytes {
+			texts = append(texts, fmt.Sprintf("%s: %+v before, %+v after", l.Instance, l.Before, l.After))
+		}
+	}
+	return texts
+}
--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,21 @@
+// Command soak plays faults drawn from a seed on processes of the real program, and
+// judges what callers and backend servers saw.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	commander := subcommands.NewCommander(flag.CommandLine, "soak")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(&runCommand{}, "")
+	commander.Register(&manyCommand{}, "")
+	commander.Register(&replayCommand{}, "")
+	flag.Parse()
+	os.Exit(int(commander.Execute(context.Background())))
+}
