Let leaving servers of the soak be listed later, and end its processes on a signal

Servers that leave announced it only one second before the list said so, so an instance that ignored the announcement still kept within the bound. The list now follows after 4.5 s. A soak that gets SIGTERM or SIGINT now kills the processes that it started; before, they would have gone on. New check: answerTime, with a scenario.

--- a/cmd/soak/arena/arena.go
+++ b/cmd/soak/arena/arena.go
@@ -47,8 +47,9 @@
 }
 
 // Run plays a plan with a program and returns what was seen. Settings and logs of
-// the processes go into a directory.
-func Run(program, directory string, p plan.Plan) (h *history.History, err error) {
+// the processes go into a directory. No process outlives it, also when the context
+// ends first.
+func Run(ctx context.Context, program, directory string, p plan.Plan) (h *history.History, err error) {
 	a := &arena{
 		store: standin.NewStore(),
 		taken: map[*server]bool{},
@@ -73,7 +74,14 @@
 	if err = a.startInstances(program, directory, listener.Addr().String(), p); err != nil {
 		return nil, err
 	}
-	if err = a.play(p); err != nil {
+	played := make(chan error, 1)
+	go func() { played <- a.play(p) }()
+	select {
+	case err = <-played:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
 		return nil, err
 	}
 	return a.recorder.History(), nil
@@ -181,7 +189,7 @@
 // killInstances ends processes that are left over after a failure.
 func (a *arena) killInstances() {
 	for _, i := range a.instances {
-		i.killLeftOver()
+		i.close()
 	}
 }
 
--- a/cmd/soak/arena/faults.go
+++ b/cmd/soak/arena/faults.go
@@ -12,10 +12,11 @@
 const (
 	// crashTail is how long a server that crashed is away.
 	crashTail = time.Second
-	// A server that leaves is listed as draining, then no more, and ends.
-	drainingAfter = time.Second
-	removedAfter  = 5 * time.Second
-	endsAfter     = 8 * time.Second
+	// A server that leaves announces it, is later listed as draining, then no more,
+	// and ends.
+	drainingAfter = 4500 * time.Millisecond
+	removedAfter  = 8500 * time.Millisecond
+	endsAfter     = 11 * time.Second
 	// crashingInterval is the time between requests of one caller with a part that
 	// crashes workers.
 	crashingInterval = 400 * time.Millisecond
--- a/cmd/soak/arena/instance.go
+++ b/cmd/soak/arena/instance.go
@@ -47,6 +47,7 @@
 	inRotation atomic.Bool
 
 	mu      sync.Mutex
+	closed  bool
 	command *exec.Cmd
 	stop    *history.Stop
 	ended   chan struct{}
@@ -104,14 +105,10 @@
 	command := exec.Command(i.program, "front", "-settings", i.settingsPath())
 	command.Stdout, command.Stderr = output, output
 	begin := time.Now()
-	if err = command.Start(); err != nil {
+	ended, err := i.launch(command)
+	if err != nil {
 		return err
 	}
-	ended := make(chan struct{})
-	i.mu.Lock()
-	i.command, i.ended, i.stop = command, ended, &history.Stop{Instance: i.name}
-	i.mu.Unlock()
-	go i.wait(command, ended)
 	for time.Since(begin) < readyBound && !i.isReady() {
 		select {
 		case <-ended:
@@ -125,6 +122,22 @@
 	return nil
 }
 
+// launch starts the process unless the instance is closed.
+func (i *instance) launch(command *exec.Cmd) (ended chan struct{}, err error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.closed {
+		return nil, fmt.Errorf("%s is closed", i.name)
+	}
+	if err = command.Start(); err != nil {
+		return nil, err
+	}
+	ended = make(chan struct{})
+	i.command, i.ended, i.stop = command, ended, &history.Stop{Instance: i.name}
+	go i.wait(command, ended)
+	return ended, nil
+}
+
 // wait records the end of a process.
 func (i *instance) wait(command *exec.Cmd, ended chan struct{}) {
 	_ = command.Wait()
@@ -238,9 +251,10 @@
 	return 0, fmt.Errorf("%s has no count of goroutines: %w", i.name, lines.Err())
 }
 
-// killLeftOver kills the process if it still runs.
-func (i *instance) killLeftOver() {
+// close kills the process if it still runs, and keeps another from starting.
+func (i *instance) close() {
 	i.mu.Lock()
+	i.closed = true
 	ended := i.ended
 	i.mu.Unlock()
 	if ended == nil {
--- a/cmd/soak/commands.go
+++ b/cmd/soak/commands.go
@@ -29,9 +29,9 @@
 }
 
 // play plays a plan in a new directory below the directory of the runs.
-func (o *options) play(p plan.Plan) (kept bool) {
+func (o *options) play(ctx context.Context, p plan.Plan) (kept bool) {
 	directory := filepath.Join(o.directory, fmt.Sprintf("%d-%s", p.Seed, time.Now().Format("20060102T150405")))
-	report, err := session.Play(o.program, directory, p)
+	report, err := session.Play(ctx, o.program, directory, p)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "seed %d: %v\n", p.Seed, err)
 		return false
@@ -76,12 +76,12 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *runCommand) Execute(_ context.Context, flags *flag.FlagSet, _ ...interface{}) subcommands.ExitStatus {
+func (c *runCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...interface{}) subcommands.ExitStatus {
 	seed, err := strconv.ParseUint(flags.Arg(0), 10, 64)
 	if err != nil || flags.NArg() != 1 {
 		return usageError("a seed is needed: a number")
 	}
-	return exitStatus(c.play(plan.Draw(seed, c.length)))
+	return exitStatus(c.play(ctx, plan.Draw(seed, c.length)))
 }
 
 // manyCommand plays the plans of several seeds.
@@ -110,10 +110,10 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *manyCommand) Execute(context.Context, *flag.FlagSet, ...interface{}) subcommands.ExitStatus {
+func (c *manyCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...interface{}) subcommands.ExitStatus {
 	var broken []uint64
-	for seed := c.first; seed < c.first+c.count; seed++ {
-		if !c.play(plan.Draw(seed, c.length)) {
+	for seed := c.first; seed < c.first+c.count && ctx.Err() == nil; seed++ {
+		if !c.play(ctx, plan.Draw(seed, c.length)) {
 			broken = append(broken, seed)
 		}
 	}
@@ -145,7 +145,7 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *replayCommand) Execute(_ context.Context, flags *flag.FlagSet, _ ...interface{}) subcommands.ExitStatus {
+func (c *replayCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...interface{}) subcommands.ExitStatus {
 	if flags.NArg() != 1 {
 		return usageError("the directory of an earlier run is needed")
 	}
@@ -161,5 +161,5 @@
 	if err != nil {
 		return usageError(err.Error())
 	}
-	return exitStatus(c.play(p))
+	return exitStatus(c.play(ctx, p))
 }
--- a/cmd/soak/history/judge.go
+++ b/cmd/soak/history/judge.go
@@ -25,6 +25,9 @@
 	// reach servers.
 	blockingCrashes    = 5
 	maxBlockedRequests = 3
+	// answerBound is the time from a request to the end of its answer. It is longer
+	// than the deadline that callers give.
+	answerBound = 7 * time.Second
 	// recoveryBound is the time to serve again after the last fault.
 	recoveryBound = 20 * time.Second
 	// StopBound is the time from SIGTERM to the end of a process.
@@ -58,6 +61,7 @@
 		{Name: "delivery", find: (*judge).misdeliveries},
 		{Name: "streamsWhole", find: (*judge).cutStreams},
 		{Name: "answerLost", find: (*judge).lostAnswers},
+		{Name: "answerTime", find: (*judge).lateAnswers},
 		{Name: "notRun", find: (*judge).falseRefusals},
 		{Name: "atMostOnce", find: (*judge).repetitions},
 		{Name: "denied", find: (*judge).denials},
@@ -216,6 +220,16 @@
 	return texts
 }
 
+// lateAnswers finds requests that an undisturbed instance left without an end.
+func (j *judge) lateAnswers() (texts []string) {
+	for _, r := range j.Requests {
+		if r.Ended.Sub(r.Sent) > answerBound && !j.disturbed(r.Instance, r.Sent, r.Ended) {
+			texts = append(texts, fmt.Sprintf("%s at %s ended after %s with %d %s", r.ID, r.Instance, r.Ended.Sub(r.Sent), r.Status, r.Broken))
+		}
+	}
+	return texts
+}
+
 func isNotRun(status int) bool {
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
--- a/cmd/soak/history/judge_test.go
+++ b/cmd/soak/history/judge_test.go
@@ -97,6 +97,13 @@
 				h.Faults = []history.Fault{{Target: "a", Begin: at(10.05), End: at(12)}}
 			},
 		},
+		{
+			check:  "answerTime",
+			broken: func(h *history.History) { h.Requests[0].Ended = at(17.1) },
+			allowed: func(h *history.History) {
+				h.Faults = []history.Fault{{Target: "a", Begin: at(11), End: at(16)}}
+			},
+		},
 		{
 			check: "notRun",
 			broken: func(h *history.History) {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"flag"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 )
@@ -17,5 +19,8 @@
 	commander.Register(&manyCommand{}, "")
 	commander.Register(&replayCommand{}, "")
 	flag.Parse()
-	os.Exit(int(commander.Execute(context.Background())))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	status := commander.Execute(ctx)
+	stop()
+	os.Exit(int(status))
 }
--- a/cmd/soak/session/session.go
+++ b/cmd/soak/session/session.go
@@ -3,6 +3,7 @@
 package session
 
 import (
+	"context"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -23,7 +24,7 @@
 )
 
 // Play plays a plan and keeps everything in a new directory.
-func Play(program, directory string, p plan.Plan) (report history.Report, err error) {
+func Play(ctx context.Context, program, directory string, p plan.Plan) (report history.Report, err error) {
 	defer pomelospring.Annotate(&err, "soak in %s", directory)
 	if err = os.MkdirAll(directory, 0o700); err != nil {
 		return report, err
@@ -31,7 +32,7 @@
 	if err = write(directory, planFile, p); err != nil {
 		return report, err
 	}
-	h, err := arena.Run(program, directory, p)
+	h, err := arena.Run(ctx, program, directory, p)
 	if err != nil {
 		return report, err
 	}
--- a/cmd/soak/session/session_test.go
+++ b/cmd/soak/session/session_test.go
@@ -25,7 +25,7 @@
 	}
 	directory := t.TempDir()
 	p := plan.Draw(shortSeed, shortLength)
-	report, err := session.Play(program, directory, p)
+	report, err := session.Play(t.Context(), program, directory, p)
 	if err != nil {
 		t.Fatal(err)
 	}
