Let only harmful faults of servers excuse answers that are cut, and ignored pauses

A server that was silent, leaving or pausing excused each answer cut there, and the check of pauses passed over every pause that the soak itself had asked for, as it took it for a disturbance. Both scenarios now carry the fault that hid them; they failed before this change. A stream that ends early without an error now counts at a planned stop too.

--- a/cmd/soak/history/judge.go
+++ b/cmd/soak/history/judge.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/pomelospring/pomelospring/cmd/soak/plan"
 )
 
 const (
@@ -118,10 +120,16 @@
 	return j
 }
 
-// disturbed reports whether a target had a fault at some time from begin to end.
+// isHarmless reports whether a fault must neither cut nor lose an answer.
+func isHarmless(kind string) bool {
+	return kind == plan.SilenceServer || kind == plan.PauseServer || kind == plan.LeaveServer
+}
+
+// disturbed reports whether a target had a harmful fault at some time from begin to
+// end.
 func (j *judge) disturbed(target string, begin, end time.Time) bool {
 	for _, f := range j.Faults {
-		if f.Target == target && f.Begin.Before(end) && f.End.After(begin) {
+		if f.Target == target && !isHarmless(f.Kind) && f.Begin.Before(end) && f.End.After(begin) {
 			return true
 		}
 	}
@@ -141,12 +149,7 @@
 	if j.disturbed(r.Instance, r.Sent, r.Ended) {
 		return true
 	}
-	for _, a := range j.arrivals[r.ID] {
-		if a.Crashed || j.disturbed(a.Server, r.Sent.Add(-faultTail), r.Ended) {
-			return true
-		}
-	}
-	return false
+	return j.serverExcuses(r)
 }
 
 func (j *judge) ran(id string) (count int) {
@@ -404,7 +407,7 @@
 			if r.Instance != s.Instance || r.Sent.After(s.EndedAt) || r.Ended.Before(s.SignalledAt) {
 				continue
 			}
-			if r.Broken != "" && j.ran(r.ID) > 0 && !j.serverExcuses(r) {
+			if isCut(r) && j.ran(r.ID) > 0 && !j.serverExcuses(r) {
 				texts = append(texts, fmt.Sprintf("%s was cut by the planned stop of %s: %s", r.ID, s.Instance, r.Broken))
 			}
 		}
@@ -412,6 +415,11 @@
 	return texts
 }
 
+// isCut reports whether an answer, or the connection before it, broke off.
+func isCut(r Request) bool {
+	return r.Broken != "" || r.Status == http.StatusOK && len(r.Events) < r.EventCount
+}
+
 // serverExcuses reports whether a fault of a server explains an answer that was cut.
 func (j *judge) serverExcuses(r Request) bool {
 	for _, a := range j.arrivals[r.ID] {
--- a/cmd/soak/history/judge_test.go
+++ b/cmd/soak/history/judge_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/pomelospring/pomelospring/cmd/soak/history"
+	"github.com/pomelospring/pomelospring/cmd/soak/plan"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -85,6 +86,7 @@
 			check: "streamsWhole",
 			broken: func(h *history.History) {
 				h.Requests[0].Events = h.Requests[0].Events[:1]
+				h.Faults = []history.Fault{{Kind: plan.SilenceServer, Target: "s", Begin: at(9), End: at(11)}}
 			},
 			allowed: func(h *history.History) {
 				h.Faults = []history.Fault{{Target: "s", Begin: at(9.5), End: at(10.5)}}
@@ -156,6 +158,7 @@
 			broken: func(h *history.History) {
 				add(h, history.Arrival{Server: "s"}, 21, 22, 23)
 				h.Arrivals[0].At, h.Arrivals[0].PausedUntil = at(20), at(24)
+				h.Faults = []history.Fault{{Kind: plan.PauseServer, Target: "s", Begin: at(19), End: at(24)}}
 			},
 			allowed: func(h *history.History) { h.Arrivals[0].PausedUntil = at(22.9) },
 		},
