Check in the soak that workers get orders of one leader at a time

The stand-ins of model workers record who gave each order; orders of two holders within the handover time of 3 s break the new check oneLeader, unless a leader was frozen or the worker's connections were disturbed.

--- a/cmd/soak/arena/arena.go
+++ b/cmd/soak/arena/arena.go
@@ -172,6 +172,12 @@
 			return err
 		}
 		a.instances = append(a.instances, i)
+		a.recorder.Record(func(h *history.History) {
+			if h.Holders == nil {
+				h.Holders = map[string]string{}
+			}
+			h.Holders[i.peers] = i.name
+		})
 	}
 	failures := make([]error, len(a.instances))
 	var group sync.WaitGroup
--- a/cmd/soak/arena/instance.go
+++ b/cmd/soak/arena/instance.go
@@ -27,7 +27,6 @@
 	readinessMisses   = 2
 	// readyBound is how long a new process may take until it is ready.
 	readyBound = 30 * time.Second
-	orderTurn  = 3 * time.Second
 )
 
 // instance is an instance that runs in a process of its own, and is started again
@@ -38,6 +37,7 @@
 	program   string
 	callers   string
 	readiness string
+	peers     string
 	metrics   string
 	store     *proxy
 	recorder  *history.Recorder
@@ -69,7 +69,7 @@
 			return nil, err
 		}
 	}
-	i.callers, i.readiness, i.metrics = addresses[0], addresses[1], addresses[3]
+	i.callers, i.readiness, i.peers, i.metrics = addresses[0], addresses[1], addresses[2], addresses[3]
 	// JSON is YAML.
 	settings, err := json.MarshalIndent(map[string]any{
 		"name":    name,
@@ -84,7 +84,7 @@
 		"storeAddress": i.store.address(),
 		"bounds": map[string]any{
 			"stopWithin": history.StopBound.String(),
-			"orderTurn":  orderTurn.String(),
+			"orderTurn":  history.HandoverTime.String(),
 		},
 	}, "", "  ")
 	if err != nil {
--- a/cmd/soak/arena/server.go
+++ b/cmd/soak/arena/server.go
@@ -178,6 +178,7 @@
 		Adapter string `json:"adapter"`
 		Expect  int64  `json:"expect"`
 		Version int64  `json:"version"`
+		Holder  string `json:"holder"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -192,6 +193,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.recorder.Record(func(h *history.History) {
+		h.Orders = append(h.Orders, history.Order{
+			Server: s.id,
+			Holder: order.Holder,
+			At:     time.Now(),
+		})
+	})
 	if order.Expect != s.sequence {
 		w.WriteHeader(http.StatusConflict)
 		return
--- a/cmd/soak/history/history.go
+++ b/cmd/soak/history/history.go
@@ -9,15 +9,18 @@
 
 // History is all that was seen in one soak.
 type History struct {
-	Requests     []Request     `json:"requests"`
-	Arrivals     []Arrival     `json:"arrivals"`
-	Faults       []Fault       `json:"faults"`
-	Withdrawals  []Withdrawal  `json:"withdrawals"`
-	Declarations []Declaration `json:"declarations"`
-	Departures   []Departure   `json:"departures"`
-	Stops        []Stop        `json:"stops"`
-	Recoveries   []Recovery    `json:"recoveries"`
-	Levels       []Level       `json:"levels"`
+	// Holders has the names of the instances by how they name themselves in orders.
+	Holders      map[string]string `json:"holders"`
+	Requests     []Request         `json:"requests"`
+	Arrivals     []Arrival         `json:"arrivals"`
+	Faults       []Fault           `json:"faults"`
+	Orders       []Order           `json:"orders"`
+	Withdrawals  []Withdrawal      `json:"withdrawals"`
+	Declarations []Declaration     `json:"declarations"`
+	Departures   []Departure       `json:"departures"`
+	Stops        []Stop            `json:"stops"`
+	Recoveries   []Recovery        `json:"recoveries"`
+	Levels       []Level           `json:"levels"`
 }
 
 // Request is one request of a caller, with the answer that the caller saw.
@@ -79,6 +82,13 @@
 // Store is the target of faults of the metadata store.
 const Store = "store"
 
+// Order is an order of a leader at a model worker.
+type Order struct {
+	Server string    `json:"server"`
+	Holder string    `json:"holder"`
+	At     time.Time `json:"at"`
+}
+
 // Withdrawal is the moment at which operators removed a key.
 type Withdrawal struct {
 	Key string    `json:"key"`
--- a/cmd/soak/history/judge.go
+++ b/cmd/soak/history/judge.go
@@ -21,6 +21,8 @@
 	// stableWindow is how long an instance must have been undisturbed before bounds
 	// hold for it.
 	stableWindow = 3 * time.Second
+	// HandoverTime is the least time between orders of two leaders to one worker.
+	HandoverTime = 3 * time.Second
 	// pauseGrace is the time from a rejection to the begin of the pause it asks for.
 	pauseGrace = 500 * time.Millisecond
 	// maxPauseRequests is the number of requests that a server may get from one
@@ -75,6 +77,7 @@
 		{Name: "withdrawnKey", find: (*judge).usedKeys},
 		{Name: "leftServer", find: (*judge).usedServers},
 		{Name: "pause", find: (*judge).ignoredPauses},
+		{Name: "oneLeader", find: (*judge).sharedLeaderships},
 		{Name: "crashingPart", find: (*judge).unblockedParts},
 		{Name: "plannedStop", find: (*judge).cutStops},
 		{Name: "processEnded", find: (*judge).crashes},
@@ -406,6 +409,35 @@
 	return texts
 }
 
+// sharedLeaderships finds workers that got orders from two leaders within the handover
+// time. Orders around faults of the worker's connections or of a leader's process may
+// have been under way for longer.
+func (j *judge) sharedLeaderships() (texts []string) {
+	last := map[string]Order{}
+	for _, o := range j.Orders {
+		former, found := last[o.Server]
+		last[o.Server] = o
+		if !found || former.Holder == o.Holder || o.At.Sub(former.At) >= HandoverTime {
+			continue
+		}
+		begin := former.At.Add(-faultTail)
+		if !j.disturbed(o.Server, begin, o.At) && !j.frozen(former.Holder, begin, o.At) && !j.frozen(o.Holder, begin, o.At) {
+			texts = append(texts, fmt.Sprintf("%s got an order of %s %s after one of %s", o.Server, o.Holder, o.At.Sub(former.At), former.Holder))
+		}
+	}
+	return texts
+}
+
+// frozen reports whether the process of a leader was frozen at some time.
+func (j *judge) frozen(holder string, begin, end time.Time) bool {
+	for _, f := range j.Faults {
+		if f.Kind == plan.FreezeInstance && f.Target == j.Holders[holder] && f.Begin.Before(end) && f.End.After(begin) {
+			return true
+		}
+	}
+	return false
+}
+
 func (j *judge) unblockedParts() (texts []string) {
 	crashes := map[string][]time.Time{}
 	for _, a := range j.Arrivals {
--- a/cmd/soak/history/judge_test.go
+++ b/cmd/soak/history/judge_test.go
@@ -173,6 +173,16 @@
 			},
 			allowed: func(h *history.History) { h.Arrivals[0].PausedUntil = at(22.9) },
 		},
+		{
+			check: "oneLeader",
+			broken: func(h *history.History) {
+				h.Holders = map[string]string{"a:1": "a", "b:1": "b"}
+				h.Orders = []history.Order{{Server: "s", Holder: "a:1", At: at(20)}, {Server: "s", Holder: "b:1", At: at(22.9)}}
+			},
+			allowed: func(h *history.History) {
+				h.Faults = []history.Fault{{Kind: plan.FreezeInstance, Target: "a", Begin: at(18), End: at(21)}}
+			},
+		},
 		{
 			check: "crashingPart",
 			broken: func(h *history.History) {
