--- /dev/null
+++ b/entry/answer_beginning.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+
+	"github.com/pomelospring/pomelospring"
+)
+
+// begun returns an answer once a part of it that can be forwarded has arrived: an
+// event of a stream, else the whole body or the beginning of a long one. A silent
+// server is not given up for an answer that breaks off before.
+func (c *session) begun(answer *pomelospring.BackendAnswer) (*pomelospring.BackendAnswer, error) {
+	read := readComplete
+	if c.route.Streaming {
+		read = readFirstEvent
+	}
+	beginning, err := read(answer)
+	if err != nil {
+		_ = answer.Body.Close()
+		return nil, err
+	}
+	rest := answer.Body
+	answer.Body = &replayedBody{
+		Reader: io.MultiReader(bytes.NewReader(beginning), rest),
+		Closer: rest,
+	}
+	return answer, nil
+}
+
+// readFirstEvent reads a stream until an event is complete, or to its end if it has
+// none.
+func readFirstEvent(answer *pomelospring.BackendAnswer) (beginning []byte, err error) {
+	scanner := &eventScanner{}
+	buffer := make([]byte, readBufferBytes)
+	for {
+		n, err := answer.Body.Read(buffer)
+		beginning = append(beginning, buffer[:n]...)
+		switch {
+		case len(scanner.add(buffer[:n])) > 0:
+			return beginning, nil
+		case scanner.tooLong():
+			return nil, errEventTooLong
+		case errors.Is(err, io.EOF) && scanner.empty():
+			return beginning, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// replayedBody is a body of which a part was read before.
+type replayedBody struct {
+	io.Reader
+	io.Closer
+}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"time"
@@ -47,7 +45,7 @@
 	reason    error
 }
 
-// successor is an attempt that has the head of its answer.
+// successor is an attempt whose answer has begun.
 type successor struct {
 	attempt *attempt
 	answer  *pomelospring.BackendAnswer
@@ -106,54 +104,6 @@
 	cancel()
 }
 
-// begun returns an answer once a part of it that can be forwarded has arrived: an
-// event of a stream, else the whole body or the beginning of a long one. A silent
-// server is not given up for an answer that breaks off before.
-func (c *session) begun(answer *pomelospring.BackendAnswer) (*pomelospring.BackendAnswer, error) {
-	read := readComplete
-	if c.route.Streaming {
-		read = readFirstEvent
-	}
-	beginning, err := read(answer)
-	if err != nil {
-		_ = answer.Body.Close()
-		return nil, err
-	}
-	rest := answer.Body
-	answer.Body = &replayedBody{
-		Reader: io.MultiReader(bytes.NewReader(beginning), rest),
-		Closer: rest,
-	}
-	return answer, nil
-}
-
-// readFirstEvent reads a stream until an event is complete, or to its end if it has
-// none.
-func readFirstEvent(answer *pomelospring.BackendAnswer) (beginning []byte, err error) {
-	scanner := &eventScanner{}
-	buffer := make([]byte, readBufferBytes)
-	for {
-		n, err := answer.Body.Read(buffer)
-		beginning = append(beginning, buffer[:n]...)
-		switch {
-		case len(scanner.add(buffer[:n])) > 0:
-			return beginning, nil
-		case scanner.tooLong():
-			return nil, errEventTooLong
-		case errors.Is(err, io.EOF) && scanner.empty():
-			return beginning, nil
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
-// replayedBody is a body of which a part was read before.
-type replayedBody struct {
-	io.Reader
-	io.Closer
-}
-
 // watchTakeover ends a takeover to a server that is silent itself, once yet another
 // one can be asked, unless the takeover is done before.
 func (a *attempt) watchTakeover(ctx context.Context, server string, done <-chan struct{}, cancel context.CancelCauseFunc) {
