--- a/coordination/canceled_placement_test.go
+++ b/coordination/canceled_placement_test.go
@@ -63,6 +63,7 @@
 	leader.Logger = &log.Logger{Handler: discard.New()}
 	leader.Clock = time.Now
 	leader.Uptime = func() time.Duration { return time.Since(began) }
+	leader.Eras = &coordination.StoreEras{Logger: leader.Logger, Uptime: leader.Uptime}
 	member := &coordination.Member{
 		Domain:   "north",
 		Address:  "self",
--- a/coordination/leader_test.go
+++ b/coordination/leader_test.go
@@ -93,6 +93,7 @@
 	leader.Logger = logger
 	leader.Clock = time.Now
 	leader.Uptime = func() time.Duration { return time.Since(began) }
+	leader.Eras = &coordination.StoreEras{Logger: logger, Uptime: leader.Uptime}
 	election := &coordination.Election{
 		Groups:       &groups{},
 		Group:        "orders",
