Read the limits that servers name, share them and log them

Callers of consortium saw nothing; two servers that had named a limit of about one request a second got three to four.

No decision uses it yet.

--- a/coordination/member.go
+++ b/coordination/member.go
@@ -262,6 +262,7 @@
 		Relay:            relayRequested,
 		WithSpending:     m.spendingIsDue(),
 		Leaving:          leavingToProto(m.Board.LeavingServers(m.Domain)),
+		Limits:           limitsToProto(m.Board.Limits(m.Domain), m.Clock()),
 	}
 	if request.WithSpending {
 		request.Spending = spendingToProto(m.Ledger.Spending())
@@ -430,6 +431,7 @@
 		m.applyRelay(reply, full || allServers, now)
 	}
 	m.notices().RecordLeaving(leavingFromProto(reply.Leaving), reply.Leader)
+	m.notices().RecordLimits(limitsFromProto(reply.Limits, now), reply.Leader)
 	leaders := map[string]string{}
 	for _, leader := range reply.Leaders {
 		leaders[leader.Domain] = leader.Address
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -131,6 +131,7 @@
 		l.totals.Report(request.Instance, spendingFromProto(request.Spending))
 	}
 	l.notices().RecordLeaving(leavingFromProto(request.Leaving), request.Name)
+	l.notices().RecordLimits(limitsFromProto(request.Limits, now), request.Name)
 	l.table.MarkReady(l.readyMarkedAt, now)
 	l.readyMarkedAt = now
 	reply := &coordinationpb.ExchangeReply{
@@ -140,6 +141,7 @@
 		ResidencyVersion: l.table.Revision,
 		Residency:        residencyToProto(l.table.Residency(residencySince)),
 		Leaving:          leavingToProto(l.Board.LeavingServers(l.Domain)),
+		Limits:           limitsToProto(l.Board.Limits(l.Domain), now),
 	}
 	if request.WithSpending {
 		reply.Spending = spendingToProto(l.totals.Others(request.Instance))
--- a/entry/run.go
+++ b/entry/run.go
@@ -121,6 +121,7 @@
 		"prompt":     c.call.PromptTokens,
 		"tokens":     c.call.PromptTokens + c.call.OutputTokens,
 		"candidates": candidates,
+		"limit":      c.service.Board.LimitOf(choice.Candidate.Server.ID),
 		"policyMs":   c.service.Board.PolicyAge(now).Milliseconds(),
 		"heldMs":     now.Sub(c.call.Arrived).Milliseconds(),
 	})
--- a/fleet.go
+++ b/fleet.go
@@ -160,6 +160,11 @@
 	// PausedUntil is when the server accepts requests of this instance again; zero
 	// if it asked for no pause.
 	PausedUntil time.Time
+	// RequestsPerSecond is the limit of what the server takes from all instances
+	// together; 0 if the answer names none. LimitEnded is set if a limit named before
+	// no longer holds.
+	RequestsPerSecond float64
+	LimitEnded        bool
 }
 
 // BackendAnswer is a backend server's answer whose body is not read yet.
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -45,6 +45,8 @@
 	leaving map[string]*leavingServer
 	// pauses has the servers that asked this instance for a pause, by ID.
 	pauses map[string]pause
+	// limits has the servers that name a limit or have named one, by ID.
+	limits map[string]*serverLimit
 	// serverVersion increases with each change of the server list; changed maps
 	// a server to the version at which it last changed or was removed.
 	serverVersion int64
@@ -97,6 +99,7 @@
 		index:         newServerIndex(),
 		leaving:       map[string]*leavingServer{},
 		pauses:        map[string]pause{},
+		limits:        map[string]*serverLimit{},
 		changed:       map[string]int64{},
 		domainReports: map[string]*leaderReport{},
 		ownLoads:      map[string]*ownLoad{},
@@ -218,6 +221,7 @@
 	defer b.mu.Unlock()
 	b.applyLeaving(servers, readAt)
 	b.endPauses(servers, readAt)
+	b.endLimits(servers, readAt)
 	versionBefore := b.serverVersion
 	for id, server := range servers {
 		if before, known := b.servers[id]; !known || !before.Equivalent(&server) {
--- /dev/null
+++ b/fleet/limits.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+)
+
+// limitRetention is how long an ended limit, or one of a server that is not listed, is
+// remembered, as an older report of it may still arrive.
+const limitRetention = time.Minute
+
+// minLimitRefresh is how much later a report of an unchanged limit must be to count. A
+// report seems later by the time that it takes from instance to instance.
+const minLimitRefresh = time.Second
+
+// ServerLimit is what a backend server said in an answer of the requests that it takes
+// from all instances together.
+type ServerLimit struct {
+	Server string
+	// Started identifies one start of the server.
+	Started time.Time
+	// PerSecond is the number of requests per second; 0 for no limit.
+	PerSecond float64
+	// At is when the answer arrived.
+	At time.Time
+}
+
+// serverLimit is the latest that is known of a server's limit.
+type serverLimit struct {
+	ServerLimit
+	// retainedUntil is when it is forgotten if it has ended or the server is not listed.
+	retainedUntil time.Time
+}
+
+// RecordLimit records a server's limit, and reports whether that changes it. What a
+// later answer said takes precedence, and so does a later start of the server.
+func (b *Board) RecordLimit(limit ServerLimit, now time.Time) (changed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if listed, found := b.servers[limit.Server]; found && listed.Started.After(limit.Started) {
+		return false
+	}
+	known := b.limits[limit.Server]
+	if known == nil {
+		if limit.PerSecond == 0 {
+			return false
+		}
+		known = &serverLimit{}
+		b.limits[limit.Server] = known
+	}
+	if !known.precedes(limit) {
+		return false
+	}
+	changed = known.PerSecond != limit.PerSecond
+	known.ServerLimit = limit
+	known.retainedUntil = now.Add(limitRetention)
+	return changed
+}
+
+// precedes reports whether a limit is later than the known one.
+func (s *serverLimit) precedes(limit ServerLimit) bool {
+	switch {
+	case !s.Started.Equal(limit.Started):
+		return s.Started.Before(limit.Started)
+	case s.PerSecond == limit.PerSecond:
+		return limit.At.Sub(s.At) >= minLimitRefresh
+	}
+	return limit.At.After(s.At)
+}
+
+// Limits lists what is known of the limits of a domain's servers, those that ended
+// lately included. It lists at most maxSharedServers, others each time.
+func (b *Board) Limits(domain string) (limits []ServerLimit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, limit := range b.limits {
+		if len(limits) == maxSharedServers {
+			break
+		}
+		if b.servers[id].Domain == domain {
+			limits = append(limits, limit.ServerLimit)
+		}
+	}
+	return limits
+}
+
+// LimitOf returns how many requests a second a server takes from all instances
+// together; 0 if it names no limit.
+func (b *Board) LimitOf(server string) (perSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if limit := b.limits[server]; limit != nil {
+		return limit.PerSecond
+	}
+	return 0
+}
+
+// endLimits forgets the limits of earlier starts of servers, and those that ended or
+// whose servers have not been listed for long. The caller holds the lock.
+func (b *Board) endLimits(servers map[string]pomelospring.FleetServer, now time.Time) {
+	for id, limit := range b.limits {
+		server, listed := servers[id]
+		if listed && server.Started.After(limit.Started) || now.After(limit.retainedUntil) && (!listed || limit.PerSecond == 0) {
+			delete(b.limits, id)
+		}
+	}
+}
--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -27,6 +27,29 @@
 	if !notice.PausedUntil.IsZero() {
 		n.recordPause(server, notice.PausedUntil)
 	}
+	if notice.RequestsPerSecond > 0 || notice.LimitEnded {
+		n.RecordLimits([]ServerLimit{{
+			Server:    server.ID,
+			Started:   server.Started,
+			PerSecond: notice.RequestsPerSecond,
+			At:        n.Clock(),
+		}}, "its own answer")
+	}
+}
+
+// RecordLimits applies the limits that servers named; source says who reports them.
+func (n Notices) RecordLimits(limits []ServerLimit, source string) {
+	for _, limit := range limits {
+		if !n.Board.RecordLimit(limit, n.Clock()) {
+			continue
+		}
+		events.Log(n.Logger, events.ServerLimited, log.Fields{
+			"server":    limit.Server,
+			"perSecond": limit.PerSecond,
+			"ageMs":     n.Clock().Sub(limit.At).Milliseconds(),
+			"source":    source,
+		})
+	}
 }
 
 // recordPause applies that a server asked this instance for a pause.
