Give calls to servers that name a limit a slot each, by the domain's leader

Cause: no decision knew of the limit. Class: a promise that holds for all instances together, as token budgets and retries do, and that no instance can keep by itself. Ruled out as the cause: that each instance keeps it for itself, or for first sends only; the header was read nowhere.

Change: package pacing gives out the slots of a server in the order of the calls that ask, with credit for two calls or half a second. The leader of the server's failure domain does so for all instances (Reserve); without its answer an instance keeps to its part of the limit and begins with nothing. First sends, retries, takeovers, resumptions and trials all pass there. The wait for a slot is part of the wait by which a server is chosen, so that sound servers take over; an adapter that only limited servers hold is placed elsewhere first. A call waits for a slot until 0.6 of its time, or is refused at once with the time of the first slot. Weighed against equal parts (nine parts of 1 a second give an instance one call in nine seconds, wherever the calls arrive) and against one instance that all calls pass (a hop more).

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -17,6 +17,7 @@
 	"github.com/pomelospring/pomelospring/fleet"
 	"github.com/pomelospring/pomelospring/lease"
 	"github.com/pomelospring/pomelospring/loading"
+	"github.com/pomelospring/pomelospring/pacing"
 	"github.com/pomelospring/pomelospring/quota"
 )
 
@@ -79,6 +80,8 @@
 	countedAt   time.Time
 	// waiting counts the placement requests that wait, by adapter.
 	waiting map[string]int
+	// pacing gives out when the domain's servers that name a limit get calls.
+	pacing pacing.Schedule
 	// nextModelLoadAt is when the next base model load may start.
 	nextModelLoadAt time.Time
 	// readyMarkedAt is the time up to which loaded adapters were marked ready.
@@ -165,6 +168,9 @@
 		l.loads = fleet.NewLoadTotals()
 		l.members = map[string]*member{}
 		l.countedAt = time.Time{}
+		l.pacing = pacing.Schedule{
+			KeepsCredit: true,
+		}
 		l.table.Invalidate(l.Clock())
 	}
 	events.Log(l.Logger, event, log.Fields{
--- a/coordination/limits.go
+++ b/coordination/limits.go
@@ -1,12 +1,142 @@
 package coordination
 
 import (
+	"context"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/coordination/coordinationpb"
+	"github.com/pomelospring/pomelospring/events"
 	"github.com/pomelospring/pomelospring/fleet"
+	"github.com/pomelospring/pomelospring/pacing"
 )
 
+const (
+	// reserveTimeout bounds the answer to a reservation, for which a call waits.
+	reserveTimeout = 250 * time.Millisecond
+	// assumedInstances is the number of instances by which one divides a limit that has
+	// not heard from a leader yet.
+	assumedInstances = 200
+)
+
+// Reserve gives out the next slot of a server of the domain, in the order of the calls;
+// ok is false if this instance does not lead.
+func (l *Leader) Reserve(server string, patience time.Duration) (reservation pomelospring.Reservation, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.lease.Holds(l.Uptime()) {
+		return pomelospring.Reservation{}, false
+	}
+	now := l.Clock()
+	return reserve(&l.pacing, server, l.Board.LimitOf(server), now.Add(patience), now), true
+}
+
+// reserve reserves a slot of a server that takes perSecond calls; 0 for any number.
+func reserve(schedule *pacing.Schedule, server string, perSecond float64, latest, now time.Time) pomelospring.Reservation {
+	if perSecond <= 0 {
+		return pomelospring.Reservation{
+			Granted: true,
+			At:      now,
+			NextAt:  now,
+		}
+	}
+	return schedule.Reserve(server, perSecond, latest, now)
+}
+
+// Reserve implements the RPC Reserve.
+func (s *Server) Reserve(_ context.Context, request *coordinationpb.ReserveRequest) (reply *coordinationpb.ReserveReply, err error) {
+	leader := s.Leaders[request.Domain]
+	if leader == nil {
+		return nil, errNotLeading
+	}
+	now := leader.Clock()
+	leader.notices().RecordLimits(limitsFromProto([]*coordinationpb.ServerLimit{request.Limit}, now), "a reservation")
+	reservation, ok := leader.Reserve(request.Limit.Server, time.Duration(request.PatienceMilliseconds)*time.Millisecond)
+	if !ok {
+		return nil, errNotLeading
+	}
+	return &coordinationpb.ReserveReply{
+		Granted:          reservation.Granted,
+		WaitMilliseconds: reservation.At.Sub(now).Milliseconds(),
+		NextMilliseconds: reservation.NextAt.Sub(now).Milliseconds(),
+	}, nil
+}
+
+// Reserve asks the domain's leader for a slot of a server. Without an answer it keeps to
+// this instance's part of the limit.
+func (m *Member) Reserve(ctx context.Context, server pomelospring.FleetServer, latest time.Time) pomelospring.Reservation {
+	limit, limited := m.Board.ServerLimitOf(server.ID)
+	if !limited {
+		now := m.Clock()
+		return reserve(nil, server.ID, 0, latest, now)
+	}
+	reservation, err := m.reserveAtLeader(ctx, limit, latest)
+	if err == nil {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.pacing.Forget(server.ID)
+		return reservation
+	}
+	events.Log(m.Logger, events.LimitDivided, log.Fields{
+		"server":    server.ID,
+		"perSecond": limit.PerSecond,
+		"instances": m.InstanceCount(),
+		"error":     err.Error(),
+	})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	instances := m.instances
+	if instances == 0 {
+		instances = assumedInstances
+	}
+	return reserve(&m.pacing, server.ID, limit.PerSecond/float64(instances), latest, m.Clock())
+}
+
+// reserveAtLeader asks the domain's leader for a slot.
+func (m *Member) reserveAtLeader(ctx context.Context, limit fleet.ServerLimit, latest time.Time) (reservation pomelospring.Reservation, err error) {
+	address, now := m.Known(), m.Clock()
+	patience := latest.Sub(now)
+	switch {
+	case address == "" || !m.LeaderAnswers():
+		return pomelospring.Reservation{}, errNoLeader
+	case address == m.Address:
+		reservation, ok := m.Leader.Reserve(limit.Server, patience)
+		if !ok {
+			return pomelospring.Reservation{}, errNotLeading
+		}
+		return reservation, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	reply, err := m.client(ctx, address).Reserve(ctx, &coordinationpb.ReserveRequest{
+		Domain:               m.Domain,
+		Limit:                limitsToProto([]fleet.ServerLimit{limit}, now)[0],
+		PatienceMilliseconds: patience.Milliseconds(),
+	})
+	if err != nil {
+		return pomelospring.Reservation{}, err
+	}
+	now = m.Clock()
+	return pomelospring.Reservation{
+		Granted: reply.Granted,
+		At:      now.Add(time.Duration(reply.WaitMilliseconds) * time.Millisecond),
+		NextAt:  now.Add(time.Duration(reply.NextMilliseconds) * time.Millisecond),
+	}, nil
+}
+
+// Reserve implements pomelospring.Coordinator.
+func (c *PlacementCoordinator) Reserve(ctx context.Context, server pomelospring.FleetServer, latest time.Time) (reservation pomelospring.Reservation) {
+	for _, member := range c.Members {
+		if member.Domain == server.Domain {
+			reservation = member.Reserve(ctx, server, latest)
+			c.Board.RecordNextSlot(server.ID, reservation.NextAt)
+			return reservation
+		}
+	}
+	return reservation
+}
+
 func limitsToProto(limits []fleet.ServerLimit, now time.Time) (list []*coordinationpb.ServerLimit) {
 	for _, limit := range limits {
 		list = append(list, &coordinationpb.ServerLimit{
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -11,6 +11,7 @@
 	"github.com/pomelospring/pomelospring/coordination/coordinationpb"
 	"github.com/pomelospring/pomelospring/events"
 	"github.com/pomelospring/pomelospring/fleet"
+	"github.com/pomelospring/pomelospring/pacing"
 	"github.com/pomelospring/pomelospring/peer"
 	"github.com/pomelospring/pomelospring/quarantine"
 	"github.com/pomelospring/pomelospring/quota"
@@ -114,6 +115,9 @@
 	// reportedCrashVersion that of this instance's crashes that the leader has.
 	crashVersion         int64
 	reportedCrashVersion int64
+	// pacing gives out this instance's part of the limits of the domain's servers while
+	// the leader does not answer.
+	pacing pacing.Schedule
 }
 
 // SetLeader sets the leader's address; an empty one means that none is known.
--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -45,6 +45,10 @@
 	FailureRate float64
 	// CachedTokens of the prompt are assumed to be in its prefix cache.
 	CachedTokens int64
+	// Limited is set if the server names a limit, so that each call needs a
+	// reservation, and SlotWait is how long a call would wait for its time.
+	Limited  bool
+	SlotWait time.Duration
 }
 
 // Requirements describes a call and the instance that sends it.
@@ -196,10 +200,11 @@
 	if !requirements.Model {
 		slots := max(1, candidate.Server.Slots)
 		queued := time.Duration(float64(requirements.Speeds.PlainCallTime()) * float64(candidate.Running+1) / float64(slots))
-		return queued + distance + time.Duration(candidate.FailureRate*float64(plainFailureCost))
+		return candidate.SlotWait + queued + distance + time.Duration(candidate.FailureRate*float64(plainFailureCost))
 	}
 	uncached := max(0, requirements.PromptTokens-candidate.CachedTokens)
-	return requirements.Speeds.PrefillTime(candidate.WaitingTokens+uncached) +
+	return candidate.SlotWait +
+		requirements.Speeds.PrefillTime(candidate.WaitingTokens+uncached) +
 		time.Duration(candidate.Running)*runningCallCost +
 		distance +
 		time.Duration(candidate.FailureRate*float64(failureCost))
--- /dev/null
+++ b/entry/limited_server.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/dispatch"
+)
+
+const (
+	// maxCopySlotWait is how long a call waits for a server that names a limit before its
+	// adapter is looked for elsewhere: about the time of a load.
+	maxCopySlotWait = 300 * time.Millisecond
+	// maxReservations bounds the reservations that one choice of a server asks for: each
+	// that fails tells more of when the servers have slots.
+	maxReservations = 3
+	// limitRetryFraction is the fraction of the time until a server has a slot by which a
+	// refused call may come back later, at random, from retryAfterSpread to
+	// maxPauseRetrySpread.
+	limitRetryFraction = 0.5
+)
+
+// latestStart returns until when the call may wait for an adapter, or for a slot of a
+// server that names a limit.
+func (c *session) latestStart(now time.Time) time.Time {
+	return now.Add(time.Duration(placementTimeFraction * float64(c.firstEventDeadline.Sub(now))))
+}
+
+// maySeekCopy reports, once, that the call's adapter may be looked for on servers that
+// name no limit.
+func (c *session) maySeekCopy() bool {
+	if c.soughtCopy {
+		return false
+	}
+	c.soughtCopy = true
+	_, allLimited := c.service.Board.FirstSlot(c.targetService, c.call, c.service.Clock())
+	return !allLimited
+}
+
+// reserve reserves a slot of the chosen server if it names a limit, and waits for it.
+// It reports false if there is none within patience of the expected time, or if the
+// server accepts no calls any more.
+func (c *session) reserve(ctx context.Context, choice dispatch.Choice, patience time.Duration) (reserved bool) {
+	if !choice.Candidate.Limited {
+		return true
+	}
+	s := c.service
+	server := choice.Candidate.Server
+	now := s.Clock()
+	latest := c.latestStart(now)
+	expected := now.Add(choice.Candidate.SlotWait)
+	if expected.After(latest) {
+		return false
+	}
+	if patient := expected.Add(patience); patient.Before(latest) {
+		latest = patient
+	}
+	reservation := s.Coordinator.Reserve(ctx, server, latest)
+	if !reservation.Granted || !sleepUntil(ctx, reservation.At.Sub(s.Clock())) {
+		return false
+	}
+	return s.Board.Accepts(server.ID, s.Clock())
+}
+
+// sleepUntil waits, and reports whether the context has not ended meanwhile.
+func sleepUntil(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// limitRefusal returns the refusal of a call for which a server has no slot in time.
+func (c *session) limitRefusal(server pomelospring.FleetServer, now time.Time) *pomelospring.Refusal {
+	return limitRefusal(c.service.Board.NextSlot(server.ID, now), now)
+}
+
+// limitRefusal returns the refusal of a call whose servers have no slot before slotAt.
+func limitRefusal(slotAt, now time.Time) *pomelospring.Refusal {
+	wait := slotAt.Sub(now)
+	spread := time.Duration(limitRetryFraction * float64(wait))
+	retryAt := slotAt.Add(rand.N(min(maxPauseRetrySpread, max(retryAfterSpread, spread))))
+	return pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAt, "the backend servers name limits, and the first slot is in %s", wait.Round(time.Millisecond))
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -74,30 +74,70 @@
 	if refusal = c.checkQuarantine(now); refusal != nil {
 		return dispatch.Choice{}, refusal
 	}
-	requirements := c.requirements()
-	candidates := s.Board.Candidates(c.targetService, c.call, c.avoid, now)
-	choice = dispatch.Choose(candidates, requirements)
-	if !choice.Found && c.call.NeedsAdapter() {
-		if refusal = c.requestPlacement(ctx, now); refusal != nil {
+	var candidates int
+	for tries := 0; ; tries++ {
+		if choice, candidates, refusal = c.pick(ctx); refusal != nil {
 			return dispatch.Choice{}, refusal
 		}
-		now = s.Clock()
-		candidates = s.Board.Candidates(c.targetService, c.call, c.avoid, now)
-		choice = dispatch.Choose(candidates, requirements)
-	}
-	if !choice.Found {
-		return dispatch.Choice{}, c.noServerRefusal(now)
+		// With a longer wait, another server may be the better choice.
+		patience := maxCopySlotWait
+		if tries == maxReservations {
+			patience = c.deadline.Sub(now)
+		}
+		if c.reserve(ctx, choice, patience) {
+			break
+		}
+		switch now = s.Clock(); {
+		case ctx.Err() != nil:
+			return dispatch.Choice{}, c.timeoutRefusal()
+		case tries == maxReservations || now.Add(choice.Candidate.SlotWait).After(c.latestStart(now)):
+			return dispatch.Choice{}, c.limitRefusal(choice.Candidate.Server, now)
+		}
 	}
-	if c.startsTooLate(now.Add(choice.Wait)) {
-		return dispatch.Choice{}, pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(now), "the wait of %s exceeds the caller's timeout", choice.Wait)
+	if refusal = c.checkQuarantine(s.Clock()); refusal != nil {
+		return dispatch.Choice{}, refusal
 	}
-	if requirements.Model && c.call.NeedsAdapter() {
+	now = s.Clock()
+	if c.limits != nil && c.call.NeedsAdapter() {
 		s.requestCopies(c.call.Adapter, choice, now)
 	}
-	c.logRouted(choice, len(candidates), now)
+	c.logRouted(choice, candidates, now)
 	return choice, nil
 }
 
+// pick picks a backend server among a number of candidates. If none has the call's
+// adapter, or those that have it can't take a call soon because of the limits that they
+// name, it first asks the leader to place it.
+func (c *session) pick(ctx context.Context) (choice dispatch.Choice, candidates int, refusal *pomelospring.Refusal) {
+	choice, candidates = c.chooseAmongCandidates()
+	if c.call.NeedsAdapter() && !choice.Found {
+		if refusal = c.requestPlacement(ctx, c.service.Clock()); refusal != nil {
+			return dispatch.Choice{}, 0, refusal
+		}
+		choice, candidates = c.chooseAmongCandidates()
+	}
+	if c.call.NeedsAdapter() && choice.Candidate.SlotWait > maxCopySlotWait && c.maySeekCopy() {
+		// A refusal only means that the call waits for its slot.
+		_ = c.requestPlacement(ctx, c.service.Clock())
+		choice, candidates = c.chooseAmongCandidates()
+	}
+	now := c.service.Clock()
+	if !choice.Found {
+		return dispatch.Choice{}, 0, c.noServerRefusal(now)
+	}
+	if c.startsTooLate(now.Add(choice.Wait)) && choice.Candidate.SlotWait == 0 {
+		return dispatch.Choice{}, 0, pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(now), "the wait of %s exceeds the caller's timeout", choice.Wait)
+	}
+	return choice, candidates, nil
+}
+
+// chooseAmongCandidates chooses a server among those that have what the call needs.
+func (c *session) chooseAmongCandidates() (choice dispatch.Choice, count int) {
+	s := c.service
+	candidates := s.Board.Candidates(c.targetService, c.call, c.avoid, s.Clock())
+	return dispatch.Choose(candidates, c.requirements()), len(candidates)
+}
+
 // startsTooLate reports whether the caller would have left before a call starts at a
 // model worker.
 func (c *session) startsTooLate(startsAt time.Time) bool {
@@ -148,10 +188,8 @@
 	if refusal := c.pausedRefusal(now); refusal != nil {
 		return refusal
 	}
-	deadline := now.Add(time.Duration(placementTimeFraction * float64(c.firstEventDeadline.Sub(now))))
-	request := c.placementRequest(c.avoid, c.missing, deadline)
 	requestedAt := now
-	outcome, err := c.service.Coordinator.Place(ctx, request)
+	outcome, err := c.place(ctx, c.latestStart(now))
 	now = c.service.Clock()
 	c.placementTime += now.Sub(requestedAt)
 	if err != nil {
@@ -163,6 +201,9 @@
 		return pomelospring.NewRefusal(pomelospring.CodeNoBackendServer, retryAfter(now), "no worker has the adapter and the leader could not be asked to place it")
 	}
 	if outcome.Server == "" {
+		if slotAt, limited := c.service.Board.FirstSlot(c.targetService, c.call, now); limited && slotAt.After(c.latestStart(now)) {
+			return limitRefusal(slotAt, now)
+		}
 		return pomelospring.NewRefusal(pomelospring.CodeOverloaded, outcome.RetryAt, "the adapter could not be loaded: %s", outcome.Reason)
 	}
 	// The leader's choice may be in avoid: the worker may have rejected the call
@@ -171,15 +212,32 @@
 	return nil
 }
 
+// place asks the leader to place the call's adapter on a server that takes calls at once,
+// or else on one whose limit lets it take the call in time.
+func (c *session) place(ctx context.Context, deadline time.Time) (outcome pomelospring.PlacementOutcome, err error) {
+	now := c.service.Clock()
+	request := c.placementRequest(c.avoid, c.missing, deadline, now)
+	outcome, err = c.service.Coordinator.Place(ctx, request)
+	if err != nil || outcome.Server != "" {
+		return outcome, err
+	}
+	unrestricted := c.placementRequest(c.avoid, c.missing, deadline, deadline)
+	if len(unrestricted.Unusable) == len(request.Unusable) {
+		return outcome, err
+	}
+	return c.service.Coordinator.Place(ctx, unrestricted)
+}
+
 // placementRequest returns a request to place the call's adapter on another server
-// than those to avoid, of which those in missing answered to lack it.
-func (c *session) placementRequest(avoid, missing map[string]bool, deadline time.Time) pomelospring.PlacementRequest {
+// than those to avoid, of which those in missing answered to lack it, and than those
+// whose limit gives the call no slot until slotBy.
+func (c *session) placementRequest(avoid, missing map[string]bool, deadline, slotBy time.Time) pomelospring.PlacementRequest {
 	request := pomelospring.PlacementRequest{
 		Request:  c.call.ID,
 		Adapter:  c.call.Adapter,
 		Domain:   c.service.Board.Domain,
 		Deadline: deadline,
-		Unusable: c.service.Board.UnusableServers(c.targetService, c.service.Clock()),
+		Unusable: c.service.Board.UnusableServers(c.targetService, slotBy, c.service.Clock()),
 	}
 	for id := range avoid {
 		switch {
@@ -210,7 +268,7 @@
 	default:
 		return
 	}
-	request.Unusable = s.Board.UnusableServers(choice.Candidate.Server.Service, now)
+	request.Unusable = s.Board.UnusableServers(choice.Candidate.Server.Service, now.Add(maxCopySlotWait), now)
 	s.requestCopy(request, now)
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -133,6 +133,9 @@
 	// attemptsExecuted those of them that may have been executed.
 	attemptsSent     int
 	attemptsExecuted int
+	// soughtCopy is set once the call's adapter was looked for on servers that name no
+	// limit.
+	soughtCopy bool
 	// forwarded is set once a part of an answer has been sent to the caller.
 	forwarded bool
 	// lastEventID is the ID of the last forwarded event. firstEventAt and
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -136,6 +136,11 @@
 	return pomelospring.PlacementOutcome{Server: "a", Version: 1}, nil
 }
 
+// Reserve grants every reservation at once.
+func (c *coordinator) Reserve(context.Context, pomelospring.FleetServer, time.Time) pomelospring.Reservation {
+	return pomelospring.Reservation{Granted: true, At: time.Now(), NextAt: time.Now()}
+}
+
 const key = "secret"
 
 func policy() *pomelospring.Policy {
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -209,6 +209,10 @@
 		a.logFailedTakeover("", refusal)
 		return choice, false
 	}
+	if !a.session.reserve(ctx, choice, maxCopySlotWait) {
+		a.logFailedTakeover("", "the backend server's limit")
+		return choice, false
+	}
 	a.session.logRouted(choice, candidates, a.session.service.Clock())
 	return choice, true
 }
@@ -225,7 +229,7 @@
 	candidates := s.Board.Candidates(c.targetService, c.call, avoid, now)
 	choice = dispatch.Choose(candidates, c.requirements())
 	if !choice.Found && c.call.NeedsAdapter() {
-		outcome, err := s.Coordinator.Place(ctx, c.placementRequest(avoid, missing, now.Add(takeoverPlacementTimeout)))
+		outcome, err := s.Coordinator.Place(ctx, c.placementRequest(avoid, missing, now.Add(takeoverPlacementTimeout), now))
 		if err != nil || outcome.Server == "" {
 			return choice, 0, placementFailure(outcome, err)
 		}
@@ -239,6 +243,9 @@
 	if !choice.Found {
 		return choice, 0, "no backend server can take the call"
 	}
+	if choice.Candidate.SlotWait > maxCopySlotWait {
+		return choice, 0, "the backend server's limit"
+	}
 	return choice, len(candidates), ""
 }
 
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -459,6 +459,7 @@
 // lateLoadLeader places the adapter on the server that lacks it, where its load ends
 // soon, if it is told.
 type lateLoadLeader struct {
+	pomelospring.Coordinator
 	board   *fleet.Board
 	request pomelospring.PlacementRequest
 }
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -75,6 +75,7 @@
 	ServerLeaving = define(330, "serverLeaving", log.InfoLevel, "A backend server announced that it leaves, while the server list has it as ready; it gets no new work until it is started anew.")
 	ServerPaused  = define(331, "serverPaused", log.InfoLevel, "A backend server rejected a request and asked for a pause; this instance sends nothing to it until resumeMs have passed.")
 	ServerLimited = define(332, "serverLimited", log.InfoLevel, "A backend server named how many requests a second it takes from all instances together, or another number than before; perSecond 0: it names none any longer.")
+	LimitDivided  = define(333, "limitDivided", log.InfoLevel, "The leader that shares out a backend server's limit did not answer a reservation; this instance keeps to its part of the limit.")
 
 	DomainCutOff  = define(427, "domainCutOff", log.WarnLevel, "Connections to two backend servers of a failure domain timed out, or to one and its leader did not answer either; calls go to other failure domains.")
 	DomainReached = define(428, "domainReached", log.InfoLevel, "A failure domain that seemed to be cut off is reachable again.")
--- a/fleet.go
+++ b/fleet.go
@@ -350,12 +350,24 @@
 	return t
 }
 
-// Coordinator passes placement requests to the leader, the instance that sends
-// orders to model workers.
+// Coordinator passes requests to the leader of a failure domain: the instance that
+// sends orders to its model workers and shares out its servers' limits.
 type Coordinator interface {
 	// Place requests an adapter on a model worker and returns the worker's ID
 	// once the adapter is resident there.
 	Place(ctx context.Context, request PlacementRequest) (outcome PlacementOutcome, err error)
+	// Reserve asks for the time at which a call may be sent to a server that names a
+	// limit, not later than latest.
+	Reserve(ctx context.Context, server FleetServer, latest time.Time) (reservation Reservation)
+}
+
+// Reservation is when a call may be sent to a backend server that names a limit.
+type Reservation struct {
+	// Granted is set if the call may be sent at At.
+	Granted bool
+	At      time.Time
+	// NextAt is the earliest time for which the next reservation may be granted.
+	NextAt time.Time
 }
 
 // PlacementRequest asks the leader to make an adapter resident on a model
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -132,7 +132,7 @@
 			}
 			slices.Sort(got)
 			// Leaders must place nothing on a server that gets no calls from here.
-			if diff := cmp.Diff(!slices.Contains(scenario.want, "b"), slices.Contains(board.UnusableServers("", start), "b")); diff != "" {
+			if diff := cmp.Diff(!slices.Contains(scenario.want, "b"), slices.Contains(board.UnusableServers("", start, start), "b")); diff != "" {
 				t.Errorf("unusable: %s", diff)
 			}
 			if diff := cmp.Diff([][]string{scenario.want, scenario.shared}, [][]string{got, leavingIDs(board)}); diff != "" {
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -29,6 +29,9 @@
 // serverLimit is the latest that is known of a server's limit.
 type serverLimit struct {
 	ServerLimit
+	// nextSlotAt is the earliest time for which this instance may get a reservation, as
+	// far as it knows.
+	nextSlotAt time.Time
 	// retainedUntil is when it is forgotten if it has ended or the server is not listed.
 	retainedUntil time.Time
 }
@@ -85,6 +88,80 @@
 	return limits
 }
 
+// ServerLimitOf returns a server's limit; limited is false if it names none.
+func (b *Board) ServerLimitOf(server string) (limit ServerLimit, limited bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if known := b.limits[server]; known != nil {
+		return known.ServerLimit, known.PerSecond > 0
+	}
+	return ServerLimit{}, false
+}
+
+// RecordNextSlot records the earliest time for which a call to a server with a limit may
+// get a reservation.
+func (b *Board) RecordNextSlot(server string, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if limit := b.limits[server]; limit != nil {
+		limit.nextSlotAt = at
+	}
+}
+
+// NextSlot returns the earliest time for which a call to a server may get a reservation.
+func (b *Board) NextSlot(server string, now time.Time) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	wait, _ := b.slotWait(server, now)
+	return now.Add(wait)
+}
+
+// Accepts reports whether a server takes calls of this instance now, limits left aside.
+func (b *Board) Accepts(server string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	listed, found := b.servers[server]
+	return found && !listed.Draining && !b.paused(server, now)
+}
+
+// slotWait returns how long a call would wait for a slot of a server that names a limit;
+// limited is false if it names none. The caller holds the lock.
+func (b *Board) slotWait(server string, now time.Time) (wait time.Duration, limited bool) {
+	limit := b.limits[server]
+	if limit == nil || limit.PerSecond == 0 {
+		return 0, false
+	}
+	return max(0, limit.nextSlotAt.Sub(now)), true
+}
+
+// FirstSlot returns when the first of the servers that could take a call has a slot. ok is
+// false if one of them names no limit, or if there are none. It looks at no more than
+// maxCandidates.
+func (b *Board) FirstSlot(service string, call *pomelospring.Call, now time.Time) (at time.Time, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.limits) == 0 {
+		return time.Time{}, false
+	}
+	seen := 0
+	for id := range b.index.pool(service, call).all() {
+		if server := b.servers[id]; server.Draining || b.paused(id, now) {
+			continue
+		}
+		wait, limited := b.slotWait(id, now)
+		if !limited {
+			return time.Time{}, false
+		}
+		if slotAt := now.Add(wait); !ok || slotAt.Before(at) {
+			at, ok = slotAt, true
+		}
+		if seen++; seen == maxCandidates {
+			break
+		}
+	}
+	return at, ok
+}
+
 // LimitOf returns how many requests a second a server takes from all instances
 // together; 0 if it names no limit.
 func (b *Board) LimitOf(server string) (perSecond float64) {
--- a/fleet/pauses_test.go
+++ b/fleet/pauses_test.go
@@ -156,7 +156,7 @@
 		t.Errorf("pauses after two servers have gone: %v", pauses)
 	}
 	later := start.Add(2 * time.Minute)
-	if diff := cmp.Diff(0, len(board.Pauses(later))+len(board.UnusableServers("llm", later))); diff != "" {
+	if diff := cmp.Diff(0, len(board.Pauses(later))+len(board.UnusableServers("llm", later, later))); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/front/limited_server_test.go
+++ b/front/limited_server_test.go
@@ -70,11 +70,17 @@
 		name string
 		// limits are those that the workers name; 0 for none.
 		limits []float64
+		// domains are the failure domains of the instances; none for all in one.
+		domains []string
+		// stopsLeader stops the instance that leads while the limits hold.
+		stopsLeader bool
 		// served is the least fraction of the requests that must be served.
 		served float64
 	}{
 		{name: "one a second beside two sound servers", limits: []float64{1, 0, 0}, served: 0.97},
 		{name: "one in two seconds beside two sound servers", limits: []float64{0.5, 0, 0}, served: 0.97},
+		{name: "instances in other failure domains", limits: []float64{1, 0, 0}, domains: []string{"north", "south", "south", "east"}, served: 0.97},
+		{name: "a leader that stops", limits: []float64{1, 0, 0}, stopsLeader: true, served: 0.8},
 		{name: "both servers", limits: []float64{5, 5}, served: 0.8 * 10 / 60},
 	}
 	for _, scenario := range scenarios {
@@ -82,9 +88,19 @@
 			t.Parallel()
 			store, address, first := newStoreWithWorker(t)
 			workers := listWorkers(t, store, first, len(scenario.limits))
+			var leader *instance
+			if scenario.stopsLeader {
+				// The first instance of a domain leads it.
+				leader = startInstance(t, "leader", address)
+				eventually(t, "serves", func() bool { return leader.serves("k1", "a0") })
+			}
 			var instances []*instance
 			for n := range 4 {
-				instances = append(instances, startInstance(t, fmt.Sprintf("front-%d", n), address))
+				config := newConfig(t, fmt.Sprintf("front-%d", n), address)
+				if scenario.domains != nil {
+					config.Domain, config.Domains = scenario.domains[n], []string{"east", "north", "south"}
+				}
+				instances = append(instances, start(t, config))
 			}
 			for n, i := range instances {
 				eventually(t, "serves", func() bool { return i.serves("k1", fmt.Sprintf("a%d", n)) })
@@ -95,6 +111,9 @@
 				}
 			}
 			began := time.Now()
+			if leader != nil {
+				time.AfterFunc(limitStableTime+time.Second, leader.stop)
+			}
 			counts := map[int]int{}
 			var mu sync.Mutex
 			var group sync.WaitGroup
--- /dev/null
+++ b/pacing/schedule.go
@@ -0,0 +1,101 @@
+// Package pacing decides when the next calls may be sent to backend servers that name
+// how many requests a second they take.
+package pacing
+
+import (
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+)
+
+const (
+	// minCreditCalls and creditTime bound what a server that was idle may get at once:
+	// minCreditCalls calls, or what it takes within creditTime.
+	minCreditCalls = 2
+	creditTime     = 500 * time.Millisecond
+	// maxServers bounds the servers whose last slot is remembered.
+	maxServers = 4096
+)
+
+// Schedule gives out the slots of servers: the times at which they get their next
+// calls, in the order of the reservations. It is not safe for concurrent use.
+type Schedule struct {
+	// KeepsCredit is set if the slots that an idle server did not use may be used
+	// later, few of them at once. Without it, a server's first slot is one interval
+	// after the first reservation. That is for instances that each have a part of the
+	// rate, as their credits would add up.
+	KeepsCredit bool
+
+	// next has, by server, the earliest time of its next slot, credit left aside.
+	next map[string]time.Time
+}
+
+// Reserve gives out the next slot of a server that takes perSecond calls, unless it is
+// later than latest.
+func (s *Schedule) Reserve(server string, perSecond float64, latest, now time.Time) pomelospring.Reservation {
+	interval := time.Duration(float64(time.Second) / perSecond)
+	next := s.start(server, interval, now)
+	at := s.slotAt(next, interval, now)
+	if at.After(latest) {
+		return pomelospring.Reservation{
+			At:     at,
+			NextAt: at,
+		}
+	}
+	if next.Before(now) {
+		next = now
+	}
+	s.next[server] = next.Add(interval)
+	return pomelospring.Reservation{
+		At:      at,
+		Granted: true,
+		NextAt:  s.slotAt(s.next[server], interval, now),
+	}
+}
+
+// start returns the earliest time of a server's next slot, and begins with an empty
+// account where nothing is known of it.
+func (s *Schedule) start(server string, interval time.Duration, now time.Time) time.Time {
+	next, known := s.next[server]
+	if !known || !s.KeepsCredit && now.Sub(next) > interval {
+		s.makeRoom(now)
+		next = now.Add(interval + s.credit(interval))
+		s.next[server] = next
+	}
+	return next
+}
+
+// slotAt returns when a call may be sent, given the time of the next slot without
+// credit.
+func (s *Schedule) slotAt(next time.Time, interval time.Duration, now time.Time) time.Time {
+	if at := next.Add(-s.credit(interval)); at.After(now) {
+		return at
+	}
+	return now
+}
+
+// credit is by how much a slot may be early after the server was idle.
+func (s *Schedule) credit(interval time.Duration) time.Duration {
+	if !s.KeepsCredit {
+		return 0
+	}
+	return max((minCreditCalls-1)*interval, creditTime-interval)
+}
+
+// Forget lets a server begin with an empty account.
+func (s *Schedule) Forget(server string) { delete(s.next, server) }
+
+// makeRoom forgets the servers without slots in the future if there are too many.
+func (s *Schedule) makeRoom(now time.Time) {
+	if s.next == nil {
+		s.next = map[string]time.Time{}
+	}
+	if len(s.next) < maxServers {
+		return
+	}
+	for server, next := range s.next {
+		if next.Before(now) {
+			delete(s.next, server)
+		}
+	}
+}
