--- a/entry/limited_server.go
+++ b/entry/limited_server.go
@@ -22,6 +22,32 @@
 	limitRetryFraction = 0.5
 )
 
+// pickWithSlot picks a backend server among a number of candidates, and has waited for a
+// slot if the server names a limit.
+func (c *session) pickWithSlot(ctx context.Context) (choice dispatch.Choice, candidates int, refusal *pomelospring.Refusal) {
+	s := c.service
+	for tries := 0; ; tries++ {
+		if choice, candidates, refusal = c.pick(ctx); refusal != nil || !choice.Candidate.Limited {
+			return choice, candidates, refusal
+		}
+		// With a longer wait, another server may be the better choice.
+		patience := maxCopySlotWait
+		if tries == maxReservations {
+			patience = c.deadline.Sub(s.Clock())
+		}
+		if c.reserve(ctx, choice, patience) {
+			return choice, candidates, c.checkQuarantine(s.Clock())
+		}
+		now := s.Clock()
+		switch {
+		case ctx.Err() != nil:
+			return choice, candidates, c.timeoutRefusal()
+		case tries == maxReservations || now.Add(choice.Candidate.SlotWait).After(c.latestStart(now)):
+			return choice, candidates, limitRefusal(s.Board.NextSlot(choice.Candidate.Server.ID, now), now)
+		}
+	}
+}
+
 // latestStart returns until when the call may wait for an adapter, or for a slot of a
 // server that names a limit.
 func (c *session) latestStart(now time.Time) time.Time {
@@ -79,11 +105,6 @@
 	}
 }
 
-// limitRefusal returns the refusal of a call for which a server has no slot in time.
-func (c *session) limitRefusal(server pomelospring.FleetServer, now time.Time) *pomelospring.Refusal {
-	return limitRefusal(c.service.Board.NextSlot(server.ID, now), now)
-}
-
 // limitRefusal returns the refusal of a call whose servers have no slot before slotAt.
 func limitRefusal(slotAt, now time.Time) *pomelospring.Refusal {
 	wait := slotAt.Sub(now)
--- a/entry/run.go
+++ b/entry/run.go
@@ -74,27 +74,8 @@
 	if refusal = c.checkQuarantine(now); refusal != nil {
 		return dispatch.Choice{}, refusal
 	}
-	var candidates int
-	for tries := 0; ; tries++ {
-		if choice, candidates, refusal = c.pick(ctx); refusal != nil {
-			return dispatch.Choice{}, refusal
-		}
-		// With a longer wait, another server may be the better choice.
-		patience := maxCopySlotWait
-		if tries == maxReservations {
-			patience = c.deadline.Sub(now)
-		}
-		if c.reserve(ctx, choice, patience) {
-			break
-		}
-		switch now = s.Clock(); {
-		case ctx.Err() != nil:
-			return dispatch.Choice{}, c.timeoutRefusal()
-		case tries == maxReservations || now.Add(choice.Candidate.SlotWait).After(c.latestStart(now)):
-			return dispatch.Choice{}, c.limitRefusal(choice.Candidate.Server, now)
-		}
-	}
-	if refusal = c.checkQuarantine(s.Clock()); refusal != nil {
+	choice, candidates, refusal := c.pickWithSlot(ctx)
+	if refusal != nil {
 		return dispatch.Choice{}, refusal
 	}
 	now = s.Clock()
--- a/front/limited_server_test.go
+++ b/front/limited_server_test.go
@@ -62,6 +62,30 @@
 	return workers
 }
 
+// sendMany sends perSecond requests for some adapters to each instance until a time, and
+// returns their number by status; 0 for no complete response.
+func sendMany(instances []*instance, perSecond int, until time.Time) (counts map[int]int) {
+	counts = map[int]int{}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for n := 0; time.Now().Before(until); n++ {
+		for k, i := range instances {
+			group.Go(func() {
+				status, _, err := i.send(fmt.Sprintf("%d-%d", k, n), "k1", fmt.Sprintf("a%d", (n+k)%6))
+				if err != nil {
+					status = 0
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				counts[status]++
+			})
+		}
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	group.Wait()
+	return counts
+}
+
 // TestLimitOfAServerIsExceededByTheFleet guards against instances that each keep the
 // limit of a server for themselves, or not at all.
 func TestLimitOfAServerIsExceededByTheFleet(t *testing.T) {
@@ -94,8 +118,8 @@
 				leader = startInstance(t, "leader", address)
 				eventually(t, "serves", func() bool { return leader.serves("k1", "a0") })
 			}
-			var instances []*instance
-			for n := range 4 {
+			instances := make([]*instance, 0, 4)
+			for n := range cap(instances) {
 				config := newConfig(t, fmt.Sprintf("front-%d", n), address)
 				if scenario.domains != nil {
 					config.Domain, config.Domains = scenario.domains[n], []string{"east", "north", "south"}
@@ -114,24 +138,7 @@
 			if leader != nil {
 				time.AfterFunc(limitStableTime+time.Second, leader.stop)
 			}
-			counts := map[int]int{}
-			var mu sync.Mutex
-			var group sync.WaitGroup
-			for n := 0; time.Since(began) < limitStableTime+2*limitWindow; n++ {
-				for k, i := range instances {
-					group.Go(func() {
-						status, _, err := i.send(fmt.Sprintf("%d-%d", k, n), "k1", fmt.Sprintf("a%d", (n+k)%6))
-						if err != nil {
-							status = 0
-						}
-						mu.Lock()
-						defer mu.Unlock()
-						counts[status]++
-					})
-				}
-				time.Sleep(time.Second / perInstance)
-			}
-			group.Wait()
+			counts := sendMany(instances, perInstance, began.Add(limitStableTime+2*limitWindow))
 			sent := 0
 			for _, count := range counts {
 				sent += count
--- a/pacing/schedule_test.go
+++ b/pacing/schedule_test.go
@@ -89,18 +89,29 @@
 		Granted    bool
 		Wait, Next time.Duration
 	}
-	var got []result
-	for _, call := range []struct{ after, patience time.Duration }{
-		{0, 0}, {0, 500 * time.Millisecond}, {0, 500 * time.Millisecond}, {0, time.Second},
-		{10 * time.Second, 0}, {10 * time.Second, 0}, {10 * time.Second, 0},
-	} {
+	calls := []struct{ after, patience time.Duration }{
+		{after: 0},
+		{after: 0, patience: 500 * time.Millisecond},
+		{after: 0, patience: 500 * time.Millisecond},
+		{after: 0, patience: time.Second},
+		{after: 10 * time.Second},
+		{after: 10 * time.Second},
+		{after: 10 * time.Second},
+	}
+	got := make([]result, 0, len(calls))
+	for _, call := range calls {
 		granted, wait, next := at(call.after, call.patience)
 		got = append(got, result{granted, wait, next})
 	}
 	half := 500 * time.Millisecond
 	want := []result{
-		{false, half, half}, {true, half, 2 * half}, {false, 2 * half, 2 * half}, {true, 2 * half, 3 * half},
-		{true, 0, 0}, {true, 0, half}, {false, half, half},
+		{false, half, half},
+		{true, half, 2 * half},
+		{false, 2 * half, 2 * half},
+		{true, 2 * half, 3 * half},
+		{true, 0, 0},
+		{true, 0, half},
+		{false, half, half},
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
