Log the ends of all services' servers, and what the calls under them had in common

Broken connections to servers of plain services now lead to the same question whether the server has ended; 228 has the service and, for the calls under the end, a hash of caller, target and body; 221 and 222 have that of the call. What is blocked does not change.

--- a/entry/crash_check.go
+++ b/entry/crash_check.go
@@ -12,10 +12,10 @@
 	"github.com/pomelospring/pomelospring/quarantine"
 )
 
-// crashCheckTimeout bounds the question to a model worker whether it has ended.
+// crashCheckTimeout bounds the question to a backend server whether it has ended.
 const crashCheckTimeout = 400 * time.Millisecond
 
-// connectionBreakTime is the time within which all connections to a worker that has
+// connectionBreakTime is the time within which all connections to a server that has
 // ended break.
 const connectionBreakTime = 200 * time.Millisecond
 
@@ -50,11 +50,11 @@
 	a.session.service.Quarantine.RecordOutput(a.session.parts, a.session.service.Clock())
 }
 
-// checkForCrash is called when the connection to a model worker broke. If there was
-// no output yet, and the worker has ended, the call's prompt parts are suspected.
+// checkForCrash is called when the connection to a backend server broke. If there was
+// no output yet, and the server has ended, the call's prompt parts are suspected.
 func (a *attempt) checkForCrash(ctx context.Context) {
 	c := a.session
-	if c.limits == nil || a.hasOutput || len(c.parts) == 0 || ctx.Err() != nil || a.isTakenOver() {
+	if a.hasOutput || ctx.Err() != nil || a.isTakenOver() {
 		return
 	}
 	s := c.service
@@ -65,15 +65,16 @@
 	}
 	calls, checking := s.crashChecks[a.server.ID]
 	s.crashChecks[a.server.ID] = append(calls, quarantine.Call{
-		Team:  c.team,
-		Parts: c.parts,
+		Team:    c.team,
+		Parts:   c.parts,
+		Request: c.fingerprint,
 	})
 	if !checking {
 		go s.checkServer(a.server, s.Clock())
 	}
 }
 
-// checkServer asks a model worker whether it has ended, and if so records the calls
+// checkServer asks a backend server whether it has ended, and if so records the calls
 // that broke off there since brokenAt.
 func (s *Service) checkServer(server pomelospring.FleetServer, brokenAt time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
@@ -91,22 +92,26 @@
 		return
 	}
 	s.Quarantine.RecordCrash(server.ID, calls, brokenAt, s.Clock())
-	parts := map[string]int{}
+	parts, requests := map[string]int{}, map[string]int{}
 	for _, call := range calls {
+		requests[call.Request]++
 		for _, part := range call.Parts {
 			parts[part]++
 		}
 	}
 	events.Log(s.Logger, events.ServerEnded, log.Fields{
-		"server": server.ID,
-		"calls":  len(calls),
-		"parts":  parts,
+		"server":   server.ID,
+		"service":  server.Service,
+		"calls":    len(calls),
+		"parts":    parts,
+		"contents": requests,
 	})
 }
 
-// hasEnded reports whether a model worker's report, or the error in place of it,
-// shows that it has ended. A report that is late or was reset shows nothing: a sound
-// worker may be silent for a while, and resets connections beyond its maximum.
+// hasEnded reports whether a server's report, or the error in place of it, shows that it
+// has ended. A report that is late, was reset or is not to be had shows nothing: a sound
+// server may be silent for a while, resets connections beyond its maximum, and may have
+// no reports.
 func hasEnded(server *pomelospring.FleetServer, report *pomelospring.EngineReport, err error) bool {
 	if err != nil {
 		return errors.Is(err, pomelospring.ErrServerEnded)
--- a/entry/run.go
+++ b/entry/run.go
@@ -544,6 +544,7 @@
 		"runs":    c.attemptsExecuted,
 		"output":  !c.firstEventAt.IsZero(),
 		"parts":   c.parts,
+		"content": c.fingerprint,
 	})
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -109,6 +109,8 @@
 	chargedTokens float64
 	// parts are the prompt parts that other calls may share.
 	parts []string
+	// fingerprint identifies this call and its repeats.
+	fingerprint string
 	// isTrial is set if the call is let through although its parts are blocked.
 	isTrial  bool
 	deadline time.Time
@@ -213,6 +215,7 @@
 		}
 	}
 	c.parts = c.call.SharedParts()
+	c.fingerprint = c.call.Fingerprint()
 	if refusal = c.checkQuarantine(now); refusal != nil {
 		return refusal
 	}
@@ -281,6 +284,7 @@
 		"heldMs":  now.Sub(c.call.Arrived).Milliseconds(),
 		"sends":   c.attemptsSent,
 		"path":    c.call.Path,
+		"content": c.fingerprint,
 		"tokens":  c.call.PromptTokens + c.call.OutputTokens,
 		"level":   int64(s.Ledger.Level(c.team, now)),
 	}
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -48,7 +48,7 @@
 	CallerLeft     = define(225, "callerLeft", log.InfoLevel, "The caller closed its connection before the answer was complete; the call was cancelled.")
 	StreamResumed  = define(226, "streamResumed", log.WarnLevel, "A stream was resumed at another model worker after the last event that was forwarded.")
 	TakeoverFailed = define(227, "takeoverFailed", log.InfoLevel, "Another backend server did not go on with the call of a silent one, for the reason given; the call waits on.")
-	ServerEnded    = define(228, "serverEnded", log.WarnLevel, "A model worker ended while calls on it had no output yet; the fields give their shared prompt parts.")
+	ServerEnded    = define(228, "serverEnded", log.WarnLevel, "A backend server ended while calls on it had no output yet; the fields give the shared prompt parts of these, and a hash of each one's caller, target and body.")
 	PartsBlocked   = define(229, "partsBlocked", log.WarnLevel, "Calls with these prompt parts are kept from model workers, because workers end under them; the fields give the number of ended workers and the teams, none for all. No parts: no call is.")
 	PartsTried     = define(230, "partsTried", log.WarnLevel, "A call with blocked prompt parts was let through, to see whether model workers still end under them.")
 
--- a/fleet.go
+++ b/fleet.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // ResidentAdapter is an adapter, in one version, that is loaded on a model
@@ -131,6 +134,17 @@
 	return ids
 }
 
+// Fingerprint identifies calls of one caller with the same target and body.
+func (c *Call) Fingerprint() string {
+	digest := xxhash.New()
+	for _, field := range []string{c.Method, strings.ToLower(c.Host), c.Target, c.Key} {
+		// The lengths keep fields apart.
+		_, _ = fmt.Fprintf(digest, "%d:%s", len(field), field)
+	}
+	_, _ = digest.Write(c.Body)
+	return fmt.Sprintf("request:%016x", digest.Sum64())
+}
+
 // NeedsAdapter reports whether the call runs on an adapter of a model.
 func (c *Call) NeedsAdapter() bool {
 	return strings.Contains(c.Adapter, "/")
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -60,11 +60,13 @@
 	Suspects map[string]map[string]bool
 }
 
-// Call is a call that a worker had not begun to answer when it ended.
+// Call is a call that a server had not begun to answer when it ended.
 type Call struct {
 	Team string
 	// Parts are the prompt parts that other calls may share.
 	Parts []string
+	// Request identifies the call and its repeats.
+	Request string
 }
 
 // Output is the last time at which an answer began on a part.
@@ -266,6 +268,9 @@
 			suspects[part][call.Team] = true
 		}
 	}
+	if len(suspects) == 0 {
+		return
+	}
 	r.Merge([]Crash{{
 		Server:   server,
 		At:       at,
