--- a/entry/crashing_prompt_test.go
+++ b/entry/crashing_prompt_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,11 +16,16 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/entry"
 )
 
-// crashingBackend ends a server when it begins to answer a prompt with the part
-// "bad", and starts another one in its place.
+// crashingBackend ends a server when it begins to answer a call that crashes it, and
+// starts another one in its place.
 type crashingBackend struct {
+	// crashing tells the calls that crash servers; nil for those with the prompt part
+	// "bad".
+	crashing func(call *pomelospring.Call) bool
+
 	mu       sync.Mutex
 	restart  func(server string)
 	received map[string]int
@@ -36,17 +43,22 @@
 	for _, part := range call.Parts {
 		b.received[part.ID]++
 	}
-	for _, part := range call.Parts {
-		if part.ID == "bad" {
-			b.crashes++
-			b.ended[dispatch.Server.ID] = true
-			b.restart(dispatch.Server.ID)
-			return nil, errors.New("EOF")
-		}
+	if b.isCrashing(call) {
+		b.crashes++
+		b.ended[dispatch.Server.ID] = true
+		b.restart(dispatch.Server.ID)
+		return nil, errors.New("EOF")
 	}
 	return &pomelospring.BackendAnswer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(events3)), Signed: true, Length: -1}, nil
 }
 
+func (b *crashingBackend) isCrashing(call *pomelospring.Call) bool {
+	if b.crashing != nil {
+		return b.crashing(call)
+	}
+	return slices.ContainsFunc(call.Parts, func(part pomelospring.PromptPart) bool { return part.ID == "bad" })
+}
+
 // Report implements pomelospring.Engine; only Send ends servers.
 func (b *crashingBackend) Report(_ context.Context, server pomelospring.FleetServer) (pomelospring.EngineReport, error) {
 	b.mu.Lock()
@@ -62,32 +74,34 @@
 	return pomelospring.OrderDone, nil
 }
 
+// newCrashingService returns a service before servers that end under some calls.
+func newCrashingService() (*entry.Service, *crashingBackend) {
+	service := newService(nil, false)
+	incarnation := 0
+	servers := map[string]pomelospring.FleetServer{}
+	for _, server := range service.Board.Servers() {
+		servers[server.ID] = server
+	}
+	b := &crashingBackend{received: map[string]int{}, ended: map[string]bool{}}
+	b.restart = func(server string) {
+		incarnation++
+		next := servers[server]
+		next.ID = fmt.Sprintf("i-%d", incarnation)
+		next.Resident = []pomelospring.ResidentAdapter{{Adapter: "m/x", Version: 1}}
+		delete(servers, server)
+		servers[next.ID] = next
+		service.Board.SetServers(maps.Clone(servers), time.Now())
+		service.Board.AddResident(next.ID, "m/x", 1)
+	}
+	service.Backend, service.Engine = b, b
+	return service, b
+}
+
 // TestPromptPartThatCrashesServersStopsReachingThem guards against calls with one
 // prompt part that end server after server.
 func TestPromptPartThatCrashesServersStopsReachingThem(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		service := newService(nil, false)
-		incarnation := 0
-		servers := map[string]pomelospring.FleetServer{}
-		for _, server := range service.Board.Servers() {
-			servers[server.ID] = server
-		}
-		b := &crashingBackend{received: map[string]int{}, ended: map[string]bool{}}
-		b.restart = func(server string) {
-			incarnation++
-			next := servers[server]
-			next.ID = fmt.Sprintf("i-%d", incarnation)
-			next.Resident = []pomelospring.ResidentAdapter{{Adapter: "m/x", Version: 1}}
-			delete(servers, server)
-			servers[next.ID] = next
-			listed := map[string]pomelospring.FleetServer{}
-			for id, entry := range servers {
-				listed[id] = entry
-			}
-			service.Board.SetServers(listed, time.Now())
-			service.Board.AddResident(next.ID, "m/x", 1)
-		}
-		service.Backend, service.Engine = b, b
+		service, b := newCrashingService()
 		serve := func(id, part string) *responder {
 			out := &responder{}
 			service.Serve(t.Context(), &pomelospring.Call{
--- a/front/crashing_prompt_test.go
+++ b/front/crashing_prompt_test.go
@@ -19,10 +19,11 @@
 )
 
 // crashingWorkers are workers that end when they begin to answer a prompt with the part
-// bad, and come back as others.
+// bad, or a request to a path that ends with it, and come back as others.
 type crashingWorkers struct {
-	t     *testing.T
-	store *standin.Store
+	t       *testing.T
+	store   *standin.Store
+	service string
 
 	mu      sync.Mutex
 	started int
@@ -34,16 +35,17 @@
 	c.mu.Lock()
 	c.started++
 	w := newWorker(c.t, fmt.Sprintf("i-%d", c.started))
+	w.service = c.service
 	c.mu.Unlock()
 	execute := w.server.Config.Handler
 	w.server.Config.Handler = http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
-		if !strings.Contains(r.Header.Get(promptPrefixHeader), "bad:") {
+		if !strings.Contains(r.Header.Get(promptPrefixHeader), "bad:") && !strings.HasSuffix(r.URL.Path, "/bad") {
 			execute.ServeHTTP(out, r)
 			return
 		}
 		w.mu.Lock()
 		_, adapter, _ := strings.Cut(r.Header.Get("X-Pomelospring-Model-Id"), "/")
-		resident := w.adapters[adapter]
+		resident := adapter == "" || w.adapters[adapter]
 		w.mu.Unlock()
 		if !resident {
 			execute.ServeHTTP(out, r)
@@ -70,34 +72,39 @@
 }
 
 // crashesAfterWindow returns how many workers ended, and how many of them later than a
-// time after the fifth.
-func (c *crashingWorkers) crashesAfterWindow(window time.Duration) (all, late int) {
+// time after the one that ended as number nth.
+func (c *crashingWorkers) crashesAfterWindow(nth int, window time.Duration) (all, late int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, at := range c.crashes {
-		if len(c.crashes) > 5 && at.Sub(c.crashes[4]) > window {
+		if len(c.crashes) > nth && at.Sub(c.crashes[nth-1]) > window {
 			late++
 		}
 	}
 	return len(c.crashes), late
 }
 
+// startInTwoDomains starts two instances in each of two failure domains.
+func startInTwoDomains(t *testing.T, address string) (instances []*instance) {
+	for n, domain := range []string{"north", "north", "south", "south"} {
+		config := newConfig(t, fmt.Sprintf("front-%d", n), address)
+		config.Domain = domain
+		config.Domains = []string{"north", "south"}
+		instances = append(instances, start(t, config))
+	}
+	return instances
+}
+
 // TestPromptPartThatCrashesWorkersIsBlockedInTheWholeFleet guards against instances and
 // failure domains that each learn for themselves under which prompt part workers end.
 func TestPromptPartThatCrashesWorkersIsBlockedInTheWholeFleet(t *testing.T) {
 	store, address, _ := newStoreWithWorker(t)
-	workers := &crashingWorkers{t: t, store: store}
+	workers := &crashingWorkers{t: t, store: store, service: "llm"}
 	for _, domain := range []string{"north", "south", "north", "south"} {
 		workers.start(domain)
 	}
 	store.Put(platform.ServerTopic, "i-1", nil)
-	instances := make([]*instance, 0, 4)
-	for n, domain := range []string{"north", "north", "south", "south"} {
-		config := newConfig(t, fmt.Sprintf("front-%d", n), address)
-		config.Domain = domain
-		config.Domains = []string{"north", "south"}
-		instances = append(instances, start(t, config))
-	}
+	instances := startInTwoDomains(t, address)
 	for _, i := range instances {
 		eventually(t, "serves", func() bool { return i.serves("k1", "a1") })
 	}
@@ -117,7 +124,7 @@
 		}
 		time.Sleep(60 * time.Millisecond)
 	}
-	all, late := workers.crashesAfterWindow(3 * time.Second)
+	all, late := workers.crashesAfterWindow(5, 3*time.Second)
 	t.Logf("%d workers ended, %d of them late; %d calls with the part refused; %d of %d sound calls served", all, late, refused, served, sound)
 	if late > 3 {
 		t.Errorf("%d workers ended under the part later than 3 s after the fifth", late)
--- /dev/null
+++ b/front/crashing_request_test.go
@@ -0,0 +1,54 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestRequestThatCrashesServersIsBlockedInTheWholeFleet guards against one request of a
+// plain service that ends server after server, at each instance anew.
+func TestRequestThatCrashesServersIsBlockedInTheWholeFleet(t *testing.T) {
+	for _, path := range []string{"/lookup/", "/order/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			store, address, _ := newStoreWithWorker(t)
+			servers := &crashingWorkers{t: t, store: store, service: "app"}
+			for n := range 8 {
+				servers.start([]string{"north", "south"}[n%2])
+			}
+			instances := startInTwoDomains(t, address)
+			for _, i := range instances {
+				eventually(t, "serves", func() bool {
+					status, _, err := i.sendTo("probe", "k1", path+"probe", "")
+					return err == nil && status == http.StatusOK
+				})
+			}
+			sound, served, refused := 0, 0, 0
+			began := time.Now()
+			for n := 0; time.Since(began) < 12*time.Second; n++ {
+				i := instances[n%len(instances)]
+				if n%3 == 0 {
+					if status, _, _ := i.sendTo(fmt.Sprint("bad-", n), "k1", path+"bad", ""); status == http.StatusServiceUnavailable {
+						refused++
+					}
+				} else if time.Since(began) > 6*time.Second {
+					sound++
+					if status, _, err := i.sendTo(fmt.Sprint("sound-", n), "k1", path+fmt.Sprint(n%5), ""); err == nil && status == http.StatusOK {
+						served++
+					}
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			all, late := servers.crashesAfterWindow(3, 3*time.Second)
+			t.Logf("%d servers ended, %d of them late; the request refused %d times; %d of %d sound calls served", all, late, refused, served, sound)
+			if late > 3 {
+				t.Errorf("%d servers ended under the request later than 3 s after the third", late)
+			}
+			if served*100 < sound*97 {
+				t.Errorf("%d of %d sound calls of the same route and team were served", served, sound)
+			}
+		})
+	}
+}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -36,6 +36,7 @@
 // the holders that gave orders, and how often each request was executed.
 type worker struct {
 	id         string
+	service    string
 	mu         sync.Mutex
 	adapters   map[string]bool
 	sequence   int64
@@ -58,6 +59,7 @@
 func newWorker(t *testing.T, id string) *worker {
 	w := &worker{
 		id:         id,
+		service:    "llm",
 		adapters:   map[string]bool{},
 		holders:    map[string]bool{},
 		executions: map[string]int{},
@@ -70,8 +72,8 @@
 
 // entry returns the worker's record in the server list.
 func (w *worker) entry(state string) []byte {
-	return fmt.Appendf(nil, `{"service":"llm","address":%q,"zone":"north","slots":8,"state":%q,"born":1000,"models":[{"name":"m","version":1,"adapters":[]}],"seq":0}`,
-		strings.TrimPrefix(w.server.URL, "http://"), state)
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"north","slots":8,"state":%q,"born":1000,"models":[{"name":"m","version":1,"adapters":[]}],"seq":0}`,
+		w.service, strings.TrimPrefix(w.server.URL, "http://"), state)
 }
 
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
@@ -200,8 +202,10 @@
 }
 
 const policy = `{"version":%d,"routes":[
-	{"name":"proof","host":"shop.example","path-prefix":"/proof/","kind":"streaming","timeout-ms":8000,"service":"llm","max-attempts":1}],
-	"services":[{"name":"llm","engine":{"adapter-slots":8,"loads-per-s":1,"models":[{"name":"m","load-s":1}]}}],
+	{"name":"proof","host":"shop.example","path-prefix":"/proof/","kind":"streaming","timeout-ms":8000,"service":"llm","max-attempts":1},
+	{"name":"lookup","host":"shop.example","path-prefix":"/lookup/","kind":"safe","timeout-ms":4000,"service":"app","max-attempts":3},
+	{"name":"order","host":"shop.example","path-prefix":"/order/","kind":"non_idempotent","timeout-ms":4000,"service":"app","max-attempts":1}],
+	"services":[{"name":"app"},{"name":"llm","engine":{"adapter-slots":8,"loads-per-s":1,"models":[{"name":"m","load-s":1}]}}],
 	"limits":{"max-body-bytes":1000},
 	"tenants":[{"name":"shop","api-keys":["%s"],"unit":"tokens","plain-tokens":1,"rate-per-s":1000000,"burst":1000000}]}`
 
@@ -289,15 +293,30 @@
 	if err != nil {
 		return 0, "", err
 	}
-	httpRequest.Host = "shop.example"
-	httpRequest.Header.Set("Authorization", "Bearer "+key)
-	httpRequest.Header.Set(requestIDHeader, id)
 	httpRequest.Header.Set("X-Pomelospring-Model-Id", "m/"+adapter)
 	httpRequest.Header.Set("X-Pomelospring-Token-Count", "100,10")
-	httpRequest.Header.Set("X-Pomelospring-Deadline-Ms", "8000")
 	for name, value := range header {
 		httpRequest.Header.Set(name, value)
 	}
+	return sendRequest(httpRequest, id, key)
+}
+
+// sendTo sends a request with a body to a path of the instance.
+func (i *instance) sendTo(id, key, path, content string) (status int, body string, err error) {
+	httpRequest, err := http.NewRequest(http.MethodPost, "http://"+i.config.Listen.Callers+path, strings.NewReader(content))
+	if err != nil {
+		return 0, "", err
+	}
+	return sendRequest(httpRequest, id, key)
+}
+
+// sendRequest sends a request in the name of a key and returns the status and the body
+// of the response.
+func sendRequest(httpRequest *http.Request, id, key string) (status int, body string, err error) {
+	httpRequest.Host = "shop.example"
+	httpRequest.Header.Set("Authorization", "Bearer "+key)
+	httpRequest.Header.Set(requestIDHeader, id)
+	httpRequest.Header.Set("X-Pomelospring-Deadline-Ms", "8000")
 	response, err := http.DefaultClient.Do(httpRequest)
 	if err != nil {
 		return 0, "", err
