Keep requests from backend servers that end under them, in all services

Cause: the quarantine judged prompt parts at model workers only; nothing remembered under which request a server of any service had ended. Class: a request that ends every server that it reaches. Contributing: our own second attempt of a lookup, which met the next server while the first end was not known yet. Ruled out: ends for a reason of their own; each is under the same path and caller.

Change: what is judged is what was sent: prompt parts, and the request, as a hash of method, host, target, key and body. Three ends block it, for its team only; four if it was answered before. Of two requests in the very same ends one is blocked, until an end without it shows the other. Ends at the same moment count once, unless the request was sent to the later server because the earlier one had ended. A whole answer clears a request of a plain service. A call whose connection broke is not sent again once two servers ended under it, here or elsewhere. Servers that were draining don't count.

Two lines of TestBlockLastsWhileItsCallsCome compared with Refused; a due trial is now a verdict of its own that needs a grant, so they compare with Admitted: no call may be admitted. TestTrialsOfBlockedPartsGetRarer asks for the grant, and checks that there is no second one.

--- a/coordination/crashes.go
+++ b/coordination/crashes.go
@@ -1,14 +1,19 @@
 package coordination
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pomelospring/pomelospring/coordination/coordinationpb"
 	"github.com/pomelospring/pomelospring/quarantine"
 )
 
+// tryTimeout bounds the answer of a leader that grants trials, for which a call waits.
+const tryTimeout = 250 * time.Millisecond
+
 // addCrashes adds to a request the crashes that the leader doesn't have, and returns
 // their version.
 func (m *Member) addCrashes(request *coordinationpb.ExchangeRequest) (reported int64) {
@@ -62,8 +67,9 @@
 		}
 		for part, teams := range crash.Suspects {
 			entry.Suspects = append(entry.Suspects, &coordinationpb.SuspectPart{
-				Part:  part,
-				Teams: slices.Sorted(maps.Keys(teams)),
+				Part:   part,
+				Teams:  slices.Sorted(maps.Keys(teams)),
+				Resent: crash.Resent[part],
 			})
 		}
 		list = append(list, entry)
@@ -78,6 +84,7 @@
 			At:       now.Add(-time.Duration(entry.AgeMilliseconds) * time.Millisecond),
 			SeenAt:   now.Add(-time.Duration(entry.SeenAgeMilliseconds) * time.Millisecond),
 			Suspects: map[string]map[string]bool{},
+			Resent:   map[string]bool{},
 		}
 		for _, suspect := range entry.Suspects {
 			teams := map[string]bool{}
@@ -85,6 +92,9 @@
 				teams[team] = true
 			}
 			crash.Suspects[suspect.Part] = teams
+			if suspect.Resent {
+				crash.Resent[suspect.Part] = true
+			}
 		}
 		crashes = append(crashes, crash)
 	}
@@ -110,3 +120,42 @@
 	}
 	return outputs
 }
+
+// Try implements the RPC Try.
+func (s *Server) Try(_ context.Context, request *coordinationpb.TryRequest) (reply *coordinationpb.TryReply, err error) {
+	leader := s.Leaders[request.Domain]
+	if leader == nil || !leader.Leading() {
+		return nil, errNotLeading
+	}
+	return &coordinationpb.TryReply{
+		Granted: s.Quarantine.BeginTrial(request.Block, leader.Clock()),
+	}, nil
+}
+
+// MayTry asks the domain's leader for a trial of a block. Without an answer there is none.
+func (m *Member) MayTry(ctx context.Context, block string) bool {
+	address := m.Known()
+	request := &coordinationpb.TryRequest{
+		Domain: m.Domain,
+		Block:  block,
+	}
+	if address == "" || !m.LeaderAnswers() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	var reply *coordinationpb.TryReply
+	var err error
+	if address == m.Address {
+		reply, err = m.Local.Try(ctx, request)
+	} else {
+		reply, err = m.client(ctx, address).Try(ctx, request)
+	}
+	return err == nil && reply.Granted
+}
+
+// MayTry implements pomelospring.Coordinator. Each block has one domain whose leader
+// grants its trials.
+func (c *PlacementCoordinator) MayTry(ctx context.Context, block string) bool {
+	return c.Members[xxhash.Sum64String(block)%uint64(len(c.Members))].MayTry(ctx, block)
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -91,9 +91,10 @@
 		err = errTakenOver
 	}
 	if err != nil {
-		a.checkForCrash(ctx)
+		a.recordBreak(ctx)
 		return a.handleBrokenAnswer(ctx, err)
 	}
+	a.recordOutput()
 	if !failed && !a.queued && c.limits == nil {
 		c.service.Board.RecordPlainCall(c.targetService, c.service.Clock().Sub(a.sentAt))
 	}
@@ -221,7 +222,7 @@
 			err = errInsideEvent
 		}
 		if err != nil {
-			a.checkForCrash(ctx)
+			a.recordBreak(ctx)
 			return a.handleBrokenAnswer(ctx, err)
 		}
 	}
--- a/entry/crash_check.go
+++ b/entry/crash_check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,44 +16,82 @@
 // crashCheckTimeout bounds the question to a backend server whether it has ended.
 const crashCheckTimeout = 400 * time.Millisecond
 
+// maxSuspicion is the number of servers that may end under a call before it is not sent
+// again.
+const maxSuspicion = 2
+
 // connectionBreakTime is the time within which all connections to a server that has
 // ended break.
 const connectionBreakTime = 200 * time.Millisecond
 
-// checkQuarantine refuses a call with prompt parts under which model workers end,
-// unless its first attempt is a trial.
-func (c *session) checkQuarantine(now time.Time) *pomelospring.Refusal {
-	if c.limits == nil || c.isTrial && c.attemptsSent == 0 {
+// checkQuarantine refuses a call under which, or under whose prompt parts, backend servers
+// end, unless its first attempt is a trial.
+func (c *session) checkQuarantine(ctx context.Context, now time.Time) *pomelospring.Refusal {
+	if c.isTrial && c.attemptsSent == 0 {
+		return nil
+	}
+	verdict, block, retryAt := c.service.Quarantine.Judge(c.team, c.suspects(), now)
+	if verdict == quarantine.Admitted {
 		return nil
 	}
-	verdict, block, retryAt := c.service.Quarantine.Judge(c.team, c.parts, now)
-	switch verdict {
-	case quarantine.Admitted:
-	case quarantine.Refused:
-		return pomelospring.NewRefusal(pomelospring.CodePartBlocked, retryAt, "model workers end under the prompt parts %s", strings.Join(block.Parts, ", "))
-	case quarantine.Trial:
+	if verdict == quarantine.Trial && c.service.Coordinator.MayTry(ctx, block.Parts[0]) {
 		c.isTrial = true
 		events.Log(c.service.Logger, events.PartsTried, log.Fields{
 			"request": c.call.ID,
 			"parts":   block.Parts,
 			"crashes": block.Crashes,
 		})
+		return nil
+	}
+	code := pomelospring.CodePartBlocked
+	if slices.ContainsFunc(block.Parts, pomelospring.IsFingerprint) {
+		code = pomelospring.CodeRequestBlocked
 	}
-	return nil
+	return pomelospring.NewRefusal(code, retryAt, "backend servers end under %s", strings.Join(block.Parts, ", "))
 }
 
-// recordOutput records that a model worker has begun to answer the call.
+// suspects returns what servers may end under: the call itself, and its prompt parts.
+func (c *session) suspects() []string {
+	call := c.quarantined(false)
+	return call.Suspects()
+}
+
+// quarantined returns the call as the quarantine judges it; resent says that it was sent
+// because its connection to another server broke.
+func (c *session) quarantined(resent bool) quarantine.Call {
+	return quarantine.Call{
+		Team:    c.team,
+		Parts:   c.parts,
+		Request: c.fingerprint,
+		Resent:  resent,
+	}
+}
+
+// maySendAgain reports whether the call may be sent to another server after broken
+// attempts whose connection broke. Two ends under a call, here or elsewhere, are enough.
+func (c *session) maySendAgain(broken int) bool {
+	return broken+c.service.Quarantine.Suspicion(c.suspects()) < maxSuspicion
+}
+
+// recordOutput records that a backend server has begun to answer the call.
 func (a *attempt) recordOutput() {
-	if a.hasOutput || a.session.limits == nil {
+	if a.hasOutput {
 		return
 	}
 	a.hasOutput = true
-	a.session.service.Quarantine.RecordOutput(a.session.parts, a.session.service.Clock())
+	a.session.service.Quarantine.RecordOutput(a.session.suspects(), a.session.service.Clock())
+}
+
+// recordBreak records that the connection of the call's attempt broke.
+func (a *attempt) recordBreak(ctx context.Context) {
+	a.session.attemptsBroken++
+	a.checkForCrash(ctx, a.session.attemptsBroken > 1)
 }
 
 // checkForCrash is called when the connection to a backend server broke. If there was
-// no output yet, and the server has ended, the call's prompt parts are suspected.
-func (a *attempt) checkForCrash(ctx context.Context) {
+// no output yet, and the server has ended, the call is suspected. resent says that the
+// call was sent there because its connection to another server broke.
+func (a *attempt) checkForCrash(ctx context.Context, resent bool) {
 	c := a.session
 	if a.hasOutput || ctx.Err() != nil || a.isTakenOver() {
 		return
@@ -64,11 +103,7 @@
 		s.crashChecks = map[string][]quarantine.Call{}
 	}
 	calls, checking := s.crashChecks[a.server.ID]
-	s.crashChecks[a.server.ID] = append(calls, quarantine.Call{
-		Team:    c.team,
-		Parts:   c.parts,
-		Request: c.fingerprint,
-	})
+	s.crashChecks[a.server.ID] = append(calls, c.quarantined(resent))
 	if !checking {
 		go s.checkServer(a.server, s.Clock())
 	}
@@ -88,7 +123,7 @@
 	calls := s.crashChecks[server.ID]
 	delete(s.crashChecks, server.ID)
 	s.mu.Unlock()
-	if !hasEnded(&server, &report, err) || s.Board.RunningCalls(server.ID) > 0 {
+	if !hasEnded(&server, &report, err) || s.Board.RunningCalls(server.ID) > 0 || s.Board.Draining(server.ID) {
 		return
 	}
 	s.Quarantine.RecordCrash(server.ID, calls, brokenAt, s.Clock())
--- a/entry/limited_server.go
+++ b/entry/limited_server.go
@@ -36,7 +36,7 @@
 			patience = c.deadline.Sub(s.Clock())
 		}
 		if c.reserve(ctx, choice, patience) {
-			return choice, candidates, c.checkQuarantine(s.Clock())
+			return choice, candidates, c.checkQuarantine(ctx, s.Clock())
 		}
 		now := s.Clock()
 		switch {
--- a/entry/run.go
+++ b/entry/run.go
@@ -71,7 +71,7 @@
 	if !now.Before(c.deadline) {
 		return dispatch.Choice{}, c.timeoutRefusal()
 	}
-	if refusal = c.checkQuarantine(now); refusal != nil {
+	if refusal = c.checkQuarantine(ctx, now); refusal != nil {
 		return dispatch.Choice{}, refusal
 	}
 	choice, candidates, refusal := c.pickWithSlot(ctx)
@@ -385,7 +385,7 @@
 	} else {
 		c.attemptsSent++
 		c.attemptsExecuted++
-		a.checkForCrash(ctx)
+		a.recordBreak(ctx)
 	}
 	c.successor = a.settle()
 	willRetry := c.successor != nil || ctx.Err() == nil && c.mayRetry(notSent)
@@ -478,7 +478,7 @@
 	if notSent {
 		return c.unreachable <= maxUnreachable && c.service.Clock().Before(c.firstEventDeadline)
 	}
-	return c.route.Repeatable() && c.attemptsExecuted < c.route.Attempts && c.retries.Take()
+	return c.route.Repeatable() && c.attemptsExecuted < c.route.Attempts && c.maySendAgain(c.attemptsBroken) && c.retries.Take()
 }
 
 // unansweredRefusal returns the refusal after the last attempt got no answer.
--- a/entry/service.go
+++ b/entry/service.go
@@ -135,6 +135,9 @@
 	// attemptsExecuted those of them that may have been executed.
 	attemptsSent     int
 	attemptsExecuted int
+	// attemptsBroken counts attempts whose connection broke before the answer was
+	// whole.
+	attemptsBroken int
 	// soughtCopy is set once the call's adapter was looked for on servers that name no
 	// limit.
 	soughtCopy bool
@@ -171,7 +174,7 @@
 		lastEventID: call.ResumeAfter,
 		priority:    -1,
 	}
-	if refusal := c.admit(); refusal != nil {
+	if refusal := c.admit(ctx); refusal != nil {
 		c.refuse(refusal)
 		return
 	}
@@ -182,7 +185,7 @@
 
 // admit matches the route, checks the key and charges the team's budget. It
 // returns a refusal if the call can't be served.
-func (c *session) admit() *pomelospring.Refusal {
+func (c *session) admit(ctx context.Context) *pomelospring.Refusal {
 	s := c.service
 	now := s.Clock()
 	policy := s.Board.Policy()
@@ -216,7 +219,7 @@
 	}
 	c.parts = c.call.SharedParts()
 	c.fingerprint = c.call.Fingerprint()
-	if refusal = c.checkQuarantine(now); refusal != nil {
+	if refusal = c.checkQuarantine(ctx, now); refusal != nil {
 		return refusal
 	}
 	c.retries = s.retryBudget(c.targetService)
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -136,6 +136,9 @@
 	return pomelospring.PlacementOutcome{Server: "a", Version: 1}, nil
 }
 
+// MayTry grants every trial.
+func (c *coordinator) MayTry(context.Context, string) bool { return true }
+
 // Reserve grants every reservation at once.
 func (c *coordinator) Reserve(context.Context, pomelospring.FleetServer, time.Time) pomelospring.Reservation {
 	return pomelospring.Reservation{Granted: true, At: time.Now(), NextAt: time.Now()}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -29,6 +29,10 @@
 	missing  map[string]bool
 	sent     int
 	executed int
+	// broken counts the servers that were asked and whose connection broke, and
+	// brokenBefore the attempts of the call before it.
+	broken       int
+	brokenBefore int
 	// maxSent and maxExecuted limit sent and executed.
 	maxSent     int
 	maxExecuted int
@@ -65,6 +69,8 @@
 		maxSent:     maxAttempts - c.attemptsSent - 1,
 		maxExecuted: maxExecuted,
 		resumeAfter: c.lastEventID,
+
+		brokenBefore: c.attemptsBroken,
 	}
 }
 
@@ -98,7 +104,7 @@
 		return
 	}
 	if err != nil && !errors.Is(err, pomelospring.ErrNotSent) {
-		b.checkForCrash(ctx)
+		b.checkForCrash(ctx, a.brokenSends() > 0)
 	}
 	a.recordFailedTakeover(ctx, b, answer, err)
 	cancel()
@@ -223,8 +229,8 @@
 	c := a.session
 	s := c.service
 	now := s.Clock()
-	if c.limits != nil && s.Quarantine.Blocked(c.team, c.parts, now) {
-		return choice, 0, "model workers end under the call's prompt parts"
+	if s.Quarantine.Blocked(c.team, c.suspects(), now) || !c.maySendAgain(a.brokenSends()) {
+		return choice, 0, "backend servers end under the call"
 	}
 	candidates := s.Board.Candidates(c.targetService, c.call, avoid, now)
 	choice = dispatch.Choose(candidates, c.requirements())
@@ -249,6 +255,14 @@
 	return choice, len(candidates), ""
 }
 
+// brokenSends counts the attempts of the call whose connection broke.
+func (a *attempt) brokenSends() int {
+	w := &a.watchdog
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.takeover.brokenBefore + w.takeover.broken
+}
+
 // placementFailure says why an adapter was not placed.
 func placementFailure(outcome pomelospring.PlacementOutcome, err error) string {
 	if err != nil {
@@ -319,10 +333,19 @@
 		c.retries.Return()
 		return
 	}
+	t.countFailed(answer, !canceled && !isSilent(ctx))
+}
+
+// countFailed counts a server that was asked and did not take the call over. broke says
+// that the connection broke if there is no answer. The caller holds the lock.
+func (t *takeover) countFailed(answer *pomelospring.BackendAnswer, broke bool) {
 	t.sent++
 	if answer == nil || !answer.NotRun {
 		t.executed++
 	}
+	if answer == nil && broke {
+		t.broken++
+	}
 }
 
 // takeoverFailure says why a takeover failed. The caller holds the lock.
@@ -374,7 +397,8 @@
 	t.returnRetry(c.retries)
 	c.attemptsSent += t.sent
 	c.attemptsExecuted += t.executed
-	t.sent, t.executed = 0, 0
+	c.attemptsBroken += t.broken
+	t.sent, t.executed, t.broken = 0, 0, 0
 	maps.Copy(c.avoid, t.avoid)
 	maps.Copy(c.missing, t.missing)
 	return t.successor
--- a/fleet.go
+++ b/fleet.go
@@ -134,6 +134,12 @@
 	return ids
 }
 
+// fingerprintPrefix begins the fingerprints of calls, and no ID of a prompt part.
+const fingerprintPrefix = "request:"
+
+// IsFingerprint reports whether a text is a fingerprint of a call.
+func IsFingerprint(text string) bool { return strings.HasPrefix(text, fingerprintPrefix) }
+
 // Fingerprint identifies calls of one caller with the same target and body.
 func (c *Call) Fingerprint() string {
 	digest := xxhash.New()
@@ -142,7 +148,7 @@
 		_, _ = fmt.Fprintf(digest, "%d:%s", len(field), field)
 	}
 	_, _ = digest.Write(c.Body)
-	return fmt.Sprintf("request:%016x", digest.Sum64())
+	return fmt.Sprintf("%s%016x", fingerprintPrefix, digest.Sum64())
 }
 
 // NeedsAdapter reports whether the call runs on an adapter of a model.
@@ -370,6 +376,9 @@
 	// Place requests an adapter on a model worker and returns the worker's ID
 	// once the adapter is resident there.
 	Place(ctx context.Context, request PlacementRequest) (outcome PlacementOutcome, err error)
+	// MayTry reports whether a call that is blocked may be let through, to see whether
+	// servers still end under what block names. It grants few calls of the whole fleet.
+	MayTry(ctx context.Context, block string) bool
 	// Reserve asks for the time at which a call may be sent to a server that names a
 	// limit, not later than latest.
 	Reserve(ctx context.Context, server FleetServer, latest time.Time) (reservation Reservation)
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -124,6 +124,13 @@
 	return found && !listed.Draining && !b.paused(server, now)
 }
 
+// Draining reports whether a server is listed, and as draining.
+func (b *Board) Draining(server string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.servers[server].Draining
+}
+
 // slotWait returns how long a call would wait for a slot of a server that names a limit;
 // limited is false if it names none. The caller holds the lock.
 func (b *Board) slotWait(server string, now time.Time) (wait time.Duration, limited bool) {
--- a/front/crashing_request_test.go
+++ b/front/crashing_request_test.go
@@ -20,22 +20,19 @@
 			}
 			instances := startInTwoDomains(t, address)
 			for _, i := range instances {
-				eventually(t, "serves", func() bool {
-					status, _, err := i.sendTo("probe", "k1", path+"probe", "")
-					return err == nil && status == http.StatusOK
-				})
+				eventually(t, "serves", func() bool { return i.sendTo("probe", path+"probe") == http.StatusOK })
 			}
 			sound, served, refused := 0, 0, 0
 			began := time.Now()
 			for n := 0; time.Since(began) < 12*time.Second; n++ {
 				i := instances[n%len(instances)]
 				if n%3 == 0 {
-					if status, _, _ := i.sendTo(fmt.Sprint("bad-", n), "k1", path+"bad", ""); status == http.StatusServiceUnavailable {
+					if i.sendTo(fmt.Sprint("bad-", n), path+"bad") == http.StatusServiceUnavailable {
 						refused++
 					}
 				} else if time.Since(began) > 6*time.Second {
 					sound++
-					if status, _, err := i.sendTo(fmt.Sprint("sound-", n), "k1", path+fmt.Sprint(n%5), ""); err == nil && status == http.StatusOK {
+					if i.sendTo(fmt.Sprint("sound-", n), path+fmt.Sprint(n%5)) == http.StatusOK {
 						served++
 					}
 				}
--- a/front/front.go
+++ b/front/front.go
@@ -122,7 +122,6 @@
 		quarantine: quarantine.NewRegister(),
 	}
 	f.quarantine.OnChange = f.logBlocks
-	f.quarantine.MayTry = f.leadsAny
 	logger.Handler = f.metrics.CountEvents(logger.Handler)
 	f.store.Counters = f.metrics
 	f.eras = &coordination.StoreEras{
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -301,13 +301,18 @@
 	return sendRequest(httpRequest, id, key)
 }
 
-// sendTo sends a request with a body to a path of the instance.
-func (i *instance) sendTo(id, key, path, content string) (status int, body string, err error) {
-	httpRequest, err := http.NewRequest(http.MethodPost, "http://"+i.config.Listen.Callers+path, strings.NewReader(content))
+// sendTo sends a request without a body to a path of the instance, and returns the status
+// of a complete response; 0 for none.
+func (i *instance) sendTo(id, path string) (status int) {
+	httpRequest, err := http.NewRequest(http.MethodPost, "http://"+i.config.Listen.Callers+path, http.NoBody)
 	if err != nil {
-		return 0, "", err
+		return 0
 	}
-	return sendRequest(httpRequest, id, key)
+	status, _, err = sendRequest(httpRequest, id, "k1")
+	if err != nil {
+		return 0
+	}
+	return status
 }
 
 // sendRequest sends a request in the name of a key and returns the status and the body
--- a/quarantine/evaluation.go
+++ b/quarantine/evaluation.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/pomelospring/pomelospring"
 )
 
 // evaluate forgets old crashes and decides anew which parts are blocked. The lock
@@ -15,7 +17,9 @@
 		}
 	}
 	before := r.blocks
-	maps.DeleteFunc(r.triedUntil, func(_ string, until time.Time) bool { return now.After(until) })
+	isOver := func(_ string, until time.Time) bool { return now.After(until) }
+	maps.DeleteFunc(r.triedUntil, isOver)
+	maps.DeleteFunc(r.askedUntil, isOver)
 	r.blocks = findBlocks(r.crashes, r.proven)
 	r.blocking.Store(len(r.blocks) > 0)
 	same := slices.EqualFunc(before, r.blocks, func(x, y Block) bool {
@@ -54,12 +58,7 @@
 	if len(crashes) < minCrashes {
 		return Block{}, false
 	}
-	counts := map[string]int{}
-	for _, moment := range moments(crashes, proven) {
-		for part := range moment {
-			counts[part]++
-		}
-	}
+	counts := momentCounts(crashes, proven)
 	worst := ""
 	for part, count := range counts {
 		if count >= enough(part, proven) && (count > counts[worst] || count == counts[worst] && part < worst) {
@@ -77,26 +76,51 @@
 			parts = append(parts, part)
 		}
 	}
-	slices.Sort(parts)
+	parts = keepOneRequest(parts, worst)
 	return newBlock(parts, counts[worst], under), true
 }
 
-// moments returns the suspected parts of the crashes, in the order of time. Crashes
-// at about the same time are one entry.
-func moments(crashes map[string]*Crash, proven map[string]time.Time) (parts []map[string]bool) {
+// keepOneRequest sorts suspects and leaves out all requests but one, as no call has two:
+// worst if it is one. If the wrong one is kept, the next crash is without it.
+func keepOneRequest(suspects []string, worst string) []string {
+	slices.Sort(suspects)
+	kept := ""
+	if pomelospring.IsFingerprint(worst) {
+		kept = worst
+	}
+	return slices.DeleteFunc(suspects, func(suspect string) bool {
+		if !pomelospring.IsFingerprint(suspect) {
+			return false
+		}
+		if kept == "" {
+			kept = suspect
+		}
+		return suspect != kept
+	})
+}
+
+// momentCounts returns at how many moments servers ended under each suspect. Servers that
+// ended at about the same time count once, but for a request that was sent to the later
+// one because the earlier one had ended.
+func momentCounts(crashes map[string]*Crash, proven map[string]time.Time) map[string]int {
+	counts := map[string]int{}
 	var at time.Time
+	var moment map[string]bool
 	for _, crash := range slices.SortedFunc(maps.Values(crashes), func(x, y *Crash) int { return x.At.Compare(y.At) }) {
-		if len(parts) == 0 || crash.At.Sub(at) >= momentLength {
-			at = crash.At
-			parts = append(parts, map[string]bool{})
+		if moment == nil || crash.At.Sub(at) >= momentLength {
+			at, moment = crash.At, map[string]bool{}
 		}
 		for part := range crash.Suspects {
-			if suspectedIn(crash, part, proven) {
-				parts[len(parts)-1][part] = true
+			switch {
+			case !suspectedIn(crash, part, proven) || moment[part] && !crash.Resent[part]:
+				continue
+			case !crash.Resent[part]:
+				moment[part] = true
 			}
+			counts[part]++
 		}
 	}
-	return parts
+	return counts
 }
 
 func suspectedInAll(crashes map[string]*Crash, part string, proven map[string]time.Time) bool {
@@ -110,10 +134,14 @@
 
 // enough returns the number of crashes from which a part is blocked.
 func enough(part string, proven map[string]time.Time) int {
-	if _, answered := proven[part]; answered {
-		return minCrashesOfProven
-	}
-	return minCrashes
+	_, answered := proven[part]
+	switch {
+	case !answered:
+		return minCrashes
+	case pomelospring.IsFingerprint(part):
+		return minCrashesOfProvenRequest
+	}
+	return minCrashesOfProven
 }
 
 // newBlock returns a block of parts under which workers ended at a number of
@@ -136,7 +164,7 @@
 			block.expiresAt = expiresAt
 		}
 	}
-	if len(block.Teams) >= minTeams {
+	if len(block.Teams) >= minTeams && !slices.ContainsFunc(parts, pomelospring.IsFingerprint) {
 		block.Teams = nil
 	}
 	interval := firstTrialInterval
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -1,8 +1,8 @@
-// Package quarantine decides which prompt parts are kept from model workers,
-// because a worker ends whenever it begins to answer a prompt that has them. A
-// worker that ends takes all its calls with it, so the part that is at fault is
-// found among those that all of them share: it is the one under which most workers
-// ended and on which no answer ever began.
+// Package quarantine decides which requests and prompt parts are kept from backend
+// servers, because a server ends whenever it begins to answer them. A server that ends
+// takes all its calls with it, so what is at fault is found among what these had: it is
+// the request, or the part that several of them share, under which most servers ended
+// and on which no answer ever began.
 package quarantine
 
 import (
@@ -19,6 +19,9 @@
 	minCrashes = 3
 	// minCrashesOfProven is the same for a part on which answers have begun before.
 	minCrashesOfProven = 6
+	// minCrashesOfProvenRequest is the same for a request that was answered before.
+	// Unlike a part, it is not in calls that only resemble each other.
+	minCrashesOfProvenRequest = 4
 	// minTeams is the number of teams whose calls ended workers under a part from
 	// which it is blocked for all teams, not only for these.
 	minTeams = 2
@@ -30,8 +33,11 @@
 	// maxTrialInterval.
 	firstTrialInterval = 30 * time.Second
 	maxTrialInterval   = 10 * time.Minute
-	// trialTimeout is how long the outcome of a trial is waited for.
-	trialTimeout = 10 * time.Second
+	// trialTimeout is how long the outcome of a trial is waited for, and
+	// trialAskInterval the shortest time between two calls of this instance that may
+	// become one.
+	trialTimeout     = 10 * time.Second
+	trialAskInterval = time.Second
 	// crashLifetime is how long a crash counts after it, or after the last refused
 	// call with one of its parts.
 	crashLifetime = 10 * time.Minute
@@ -44,20 +50,23 @@
 	// of one crash, and parts with their last answer.
 	maxCrashes  = 64
 	maxSuspects = 192
-	maxProven   = 4096
+	maxProven   = 8192
 )
 
-// Crash is a model worker that ended, with the parts of the calls that it had not
-// begun to answer.
+// Crash is a backend server that ended, with the requests that it had not begun to
+// answer, and the prompt parts of these.
 type Crash struct {
-	// Server identifies one start of the worker.
+	// Server identifies one start of the server.
 	Server string
 	At     time.Time
 	// SeenAt is the time of the crash, or of the last refused call with one of
 	// its parts.
 	SeenAt time.Time
-	// Suspects maps the parts to the teams of their calls.
+	// Suspects maps the requests and parts to the teams of their calls.
 	Suspects map[string]map[string]bool
+	// Resent has the requests that were sent to this server only after another one had
+	// ended under them. They count also if both ended at about the same time.
+	Resent map[string]bool
 }
 
 // Call is a call that a server had not begun to answer when it ended.
@@ -67,6 +76,16 @@
 	Parts []string
 	// Request identifies the call and its repeats.
 	Request string
+	// Resent is set if the call was sent because its connection to another server broke.
+	Resent bool
+}
+
+// Suspects returns the call's request and its parts.
+func (c *Call) Suspects() []string {
+	if c.Request == "" {
+		return c.Parts
+	}
+	return append(slices.Clone(c.Parts), c.Request)
 }
 
 // Output is the last time at which an answer began on a part.
@@ -75,11 +94,12 @@
 	At   time.Time
 }
 
-// Block keeps calls from model workers.
+// Block keeps calls from backend servers.
 type Block struct {
-	// Parts are parts of the calls that are refused. More than one means that they
-	// can't be told apart, as they were in the same crashes: only calls that have
-	// all of them are refused, so that others show which one is at fault.
+	// Parts are what the calls have that are refused: prompt parts, and at most one
+	// request. More than one means that they can't be told apart, as they were in the
+	// same crashes: only calls that have all of them are refused, so that others show
+	// which one is at fault.
 	Parts []string
 	// Teams has the teams whose calls are refused; nil for all.
 	Teams map[string]bool
@@ -95,9 +115,6 @@
 // Register holds the crashes that this instance and others have seen. It is safe
 // for concurrent use.
 type Register struct {
-	// MayTry reports whether this instance may let a call through as a trial; nil
-	// for never. Few instances of a fleet should, as each tries for itself.
-	MayTry func() bool
 	// OnChange is called with the blocks after each change of them; it may be nil.
 	OnChange func(blocks []Block)
 
@@ -113,9 +130,11 @@
 	// proven maps parts to the last time at which an answer began on them.
 	proven map[string]time.Time
 	blocks []Block
-	// triedUntil is when the outcome of the last trial is known, by the first part of
-	// its block.
+	// triedUntil is when the outcome of the last trial that this instance granted is
+	// known, and askedUntil when it asks for another one, by the first part of the
+	// block.
 	triedUntil map[string]time.Time
+	askedUntil map[string]time.Time
 }
 
 // NewRegister returns a register without crashes.
@@ -126,6 +145,7 @@
 		outputVersions: map[string]int64{},
 		proven:         map[string]time.Time{},
 		triedUntil:     map[string]time.Time{},
+		askedUntil:     map[string]time.Time{},
 	}
 }
 
@@ -136,12 +156,13 @@
 const (
 	Admitted Verdict = iota
 	Refused
-	// Trial lets one call with blocked parts through.
+	// Trial lets one call with blocked parts through, if BeginTrial allows it at the
+	// instance that grants trials of the block.
 	Trial
 )
 
-// Judge decides on a call of a team by its parts. It returns the block that the
-// call is refused or tried for, and when a refused one may be retried.
+// Judge decides on a call of a team by its request and parts. It returns the block that
+// the call is refused or tried for, and when a refused one may be retried.
 func (r *Register) Judge(team string, parts []string, now time.Time) (verdict Verdict, block Block, retryAt time.Time) {
 	if !r.blocking.Load() {
 		return Admitted, Block{}, time.Time{}
@@ -157,16 +178,47 @@
 		if now.Before(block.TrialAt) {
 			return Refused, block, block.TrialAt
 		}
-		triedUntil := r.triedUntil[block.Parts[0]]
-		if r.MayTry == nil || !r.MayTry() || now.Before(triedUntil) {
+		if now.Before(r.askedUntil[block.Parts[0]]) {
 			return Refused, block, now.Add(trialTimeout)
 		}
-		r.triedUntil[block.Parts[0]] = now.Add(trialTimeout)
-		return Trial, block, time.Time{}
+		r.askedUntil[block.Parts[0]] = now.Add(trialAskInterval)
+		return Trial, block, now.Add(trialTimeout)
 	}
 	return Admitted, Block{}, time.Time{}
 }
 
+// BeginTrial grants a trial of the block with a first part, unless the outcome of the last
+// one is not known yet.
+func (r *Register) BeginTrial(part string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Before(r.triedUntil[part]) {
+		return false
+	}
+	for i := range r.blocks {
+		if r.blocks[i].Parts[0] == part && !now.Before(r.blocks[i].TrialAt) {
+			r.triedUntil[part] = now.Add(trialTimeout)
+			return true
+		}
+	}
+	return false
+}
+
+// Suspicion returns at how many moments servers ended under the one of some requests and
+// parts under which most did, with no answer on it since.
+func (r *Register) Suspicion(suspects []string) (moments int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.crashes) == 0 {
+		return 0
+	}
+	counts := momentCounts(r.crashes, r.proven)
+	for _, suspect := range suspects {
+		moments = max(moments, counts[suspect])
+	}
+	return moments
+}
+
 // Blocked reports whether a call of a team with parts would be refused or tried.
 func (r *Register) Blocked(team string, parts []string, now time.Time) bool {
 	if !r.blocking.Load() {
@@ -203,7 +255,7 @@
 	versions[key] = r.version
 }
 
-// RecordOutput records that an answer began on parts.
+// RecordOutput records that an answer began on a request and its parts.
 func (r *Register) RecordOutput(parts []string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -257,15 +309,18 @@
 	}
 }
 
-// RecordCrash records that a worker ended while it had not begun to answer calls.
+// RecordCrash records that a server ended while it had not begun to answer calls.
 func (r *Register) RecordCrash(server string, calls []Call, at, now time.Time) {
-	suspects := map[string]map[string]bool{}
+	suspects, resent := map[string]map[string]bool{}, map[string]bool{}
 	for _, call := range calls {
-		for _, part := range call.Parts {
-			if suspects[part] == nil {
-				suspects[part] = map[string]bool{}
+		if call.Resent {
+			resent[call.Request] = true
+		}
+		for _, suspect := range call.Suspects() {
+			if suspects[suspect] == nil {
+				suspects[suspect] = map[string]bool{}
 			}
-			suspects[part][call.Team] = true
+			suspects[suspect][call.Team] = true
 		}
 	}
 	if len(suspects) == 0 {
@@ -276,6 +331,7 @@
 		At:       at,
 		SeenAt:   at,
 		Suspects: suspects,
+		Resent:   resent,
 	}}, nil, now)
 }
 
@@ -312,6 +368,7 @@
 			At:       crash.At,
 			SeenAt:   crash.SeenAt,
 			Suspects: map[string]map[string]bool{},
+			Resent:   map[string]bool{},
 		}
 		r.crashes[crash.Server] = known
 		changed = true
@@ -320,6 +377,12 @@
 		known.SeenAt = crash.SeenAt
 		changed = true
 	}
+	for request := range crash.Resent {
+		if !known.Resent[request] && len(known.Resent) < maxSuspects {
+			known.Resent[request] = true
+			changed = true
+		}
+	}
 	for part, teams := range crash.Suspects {
 		if known.Suspects[part] == nil {
 			if len(known.Suspects) >= maxSuspects {
@@ -403,5 +466,6 @@
 	for part, teams := range crash.Suspects {
 		clone.Suspects[part] = maps.Clone(teams)
 	}
+	clone.Resent = maps.Clone(crash.Resent)
 	return clone
 }
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -88,6 +88,64 @@
 	}
 }
 
+// TestWrongRequestIsBlocked guards against requests that are blocked because others beside
+// them ended servers, or because servers ended for a reason of their own, and against the
+// one at fault that is not.
+func TestWrongRequestIsBlocked(t *testing.T) {
+	const bad, sound = "request:1", "request:0"
+	// crash is the end of a server under requests, or an answer to them without one.
+	type crash struct {
+		seconds  float64
+		server   string
+		requests []string
+		resent   bool
+	}
+	both := []string{bad, sound}
+	scenarios := []struct {
+		name    string
+		crashes []crash
+		team    string
+		// want is whether the bad and the sound request are blocked.
+		want [2]bool
+	}{
+		{name: "two ends", crashes: []crash{{1, "a", []string{bad}, false}, {2, "b", []string{bad}, false}}},
+		{name: "three ends", crashes: []crash{{1, "a", []string{bad}, false}, {2, "b", []string{bad}, false}, {3, "c", []string{bad}, false}}, want: [2]bool{true, false}},
+		{name: "of another team", team: "y", crashes: []crash{{1, "a", []string{bad}, false}, {2, "b", []string{bad}, false}, {3, "c", []string{bad}, false}}},
+		{name: "a rack that lost power", crashes: []crash{{1, "a", both, false}, {1.05, "b", both, false}, {1.1, "c", both, false}}},
+		{name: "two ends, the second because of the first, and a third", crashes: []crash{{1, "a", []string{bad}, false}, {1.05, "b", []string{bad}, true}, {2, "c", []string{bad}, false}}, want: [2]bool{true, false}},
+		{name: "a sound one in all ends that is answered", crashes: []crash{{1, "a", both, false}, {2, "b", both, false}, {2.5, "", []string{sound}, false}, {3, "c", both, false}}, want: [2]bool{true, false}},
+		{name: "a sound one in all ends that was answered before", crashes: []crash{{0, "", []string{sound}, false}, {1, "a", both, false}, {2, "b", both, false}, {3, "c", both, false}}, want: [2]bool{true, false}},
+		{name: "a sound one in all ends but the fourth", crashes: []crash{{1, "a", both, false}, {2, "b", both, false}, {3, "c", both, false}, {4, "d", []string{bad}, false}}, want: [2]bool{true, false}},
+		{name: "answered long before four ends", crashes: []crash{{0, "", []string{bad}, false}, {1, "a", []string{bad}, false}, {2, "b", []string{bad}, false}, {3, "c", []string{bad}, false}, {4, "d", []string{bad}, false}}, want: [2]bool{true, false}},
+		{name: "answered after three ends", crashes: []crash{{1, "a", []string{bad}, false}, {2, "b", []string{bad}, false}, {3, "c", []string{bad}, false}, {4, "", []string{bad}, false}}},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			r := quarantine.NewRegister()
+			for _, c := range scenario.crashes {
+				now := at(c.seconds)
+				if c.server == "" {
+					r.RecordOutput(c.requests, now)
+					continue
+				}
+				var calls []quarantine.Call
+				for _, request := range c.requests {
+					calls = append(calls, quarantine.Call{Team: "x", Request: request, Resent: c.resent})
+				}
+				r.RecordCrash(c.server, calls, now, now)
+			}
+			team := "x"
+			if scenario.team != "" {
+				team = scenario.team
+			}
+			got := [2]bool{r.Blocked(team, []string{bad}, at(5)), r.Blocked(team, []string{sound}, at(5))}
+			if got != scenario.want {
+				t.Errorf("blocked: %v, want %v", got, scenario.want)
+			}
+		})
+	}
+}
+
 // TestBlockLastsWhileItsCallsCome guards against parts that are let through again
 // while their calls still come.
 func TestBlockLastsWhileItsCallsCome(t *testing.T) {
@@ -96,11 +154,11 @@
 		recordCrash(r, fmt.Sprint(i), "x", []string{"bad"}, at(float64(i)))
 	}
 	for minute := range 120 {
-		if verdict, _, _ := r.Judge("x", []string{"bad"}, at(3+float64(minute)*60)); verdict != quarantine.Refused {
+		if verdict, _, _ := r.Judge("x", []string{"bad"}, at(3+float64(minute)*60)); verdict == quarantine.Admitted {
 			t.Fatalf("not blocked after %d minutes", minute)
 		}
 	}
-	if verdict, _, _ := r.Judge("x", []string{"bad"}, at(120*60+700)); verdict == quarantine.Refused {
+	if verdict, _, _ := r.Judge("x", []string{"bad"}, at(120*60+700)); verdict != quarantine.Admitted {
 		t.Error("still blocked long after the last call")
 	}
 }
@@ -109,17 +167,16 @@
 // answer to one ends the block.
 func TestTrialsOfBlockedPartsGetRarer(t *testing.T) {
 	r := quarantine.NewRegister()
-	r.MayTry = func() bool { return true }
 	for i := range 3 {
 		recordCrash(r, fmt.Sprint(i), "x", []string{"bad"}, at(float64(i)))
 	}
 	var trials []float64
 	for second := range 4000 {
 		now := float64(second + 3)
-		if verdict, _, _ := r.Judge("x", []string{"bad"}, at(now)); verdict != quarantine.Trial {
+		if verdict, _, _ := r.Judge("x", []string{"bad"}, at(now)); verdict != quarantine.Trial || !r.BeginTrial("bad", at(now)) {
 			continue
 		}
-		if verdict, _, _ := r.Judge("x", []string{"bad"}, at(now)); verdict != quarantine.Refused {
+		if verdict, _, _ := r.Judge("x", []string{"bad"}, at(now)); verdict != quarantine.Refused || r.BeginTrial("bad", at(now)) {
 			t.Errorf("two trials at %g s", now)
 		}
 		trials = append(trials, now)
--- a/refusal.go
+++ b/refusal.go
@@ -37,6 +37,7 @@
 	CodeOverloaded         Code = "overloaded"
 	CodeNoBackendServer    Code = "noBackendServer"
 	CodePartBlocked        Code = "partBlocked"
+	CodeRequestBlocked     Code = "requestBlocked"
 	CodeBackendServerError Code = "backendServerError"
 	CodeLoadFailed         Code = "loadFailed"
 	CodeStopping           Code = "stopping"
