Clear what servers answered by whole answers, and suspect calls under begun ones

Cause: the first event of an answer cleared the call's parts, and an end after it was asked about no more. The end of an answer that only its connection ends was taken for a whole answer without a look at the server.

Change: a call is cleared by a whole answer, or by one that goes on for a second; until then an end of its server counts. After an answer that ends with its connection the server is asked first whether it lives (BackendAnswer.EndsWithConnection). Callers get such an answer as before.

The checks are as before, on more moments; sound and bad calls have different bodies now, as a request is judged by it.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -46,8 +46,10 @@
 	sentAt time.Time
 	queued bool
 	ended  bool
-	// hasOutput is set once a part of the answer has arrived.
-	hasOutput bool
+	// firstOutputAt is when the first part of the answer arrived, and isProven is set
+	// once the answer has gone on for so long that the server won't end under it.
+	firstOutputAt time.Time
+	isProven      bool
 	// cancel ends the attempt.
 	cancel context.CancelFunc
 
@@ -94,7 +96,9 @@
 		a.recordBreak(ctx)
 		return a.handleBrokenAnswer(ctx, err)
 	}
-	a.recordOutput()
+	if len(body) <= maxBodyBytes {
+		a.recordWhole(answer)
+	}
 	if !failed && !a.queued && c.limits == nil {
 		c.service.Board.RecordPlainCall(c.targetService, c.service.Clock().Sub(a.sentAt))
 	}
@@ -164,6 +168,7 @@
 			return true
 		}
 		if err != nil {
+			a.recordWhole(answer)
 			c.logServed(a.server, answer.Status)
 			return true
 		}
@@ -250,6 +255,7 @@
 // finishStream ends a stream that is complete, with the bytes after its last event.
 func (a *attempt) finishStream(answer *pomelospring.BackendAnswer, rest []byte) (done bool) {
 	c := a.session
+	a.recordWhole(answer)
 	a.end(false)
 	if !c.forwarded {
 		c.beginStream(answer)
--- a/entry/crash_check.go
+++ b/entry/crash_check.go
@@ -20,6 +20,10 @@
 // again.
 const maxSuspicion = 2
 
+// proofTime is how long an answer goes on until it shows that its server does not end under
+// the call.
+const proofTime = time.Second
+
 // connectionBreakTime is the time within which all connections to a server that has
 // ended break.
 const connectionBreakTime = 200 * time.Millisecond
@@ -73,13 +77,36 @@
 	return broken+c.service.Quarantine.Suspicion(c.suspects()) < maxSuspicion
 }
 
-// recordOutput records that a backend server has begun to answer the call.
+// recordProof records that a backend server answered the call without ending.
+func (a *attempt) recordProof() {
+	a.session.service.Quarantine.RecordOutput(a.session.suspects(), a.session.service.Clock())
+}
+
+// recordOutput records that more of the answer to the call has arrived.
 func (a *attempt) recordOutput() {
-	if a.hasOutput {
-		return
+	now := a.session.service.Clock()
+	if a.firstOutputAt.IsZero() {
+		a.firstOutputAt = now
+	}
+	if !a.isProven && now.Sub(a.firstOutputAt) >= proofTime {
+		a.isProven = true
+		a.recordProof()
+	}
+}
+
+// recordWhole records that the answer has ended. If only the end of the connection says
+// so, the server may have broken it off.
+func (a *attempt) recordWhole(answer *pomelospring.BackendAnswer) {
+	switch {
+	case a.isProven:
+	case answer.EndsWithConnection:
+		a.session.service.checkForCrash(a.server, brokenCall{
+			Call:  a.session.quarantined(false),
+			whole: true,
+		})
+	default:
+		a.recordProof()
 	}
-	a.hasOutput = true
-	a.session.service.Quarantine.RecordOutput(a.session.suspects(), a.session.service.Clock())
 }
 
 // recordBreak records that the connection of the call's attempt broke.
@@ -88,52 +115,68 @@
 	a.checkForCrash(ctx, a.session.attemptsBroken > 1)
 }
 
-// checkForCrash is called when the connection to a backend server broke. If there was
-// no output yet, and the server has ended, the call is suspected. resent says that the
-// call was sent there because its connection to another server broke.
+// checkForCrash is called when the connection to a backend server broke. If the server
+// has ended, the call is suspected, unless its answer had gone on for long. resent says
+// that the call was sent there because its connection to another server broke.
 func (a *attempt) checkForCrash(ctx context.Context, resent bool) {
-	c := a.session
-	if a.hasOutput || ctx.Err() != nil || a.isTakenOver() {
+	if a.isProven || ctx.Err() != nil || a.isTakenOver() {
 		return
 	}
-	s := c.service
+	a.session.service.checkForCrash(a.server, brokenCall{
+		Call: a.session.quarantined(resent),
+	})
+}
+
+// brokenCall is a call whose connection to a server ended.
+type brokenCall struct {
+	quarantine.Call
+	// whole is set if the answer seems to be whole.
+	whole bool
+}
+
+// checkForCrash finds out whether a server has ended.
+func (s *Service) checkForCrash(server pomelospring.FleetServer, call brokenCall) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.crashChecks == nil {
-		s.crashChecks = map[string][]quarantine.Call{}
+		s.crashChecks = map[string][]brokenCall{}
 	}
-	calls, checking := s.crashChecks[a.server.ID]
-	s.crashChecks[a.server.ID] = append(calls, c.quarantined(resent))
+	calls, checking := s.crashChecks[server.ID]
+	s.crashChecks[server.ID] = append(calls, call)
 	if !checking {
-		go s.checkServer(a.server, s.Clock())
+		go s.checkServer(server, s.Clock())
 	}
 }
 
 // checkServer asks a backend server whether it has ended, and if so records the calls
-// that broke off there since brokenAt.
+// whose connections there ended since brokenAt.
 func (s *Service) checkServer(server pomelospring.FleetServer, brokenAt time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	report, err := s.Engine.Report(ctx, server)
-	if hasEnded(&server, &report, err) {
+	ended := hasEnded(&server, &report, err)
+	if ended {
 		// Connections of a worker that ended break at about the same time.
 		time.Sleep(connectionBreakTime)
 	}
 	s.mu.Lock()
-	calls := s.crashChecks[server.ID]
+	broken := s.crashChecks[server.ID]
 	delete(s.crashChecks, server.ID)
 	s.mu.Unlock()
-	if !hasEnded(&server, &report, err) || s.Board.RunningCalls(server.ID) > 0 || s.Board.Draining(server.ID) {
+	if !ended || s.Board.RunningCalls(server.ID) > 0 || s.Board.Draining(server.ID) {
+		s.recordWholeCalls(broken)
 		return
 	}
-	s.Quarantine.RecordCrash(server.ID, calls, brokenAt, s.Clock())
+	calls := make([]quarantine.Call, 0, len(broken))
 	parts, requests := map[string]int{}, map[string]int{}
-	for _, call := range calls {
+	for _, call := range broken {
+		calls = append(calls, call.Call)
 		requests[call.Request]++
 		for _, part := range call.Parts {
 			parts[part]++
 		}
 	}
+	s.Quarantine.RecordCrash(server.ID, calls, brokenAt, s.Clock())
 	events.Log(s.Logger, events.ServerEnded, log.Fields{
 		"server":   server.ID,
 		"service":  server.Service,
@@ -143,6 +186,15 @@
 	})
 }
 
+// recordWholeCalls records the calls that a server which lives has answered.
+func (s *Service) recordWholeCalls(calls []brokenCall) {
+	for _, call := range calls {
+		if call.whole {
+			s.Quarantine.RecordOutput(call.Suspects(), s.Clock())
+		}
+	}
+}
+
 // hasEnded reports whether a server's report, or the error in place of it, shows that it
 // has ended. A report that is late, was reset or is not to be had shows nothing: a sound
 // server may be silent for a while, resets connections beyond its maximum, and may have
--- a/entry/crashing_prompt_test.go
+++ b/entry/crashing_prompt_test.go
@@ -25,6 +25,10 @@
 	// crashing tells the calls that crash servers; nil for those with the prompt part
 	// "bad".
 	crashing func(call *pomelospring.Call) bool
+	// begun is what a server sends of its answer before it ends; nil for nothing.
+	// unframed answers end with their connection.
+	begun    *string
+	unframed bool
 
 	mu       sync.Mutex
 	restart  func(server string)
@@ -47,7 +51,15 @@
 		b.crashes++
 		b.ended[dispatch.Server.ID] = true
 		b.restart(dispatch.Server.ID)
-		return nil, errors.New("EOF")
+		if b.begun == nil {
+			return nil, errors.New("EOF")
+		}
+		answer := &pomelospring.BackendAnswer{Status: http.StatusOK, Header: http.Header{}, Signed: true, Length: -1, EndsWithConnection: b.unframed}
+		answer.Body = io.NopCloser(io.MultiReader(strings.NewReader(*b.begun), brokenReader{}))
+		if b.unframed {
+			answer.Body = io.NopCloser(strings.NewReader(*b.begun))
+		}
+		return answer, nil
 	}
 	return &pomelospring.BackendAnswer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(events3)), Signed: true, Length: -1}, nil
 }
@@ -98,37 +110,58 @@
 }
 
 // TestPromptPartThatCrashesServersStopsReachingThem guards against calls with one
-// prompt part that end server after server.
+// prompt part that end server after server, at whichever moment of the answer.
 func TestPromptPartThatCrashesServersStopsReachingThem(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		service, b := newCrashingService()
-		serve := func(id, part string) *responder {
-			out := &responder{}
-			service.Serve(t.Context(), &pomelospring.Call{
-				ID: id, Host: "shop.example", Path: "/brief/1", Key: key, Adapter: "m/x", PromptTokens: 1000, Arrived: time.Now(),
-				Parts: []pomelospring.PromptPart{{ID: "system", Tokens: 600}, {ID: part, Tokens: 300}, {ID: id, Tokens: 100}},
-			}, out)
-			time.Sleep(500 * time.Millisecond)
-			return out
-		}
-		failed := 0
-		for i := range 30 {
-			serve(fmt.Sprintf("bad-%d", i), "bad")
-			if out := serve(fmt.Sprintf("sound-%d", i), fmt.Sprintf("subject-%d", i%7)); out.Status != http.StatusOK || out.Body != events3 {
-				failed++
-			}
-		}
-		if b.crashes > 5 {
-			t.Errorf("%d servers ended under one prompt part", b.crashes)
-		}
-		if failed > 0 {
-			t.Errorf("%d of 30 sound calls of the same team and first part failed", failed)
-		}
-		last := serve("bad-last", "bad")
-		if last.Code == "" || last.Outcome != pomelospring.NotRun {
-			t.Errorf("a call with the part got %+v", last.outcome)
+	nothing, oneEvent, halfEvent := "", event1, event1+"id: 2\nda"
+	scenarios := []struct {
+		name     string
+		begun    *string
+		unframed bool
+	}{
+		{name: "before the head"},
+		{name: "after the head", begun: &nothing},
+		{name: "inside an event", begun: &halfEvent},
+		{name: "after an event", begun: &oneEvent},
+		{name: "after the head of an answer that ends with its connection", begun: &nothing, unframed: true},
+		{name: "after an event of such an answer", begun: &oneEvent, unframed: true},
+	}
+	for _, path := range []string{"/brief/1", "/proof/1"} {
+		for _, scenario := range scenarios {
+			t.Run(path+" "+scenario.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					service, b := newCrashingService()
+					b.begun, b.unframed = scenario.begun, scenario.unframed
+					serve := func(id, part string) *responder {
+						out := &responder{}
+						service.Serve(t.Context(), &pomelospring.Call{
+							ID: id, Host: "shop.example", Target: path, Path: path, Key: key, Adapter: "m/x", PromptTokens: 1000, Arrived: time.Now(),
+							Parts: []pomelospring.PromptPart{{ID: "system", Tokens: 600}, {ID: part, Tokens: 300}, {ID: id, Tokens: 100}},
+							Body:  []byte(id),
+						}, out)
+						time.Sleep(500 * time.Millisecond)
+						return out
+					}
+					failed := 0
+					for i := range 30 {
+						serve(fmt.Sprintf("bad-%d", i), "bad")
+						if out := serve(fmt.Sprintf("sound-%d", i), fmt.Sprintf("subject-%d", i%7)); out.Status != http.StatusOK || out.Body != events3 {
+							failed++
+						}
+					}
+					if b.crashes > 5 {
+						t.Errorf("%d servers ended under one prompt part", b.crashes)
+					}
+					if failed > 0 {
+						t.Errorf("%d of 30 sound calls of the same team and first part failed", failed)
+					}
+					last := serve("bad-last", "bad")
+					if last.Code == "" || last.Outcome != pomelospring.NotRun {
+						t.Errorf("a call with the part got %+v", last.outcome)
+					}
+				})
+			})
 		}
-	})
+	}
 }
 
 // fullBackend has servers that reset one connection each, and those of reports, as they
--- a/entry/service.go
+++ b/entry/service.go
@@ -74,9 +74,9 @@
 	nextReplicaRequests map[string]time.Time
 	// averageCosts has the average cost of a request by route, in tokens.
 	averageCosts map[string]float64
-	// crashChecks has the calls that broke off at a model worker that is being
-	// asked whether it has ended, by the worker's ID.
-	crashChecks map[string][]quarantine.Call
+	// crashChecks has the calls whose connections ended at a server that is being asked
+	// whether it has ended, by the server's ID.
+	crashChecks map[string][]brokenCall
 }
 
 // notices records what backend servers announce about themselves.
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -48,7 +48,7 @@
 	CallerLeft     = define(225, "callerLeft", log.InfoLevel, "The caller closed its connection before the answer was complete; the call was cancelled.")
 	StreamResumed  = define(226, "streamResumed", log.WarnLevel, "A stream was resumed at another model worker after the last event that was forwarded.")
 	TakeoverFailed = define(227, "takeoverFailed", log.InfoLevel, "Another backend server did not go on with the call of a silent one, for the reason given; the call waits on.")
-	ServerEnded    = define(228, "serverEnded", log.WarnLevel, "A backend server ended while calls on it had no output yet; the fields give the shared prompt parts of these, and a hash of each one's caller, target and body.")
+	ServerEnded    = define(228, "serverEnded", log.WarnLevel, "A backend server ended under calls that it had not answered or had only begun to answer; the fields give the shared prompt parts of these, and a hash of each one's caller, target and body.")
 	PartsBlocked   = define(229, "partsBlocked", log.WarnLevel, "Calls with all of these prompt parts, or this content (a hash of caller, target and body), are kept from backend servers, because servers end under them; the fields give the number of ended servers and the teams, none for all. No parts: no call is.")
 	PartsTried     = define(230, "partsTried", log.WarnLevel, "A blocked call was let through, to see whether backend servers still end under it.")
 
--- a/fleet.go
+++ b/fleet.go
@@ -201,7 +201,10 @@
 	Signed bool
 	// Length is the declared length of the body in bytes; -1 if unknown.
 	Length int64
-	Notice ServerNotice
+	// EndsWithConnection is set if only the end of the connection ends the body, so
+	// that a whole one and one that its server broke off look the same.
+	EndsWithConnection bool
+	Notice             ServerNotice
 }
 
 // ErrNotSent marks a failed dispatch of which nothing reached the backend
--- a/quarantine/evaluation.go
+++ b/quarantine/evaluation.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// suspectedIn reports whether a worker may have ended because of a part: no answer
-// has begun on the part since.
+// suspectedIn reports whether a worker may have ended because of a part: it was not
+// answered since.
 func suspectedIn(crash *Crash, part string, proven map[string]time.Time) bool {
 	_, suspected := crash.Suspects[part]
 	return suspected && !proven[part].After(crash.At)
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -2,7 +2,7 @@
 // servers, because a server ends whenever it begins to answer them. A server that ends
 // takes all its calls with it, so what is at fault is found among what these had: it is
 // the request, or the part that several of them share, under which most servers ended
-// and on which no answer ever began.
+// and that no server ever answered.
 package quarantine
 
 import (
@@ -14,10 +14,10 @@
 )
 
 const (
-	// minCrashes is the number of ended workers from which a part on which no
-	// answer has begun is blocked.
+	// minCrashes is the number of ended workers from which a part that was never
+	// answered is blocked.
 	minCrashes = 3
-	// minCrashesOfProven is the same for a part on which answers have begun before.
+	// minCrashesOfProven is the same for a part that was answered before.
 	minCrashesOfProven = 6
 	// minCrashesOfProvenRequest is the same for a request that was answered before.
 	// Unlike a part, it is not in calls that only resemble each other.
@@ -53,8 +53,8 @@
 	maxProven   = 8192
 )
 
-// Crash is a backend server that ended, with the requests that it had not begun to
-// answer, and the prompt parts of these.
+// Crash is a backend server that ended, with the requests that it had not answered or had
+// only begun to answer, and the prompt parts of these.
 type Crash struct {
 	// Server identifies one start of the server.
 	Server string
@@ -69,7 +69,7 @@
 	Resent map[string]bool
 }
 
-// Call is a call that a server had not begun to answer when it ended.
+// Call is a call that a server had not answered, or had only begun to, when it ended.
 type Call struct {
 	Team string
 	// Parts are the prompt parts that other calls may share.
@@ -88,7 +88,7 @@
 	return append(slices.Clone(c.Parts), c.Request)
 }
 
-// Output is the last time at which an answer began on a part.
+// Output is the last time at which a request or part was answered.
 type Output struct {
 	Part string
 	At   time.Time
@@ -127,7 +127,7 @@
 	crashes        map[string]*Crash
 	crashVersions  map[string]int64
 	outputVersions map[string]int64
-	// proven maps parts to the last time at which an answer began on them.
+	// proven maps requests and parts to the last time at which they were answered.
 	proven map[string]time.Time
 	blocks []Block
 	// triedUntil is when the outcome of the last trial that this instance granted is
@@ -255,7 +255,8 @@
 	versions[key] = r.version
 }
 
-// RecordOutput records that an answer began on a request and its parts.
+// RecordOutput records that a server answered a request and its parts, or has been doing
+// so for long.
 func (r *Register) RecordOutput(parts []string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -309,7 +310,7 @@
 	}
 }
 
-// RecordCrash records that a server ended while it had not begun to answer calls.
+// RecordCrash records that a server ended under calls.
 func (r *Register) RecordCrash(server string, calls []Call, at, now time.Time) {
 	suspects, resent := map[string]map[string]bool{}, map[string]bool{}
 	for _, call := range calls {
