Play limits of servers and requests that crash them in the fault soak

Two kinds of fault more: a server that names a limit of 0.5 to 2.5 requests a second for 8 s, and one request that comes again and again, as a stream or an order, and ends each server that begins to run it. Such requests and prompt parts end their server at one of four moments: before the head, after it, after an event, inside one. The check limit is new, crashingPart judges requests from the third end; each has a history that breaks it.

--- a/cmd/soak/arena/caller.go
+++ b/cmd/soak/arena/caller.go
@@ -39,8 +39,10 @@
 	recorder *history.Recorder
 	// part is a prompt part for all requests, if set.
 	part string
-	name string
-	sent int
+	// request is the name of the request that is sent each time; empty for others.
+	request string
+	name    string
+	sent    int
 }
 
 func newCaller(name string, i *instance, recorder *history.Recorder) *caller {
@@ -93,16 +95,20 @@
 func drawTarget(random *rand.Rand, keys []string) target {
 	key := keys[random.IntN(len(keys))]
 	if random.IntN(3) == 0 {
-		return target{
-			path:   orderPath,
-			key:    key,
-			team:   teamOf(key),
-			events: orderEvents,
-		}
+		return orderTarget(key)
 	}
 	return streamTarget(key, fmt.Sprint("a", random.IntN(adapterCount)))
 }
 
+func orderTarget(key string) target {
+	return target{
+		path:   orderPath,
+		key:    key,
+		team:   teamOf(key),
+		events: orderEvents,
+	}
+}
+
 func streamTarget(key, adapter string) target {
 	return target{
 		path:    streamPath,
@@ -126,7 +132,11 @@
 		EventCount: t.events,
 		Sent:       time.Now(),
 	}
-	c.exchange(&r, t.path)
+	suffix := r.ID
+	if c.request != "" {
+		suffix = c.request
+	}
+	c.exchange(&r, t.path+suffix)
 	r.Ended = time.Now()
 	c.recorder.Record(func(h *history.History) { h.Requests = append(h.Requests, r) })
 	return r
@@ -134,7 +144,7 @@
 
 // exchange sends a request and reads its answer.
 func (c *caller) exchange(r *history.Request, path string) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+c.instance.callers+path+r.ID, strings.NewReader("x"))
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.instance.callers+path, strings.NewReader("x"))
 	if err != nil {
 		r.Broken = err.Error()
 		return
@@ -194,14 +204,12 @@
 	return all, nil
 }
 
-// crashWorkers sends requests with a part that crashes workers to an instance, until
-// a time.
-func crashWorkers(i *instance, recorder *history.Recorder, part string, until time.Time) {
-	c := newCaller(part+"-"+i.name, i, recorder)
-	c.part = part
+// crashServers sends requests that crash servers to an instance until a time: different
+// ones with the same part, or the same one again and again.
+func crashServers(c *caller, next func() target, until time.Time) {
 	defer c.client.CloseIdleConnections()
 	for time.Now().Before(until) {
-		c.send(streamTarget(soundKeys[0], fmt.Sprint("a", c.sent%adapterCount)))
+		c.send(next())
 		time.Sleep(crashingInterval)
 	}
 }
--- a/cmd/soak/arena/faults.go
+++ b/cmd/soak/arena/faults.go
@@ -17,8 +17,7 @@
 	drainingAfter = 4500 * time.Millisecond
 	removedAfter  = 8500 * time.Millisecond
 	endsAfter     = 11 * time.Second
-	// crashingInterval is the time between requests of one caller with a part that
-	// crashes workers.
+	// crashingInterval is the time between requests of one caller that crash servers.
 	crashingInterval = 400 * time.Millisecond
 	// killMargin is what a process gets beyond its time to stop.
 	killMargin = 3 * time.Second
@@ -45,8 +44,8 @@
 		a.store.SetDown(true, step.Kind == plan.StoreSilent)
 		time.Sleep(length)
 		a.store.SetDown(false, false)
-	case plan.CrashingPart:
-		a.sendCrashingPart(step)
+	case plan.CrashingPart, plan.CrashingRequest:
+		a.sendCrashing(step)
 	case plan.ChangeConfiguration:
 		a.fault(step.Kind, "configuration")()
 		a.operator.change()
@@ -112,14 +111,28 @@
 	a.recorder.Record(func(h *history.History) { h.Recoveries = append(h.Recoveries, recovery) })
 }
 
-func (a *arena) sendCrashingPart(step plan.Step) {
+// sendCrashing sends requests that crash servers to all instances.
+func (a *arena) sendCrashing(step plan.Step) {
 	a.parts.Lock()
 	defer a.parts.Unlock()
-	part := fmt.Sprintf("%s%d", crashingPartPrefix, step.Begin.Milliseconds())
-	defer a.fault(step.Kind, part)()
+	name := fmt.Sprintf("%s%d", crashingPartPrefix, step.Begin.Milliseconds())
+	if step.Kind == plan.CrashingRequest {
+		name = fmt.Sprintf("%s%d", history.CrashingRequestPrefix, step.Begin.Milliseconds())
+	}
+	defer a.fault(step.Kind, name)()
 	until := time.Now().Add(step.End - step.Begin)
 	for _, i := range a.instances {
-		a.group.Go(func() { crashWorkers(i, &a.recorder, part, until) })
+		c := newCaller(name+"-"+i.name, i, &a.recorder)
+		next := func() target { return streamTarget(soundKeys[0], fmt.Sprint("a", c.sent%adapterCount)) }
+		if step.Kind == plan.CrashingPart {
+			c.part = name
+		} else {
+			c.request = name
+			if step.Target%2 == 0 {
+				next = func() target { return orderTarget(soundKeys[0]) }
+			}
+		}
+		a.group.Go(func() { crashServers(c, next, until) })
 	}
 	time.Sleep(time.Until(until))
 }
@@ -151,6 +164,10 @@
 		s.pausedUntil = time.Now().Add(length)
 		s.mu.Unlock()
 		time.Sleep(length)
+	case plan.LimitServer:
+		s.nameLimit(float64(1+target%5) / 2)
+		time.Sleep(length)
+		s.nameLimit(0)
 	case plan.RestartServer:
 		a.crash(s)
 	case plan.LeaveServer:
--- a/cmd/soak/arena/server.go
+++ b/cmd/soak/arena/server.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"path"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,6 +29,7 @@
 	headerPromptPrefix  = "X-Pomelospring-Prompt-Prefix"
 	headerTokenCount    = "X-Pomelospring-Token-Count"
 	headerDeadline      = "X-Pomelospring-Deadline-Ms"
+	headerLimit         = "Server-Limit"
 )
 
 const (
@@ -59,8 +62,10 @@
 	leaving     bool
 	pausedUntil time.Time
 	silentUntil time.Time
-	sequence    int64
-	loads       map[string]load
+	// limit is the number of requests per second that the server names; 0 for none.
+	limit    float64
+	sequence int64
+	loads    map[string]load
 }
 
 // load is the load of an adapter, which has ended at readyAt.
@@ -127,6 +132,13 @@
 	_ = s.http.Close()
 }
 
+// nameLimit lets the server name a limit in its answers; 0 for none.
+func (s *server) nameLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = perSecond
+}
+
 func (s *server) isGone() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,6 +152,9 @@
 	if s.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if s.limit > 0 {
+		w.Header().Set(headerLimit, strconv.FormatFloat(s.limit, 'f', -1, 64))
+	}
 	s.mu.Unlock()
 	time.Sleep(silence)
 	switch r.URL.Path {
@@ -250,6 +265,7 @@
 			Crashed:     status == 0 && part != "",
 			Leaving:     s.leaving,
 			PausedUntil: pausedUntil,
+			Limit:       s.limit,
 		})
 	})
 	return status, index, l.version, pausedUntil
@@ -258,7 +274,7 @@
 // execute runs a request, or rejects it as not run.
 func (s *server) execute(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(headerRequestID)
-	part := crashingPart(r.Header.Get(headerPromptPrefix))
+	part := crashingPart(r)
 	status, index, version, pausedUntil := s.admit(r, part)
 	w.Header().Set(headerRequestID, id)
 	if status != 0 {
@@ -269,23 +285,46 @@
 		w.WriteHeader(status)
 		return
 	}
+	w.Header().Set(headerStamp, s.id)
 	if part != "" {
+		s.beginAnswer(w, r, part, version)
 		go s.onCrash(s)
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(headerStamp, s.id)
-	if s.write(w, r, id, version) {
+	if s.write(w, r, version, s.eventCount()) {
 		s.recorder.Record(func(h *history.History) { h.Arrivals[index].Completed = true })
 	}
 }
 
-// write writes the answer and reports whether it was written whole.
-func (s *server) write(w http.ResponseWriter, r *http.Request, id string, version int64) (whole bool) {
-	_, adapter, _ := strings.Cut(r.Header.Get(headerAdapter), "/")
-	count := streamEvents
+// beginAnswer writes what a server sends of its answer before it crashes: nothing, the
+// head, one event, or one and a half. It is always the same for a part.
+func (s *server) beginAnswer(w http.ResponseWriter, r *http.Request, part string, version int64) {
+	moment := part[len(part)-1] % 4
+	if moment == 0 {
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	if moment > 1 {
+		s.write(w, r, version, 1)
+	}
+	if moment > 2 {
+		_, _ = io.WriteString(w, "id: 2\ndata: ")
+	}
+	_ = http.NewResponseController(w).Flush()
+}
+
+// eventCount returns the number of events of a whole answer.
+func (s *server) eventCount() int {
 	if s.service != modelService {
-		count = orderEvents
+		return orderEvents
 	}
+	return streamEvents
+}
+
+// write writes a number of events of the answer and reports whether all were written.
+func (s *server) write(w http.ResponseWriter, r *http.Request, version int64, count int) (whole bool) {
+	id := r.Header.Get(headerRequestID)
+	_, adapter, _ := strings.Cut(r.Header.Get(headerAdapter), "/")
 	for i := range count {
 		event, err := json.Marshal(history.Event{
 			Number:    i + 1,
@@ -308,13 +347,17 @@
 	return r.Context().Err() == nil && !s.isGone()
 }
 
-// crashingPart returns the part of a prompt that crashes workers, if there is one.
-func crashingPart(prefix string) string {
-	for _, part := range strings.Split(prefix, ",") {
+// crashingPart returns the prompt part, or the name of the request, that crashes servers,
+// if there is one.
+func crashingPart(r *http.Request) string {
+	for _, part := range strings.Split(r.Header.Get(headerPromptPrefix), ",") {
 		id, _, _ := strings.Cut(part, ":")
 		if strings.HasPrefix(id, crashingPartPrefix) {
 			return id
 		}
 	}
+	if name := path.Base(r.URL.Path); strings.HasPrefix(name, history.CrashingRequestPrefix) {
+		return name
+	}
 	return ""
 }
--- a/cmd/soak/history/history.go
+++ b/cmd/soak/history/history.go
@@ -58,7 +58,8 @@
 	RequestID string    `json:"requestID"`
 	Server    string    `json:"server"`
 	At        time.Time `json:"at"`
-	Part      string    `json:"part,omitempty"`
+	// Part is a prompt part that crashes servers, or the name of a request that does.
+	Part string `json:"part,omitempty"`
 	// Ran says that the server began to run the request, and Completed that it wrote
 	// the whole answer.
 	Ran       bool `json:"ran"`
@@ -69,8 +70,13 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// PausedUntil is the end of the pause that the rejection asked for.
 	PausedUntil time.Time `json:"pausedUntil,omitzero"`
+	// Limit is the number of requests per second that the server named in its answer.
+	Limit float64 `json:"limit,omitempty"`
 }
 
+// CrashingRequestPrefix begins the names of requests that crash servers.
+const CrashingRequestPrefix = "bad-request-"
+
 // Fault is a disturbance of an instance, a backend server or the store.
 type Fault struct {
 	Kind   string    `json:"kind"`
--- a/cmd/soak/history/judge.go
+++ b/cmd/soak/history/judge.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pomelospring/pomelospring/cmd/soak/plan"
@@ -29,10 +31,17 @@
 	// instance in a pause.
 	maxPauseRequests = 2
 	// blockingCrashes is the number of crashes after which a prompt part must be
-	// blocked, and maxBlockedRequests the number of requests with it that may still
-	// reach servers.
-	blockingCrashes    = 5
-	maxBlockedRequests = 3
+	// blocked, blockingCrashesOfRequest that for a request, and maxBlockedRequests the
+	// number of requests with it that may still reach servers.
+	blockingCrashes          = 5
+	blockingCrashesOfRequest = 3
+	maxBlockedRequests       = 3
+	// A server with a limit may get limitFactor times what it allows in limitWindow,
+	// and limitSlack, of instances that passed on its limit limitGrace before.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitGrace  = 500 * time.Millisecond
 	// answerBound is the time from a request to the end of its answer. It is longer
 	// than the deadline that callers give.
 	answerBound = 7 * time.Second
@@ -78,6 +87,7 @@
 		{Name: "leftServer", find: (*judge).usedServers},
 		{Name: "pause", find: (*judge).ignoredPauses},
 		{Name: "oneLeader", find: (*judge).sharedLeaderships},
+		{Name: "limit", find: (*judge).exceededLimits},
 		{Name: "crashingPart", find: (*judge).unblockedParts},
 		{Name: "plannedStop", find: (*judge).cutStops},
 		{Name: "processEnded", find: (*judge).crashes},
@@ -130,7 +140,7 @@
 
 // isHarmless reports whether a fault must neither cut nor lose an answer.
 func isHarmless(kind string) bool {
-	return kind == plan.SilenceServer || kind == plan.PauseServer || kind == plan.LeaveServer
+	return kind == plan.SilenceServer || kind == plan.PauseServer || kind == plan.LeaveServer || kind == plan.LimitServer
 }
 
 // disturbed reports whether a target had a harmful fault at some time from begin to
@@ -438,6 +448,39 @@
 	return false
 }
 
+// exceededLimits finds servers that got more requests in some window than they had
+// named, of instances that had passed on an answer that named it.
+func (j *judge) exceededLimits() (texts []string) {
+	told := map[pair]time.Time{}
+	named := map[string]time.Time{}
+	counted := map[string][]time.Time{}
+	for _, a := range j.Arrivals {
+		r, found := j.requests[a.RequestID]
+		if a.Limit == 0 || !found {
+			continue
+		}
+		if _, known := named[a.Server]; !known {
+			named[a.Server] = a.At
+		}
+		p := pair{r.Instance, a.Server}
+		at, known := told[p]
+		if !known && a.Completed && r.Status == http.StatusOK {
+			told[p] = r.Ended
+		}
+		bound := known && a.At.After(at.Add(limitGrace)) && j.inTouch(r.Instance, at, a.At)
+		if !bound || a.At.Before(named[a.Server].Add(stableWindow)) {
+			continue
+		}
+		times := slices.DeleteFunc(counted[a.Server], func(at time.Time) bool { return a.At.Sub(at) >= limitWindow })
+		times = append(times, a.At)
+		counted[a.Server] = times
+		if allowed := limitFactor*a.Limit*limitWindow.Seconds() + limitSlack; float64(len(times)) > allowed {
+			texts = append(texts, fmt.Sprintf("%s named a limit of %g a second and got %d requests in %s, the last at %s", a.Server, a.Limit, len(times), limitWindow, a.At))
+		}
+	}
+	return texts
+}
+
 func (j *judge) unblockedParts() (texts []string) {
 	crashes := map[string][]time.Time{}
 	for _, a := range j.Arrivals {
@@ -446,10 +489,14 @@
 		}
 	}
 	for part, times := range crashes {
-		if len(times) < blockingCrashes {
+		enough := blockingCrashes
+		if strings.HasPrefix(part, CrashingRequestPrefix) {
+			enough = blockingCrashesOfRequest
+		}
+		if len(times) < enough {
 			continue
 		}
-		blockedAt := times[blockingCrashes-1].Add(stableWindow)
+		blockedAt := times[enough-1].Add(stableWindow)
 		count := 0
 		for _, a := range j.Arrivals {
 			r := j.requests[a.RequestID]
--- a/cmd/soak/history/judge_test.go
+++ b/cmd/soak/history/judge_test.go
@@ -183,6 +183,22 @@
 				h.Faults = []history.Fault{{Kind: plan.FreezeInstance, Target: "a", Begin: at(18), End: at(21)}}
 			},
 		},
+		{
+			check: "limit",
+			broken: func(h *history.History) {
+				// 1 a second allows 11 in 4 s.
+				add(h, history.Arrival{Server: "s", Limit: 1}, 20, 24, 24.1, 24.2, 24.3, 24.4, 24.5, 24.6, 24.7, 24.8, 24.9, 25, 25.1)
+				h.Requests[1].Status, h.Arrivals[1].Completed = http.StatusOK, true
+			},
+			allowed: func(h *history.History) { h.Arrivals[1].Limit = 0 },
+		},
+		{
+			check: "crashingPart",
+			broken: func(h *history.History) {
+				add(h, history.Arrival{Server: "s", Part: history.CrashingRequestPrefix, Ran: true, Crashed: true}, 20, 21, 22, 28, 29, 30, 31)
+			},
+			allowed: func(h *history.History) { h.Arrivals[7].Ran = false },
+		},
 		{
 			check: "crashingPart",
 			broken: func(h *history.History) {
--- a/cmd/soak/plan/plan.go
+++ b/cmd/soak/plan/plan.go
@@ -22,8 +22,12 @@
 	LeaveServer   = "leaveServer"
 	PauseServer   = "pauseServer"
 	RestartServer = "restartServer"
-	// CrashingPart sends requests with a prompt part that crashes workers.
+	// LimitServer lets a server name a limit.
+	LimitServer = "limitServer"
+	// CrashingPart sends requests with a prompt part that crashes workers, and
+	// CrashingRequest sends one request that does, again and again.
 	CrashingPart        = "crashingPart"
+	CrashingRequest     = "crashingRequest"
 	ChangeConfiguration = "changeConfiguration"
 	WithdrawKey         = "withdrawKey"
 	DeclareVersion      = "declareVersion"
@@ -33,7 +37,7 @@
 func Kinds() []string {
 	return []string{
 		KillInstance, StopInstance, FreezeInstance, CutStore, StoreDown, StoreSilent, ResetServer, CutServer,
-		SilenceServer, LeaveServer, PauseServer, RestartServer, CrashingPart, ChangeConfiguration, WithdrawKey, DeclareVersion,
+		SilenceServer, LeaveServer, PauseServer, RestartServer, LimitServer, CrashingPart, CrashingRequest, ChangeConfiguration, WithdrawKey, DeclareVersion,
 	}
 }
 
@@ -47,6 +51,9 @@
 	silenceLength = time.Second
 	// crashingLength is how long requests with a part that crashes workers come.
 	crashingLength = 9 * time.Second
+	// limitLength is how long a server names a limit: the time until it binds, and a
+	// window in which its requests are counted.
+	limitLength = 8 * time.Second
 )
 
 // Plan is the size of a soak and its faults in the order of their begin.
@@ -107,8 +114,10 @@
 	switch kind {
 	case SilenceServer:
 		return silenceLength
-	case CrashingPart:
+	case CrashingPart, CrashingRequest:
 		return crashingLength
+	case LimitServer:
+		return limitLength
 	}
 	return length
 }
