Excuse instances from a server's limit only for what the rule names, in the soak

The check of limits met no real case: it also excused instances while the store was disturbed or since any earlier fault of theirs. Only a restart, freeze or cut of the instance counts now.

--- a/cmd/soak/history/judge.go
+++ b/cmd/soak/history/judge.go
@@ -449,11 +449,12 @@
 }
 
 // exceededLimits finds servers that got more requests in some window than they had
-// named, of instances that had passed on an answer that named it.
+// named, each once, of instances that had passed on an answer that named it.
 func (j *judge) exceededLimits() (texts []string) {
 	told := map[pair]time.Time{}
 	named := map[string]time.Time{}
 	counted := map[string][]time.Time{}
+	exceeded := map[string]bool{}
 	for _, a := range j.Arrivals {
 		r, found := j.requests[a.RequestID]
 		if a.Limit == 0 || !found {
@@ -467,20 +468,28 @@
 		if !known && a.Completed && r.Status == http.StatusOK {
 			told[p] = r.Ended
 		}
-		bound := known && a.At.After(at.Add(limitGrace)) && j.inTouch(r.Instance, at, a.At)
-		if !bound || a.At.Before(named[a.Server].Add(stableWindow)) {
+		bound := known && a.At.After(at.Add(limitGrace)) && !j.disturbed(r.Instance, a.At.Add(-stableWindow), a.At)
+		if !bound || a.At.Before(named[a.Server].Add(stableWindow)) || j.ended(r.Instance, at, a.At) {
 			continue
 		}
 		times := slices.DeleteFunc(counted[a.Server], func(at time.Time) bool { return a.At.Sub(at) >= limitWindow })
 		times = append(times, a.At)
 		counted[a.Server] = times
-		if allowed := limitFactor*a.Limit*limitWindow.Seconds() + limitSlack; float64(len(times)) > allowed {
+		if allowed := limitFactor*a.Limit*limitWindow.Seconds() + limitSlack; float64(len(times)) > allowed && !exceeded[a.Server] {
+			exceeded[a.Server] = true
 			texts = append(texts, fmt.Sprintf("%s named a limit of %g a second and got %d requests in %s, the last at %s", a.Server, a.Limit, len(times), limitWindow, a.At))
 		}
 	}
 	return texts
 }
 
+// ended reports whether a process of an instance ended at some time from begin to end.
+func (j *judge) ended(instance string, begin, end time.Time) bool {
+	return slices.ContainsFunc(j.Stops, func(s Stop) bool {
+		return s.Instance == instance && s.EndedAt.After(begin) && s.SignalledAt.Before(end)
+	})
+}
+
 func (j *judge) unblockedParts() (texts []string) {
 	crashes := map[string][]time.Time{}
 	for _, a := range j.Arrivals {
