--- a/fleet/candidates_bench_test.go
+++ b/fleet/candidates_bench_test.go
@@ -61,13 +61,19 @@
 		// many announced that it leaves; 0 for none.
 		pausing int
 		leaving int
+		// limited is one in how many servers names a limit and has no slot for long.
+		limited int
 	}{
 		{name: "adapter", adapter: "m/a17"},
 		{name: "adapter, every other server pauses, every tenth leaves", adapter: "m/a17", pausing: 2, leaving: 10},
 		{name: "adapter, all servers pause", adapter: "m/a17", pausing: 1},
+		{name: "adapter, every other server names a limit", adapter: "m/a17", limited: 2},
+		{name: "adapter, all servers name limits", adapter: "m/a17", limited: 1},
 		{name: "model", adapter: "m"},
 		{name: "model, every other server pauses, every tenth leaves", adapter: "m", pausing: 2, leaving: 10},
 		{name: "model, all servers pause", adapter: "m", pausing: 1},
+		{name: "model, every other server names a limit", adapter: "m", limited: 2},
+		{name: "model, all servers name limits", adapter: "m", limited: 1},
 	}
 	for _, scenario := range scenarios {
 		b.Run(scenario.name, func(b *testing.B) {
@@ -80,6 +86,10 @@
 				if scenario.leaving > 0 && i%scenario.leaving == 0 {
 					board.RecordLeaving(fleet.LeavingServer{ID: id, Started: start}, start)
 				}
+				if scenario.limited > 0 && i%scenario.limited == 0 {
+					board.RecordLimit(fleet.ServerLimit{Server: id, Started: start, PerSecond: 1, At: start}, start)
+					board.RecordNextSlot(id, start.Add(time.Minute))
+				}
 			}
 			call := &pomelospring.Call{ID: "r", Adapter: scenario.adapter, PromptTokens: 1000}
 			requirements := dispatch.Requirements{Domain: "d0", PromptTokens: 1000, Model: true}
