Show limits and blocks to operators, and let them lift a block

An operator could see what is blocked only in the log (229), and could lift nothing: a request or part whose cause was mended was refused until a trial, 30 s to 10 minutes later.

Each instance shows on its metrics address which limits and blocks it keeps (/limits, /blocks: by which ends, tried when, until when), and takes DELETE /blocks/PART. A lift is taken as an answer now, so the other instances learn it with the exchanges; 231 logs it.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -52,6 +52,8 @@
 	PartsBlocked   = define(229, "partsBlocked", log.WarnLevel, "Calls with all of these prompt parts, or this content (a hash of caller, target and body), are kept from backend servers, because servers end under them; the fields give the number of ended servers and the teams, none for all. No parts: no call is.")
 	PartsTried     = define(230, "partsTried", log.WarnLevel, "A blocked call was let through, to see whether backend servers still end under it.")
 
+	BlockLifted = define(231, "blockLifted", log.WarnLevel, "An operator lifted a block; the fields give its parts. It comes back after further ends of servers.")
+
 	AdapterLoading   = define(300, "adapterLoading", log.InfoLevel, "An adapter is loaded onto a model worker; the fields give the reason and what is evicted.")
 	AdapterLoaded    = define(301, "adapterLoaded", log.InfoLevel, "A load succeeded.")
 	AdapterFailed    = define(302, "adapterLoadFailed", log.WarnLevel, "A load failed; it is retried after a backoff, at another model worker if possible.")
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pomelospring/pomelospring"
@@ -88,6 +90,20 @@
 	return limits
 }
 
+// AllLimits lists the limits that hold now, with the time of each server's next slot as
+// far as it is known here.
+func (b *Board) AllLimits() (limits []ServerLimit, nextSlots []time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range slices.Sorted(maps.Keys(b.limits)) {
+		if limit := b.limits[id]; limit.PerSecond > 0 {
+			limits = append(limits, limit.ServerLimit)
+			nextSlots = append(nextSlots, limit.nextSlotAt)
+		}
+	}
+	return limits, nextSlots
+}
+
 // ServerLimitOf returns a server's limit; limited is false if it names none.
 func (b *Board) ServerLimitOf(server string) (limit ServerLimit, limited bool) {
 	b.mu.Lock()
--- a/front/front.go
+++ b/front/front.go
@@ -505,6 +505,7 @@
 func (f *Front) metricsServer() *http.Server {
 	router := mux.NewRouter()
 	router.Handle("/metrics", f.metrics.Handler())
+	f.addInspection(router)
 	return &http.Server{
 		Handler:           router,
 		ReadHeaderTimeout: headerTimeout,
--- /dev/null
+++ b/front/inspection.go
@@ -0,0 +1,94 @@
+package front
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gorilla/mux"
+	"github.com/pomelospring/pomelospring/events"
+)
+
+// blockView is a block as operators see it.
+type blockView struct {
+	Parts []string `json:"parts"`
+	// Teams is empty for all teams.
+	Teams       []string  `json:"teams"`
+	Crashes     int       `json:"crashes"`
+	Servers     []string  `json:"servers"`
+	LastCrashAt time.Time `json:"lastCrashAt"`
+	TrialAt     time.Time `json:"trialAt"`
+	ExpiresAt   time.Time `json:"expiresAt"`
+}
+
+// limitView is the limit of a backend server as operators see it.
+type limitView struct {
+	Server     string    `json:"server"`
+	PerSecond  float64   `json:"perSecond"`
+	NamedAt    time.Time `json:"namedAt"`
+	NextSlotAt time.Time `json:"nextSlotAt,omitzero"`
+}
+
+// addInspection adds what operators may look at and change on this instance.
+func (f *Front) addInspection(router *mux.Router) {
+	router.HandleFunc("/blocks", f.showBlocks).Methods(http.MethodGet)
+	router.HandleFunc("/blocks/{part}", f.liftBlock).Methods(http.MethodDelete)
+	router.HandleFunc("/limits", f.showLimits).Methods(http.MethodGet)
+}
+
+func (f *Front) showBlocks(w http.ResponseWriter, _ *http.Request) {
+	blocks := f.quarantine.Blocks(f.clock())
+	views := make([]blockView, 0, len(blocks))
+	for _, block := range blocks {
+		views = append(views, blockView{
+			Parts:       block.Parts,
+			Teams:       slices.Sorted(maps.Keys(block.Teams)),
+			Crashes:     block.Crashes,
+			Servers:     block.Servers,
+			LastCrashAt: block.LastCrashAt,
+			TrialAt:     block.TrialAt,
+			ExpiresAt:   block.ExpiresAt,
+		})
+	}
+	writeJSON(w, views)
+}
+
+// liftBlock takes a part or request as answered now, which the whole fleet learns as it
+// learns of answers.
+func (f *Front) liftBlock(w http.ResponseWriter, r *http.Request) {
+	part := mux.Vars(r)["part"]
+	for _, block := range f.quarantine.Blocks(f.clock()) {
+		if slices.Contains(block.Parts, part) {
+			f.quarantine.RecordOutput(block.Parts, f.clock())
+			events.Log(f.logger, events.BlockLifted, log.Fields{
+				"parts": block.Parts,
+			})
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+	}
+	w.WriteHeader(http.StatusNotFound)
+}
+
+func (f *Front) showLimits(w http.ResponseWriter, _ *http.Request) {
+	limits, nextSlots := f.board.AllLimits()
+	views := make([]limitView, 0, len(limits))
+	for i, limit := range limits {
+		views = append(views, limitView{
+			Server:     limit.Server,
+			PerSecond:  limit.PerSecond,
+			NamedAt:    limit.At,
+			NextSlotAt: nextSlots[i],
+		})
+	}
+	writeJSON(w, views)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the operator disconnected.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/quarantine/evaluation.go
+++ b/quarantine/evaluation.go
@@ -152,16 +152,16 @@
 		Crashes: count,
 		Teams:   map[string]bool{},
 	}
-	var last time.Time
-	for _, crash := range crashes {
+	for _, crash := range slices.SortedFunc(maps.Values(crashes), func(x, y *Crash) int { return y.At.Compare(x.At) }) {
+		block.Servers = append(block.Servers, crash.Server)
 		for _, part := range parts {
 			maps.Copy(block.Teams, crash.Suspects[part])
 		}
-		if crash.At.After(last) {
-			last = crash.At
+		if crash.At.After(block.LastCrashAt) {
+			block.LastCrashAt = crash.At
 		}
-		if expiresAt := crash.SeenAt.Add(crashLifetime); expiresAt.After(block.expiresAt) {
-			block.expiresAt = expiresAt
+		if expiresAt := crash.SeenAt.Add(crashLifetime); expiresAt.After(block.ExpiresAt) {
+			block.ExpiresAt = expiresAt
 		}
 	}
 	if len(block.Teams) >= minTeams && !slices.ContainsFunc(parts, pomelospring.IsFingerprint) {
@@ -171,13 +171,13 @@
 	for i := minCrashes; i < count && interval < maxTrialInterval; i++ {
 		interval *= 2
 	}
-	block.TrialAt = last.Add(min(interval, maxTrialInterval))
+	block.TrialAt = block.LastCrashAt.Add(min(interval, maxTrialInterval))
 	return block
 }
 
 // covers reports whether a block is for a call of a team with parts.
 func (b *Block) covers(team string, parts []string, now time.Time) bool {
-	if !now.Before(b.expiresAt) || b.Teams != nil && !b.Teams[team] {
+	if !now.Before(b.ExpiresAt) || b.Teams != nil && !b.Teams[team] {
 		return false
 	}
 	for _, part := range b.Parts {
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -105,11 +105,14 @@
 	Teams map[string]bool
 	// TrialAt is from when one call is let through, to see whether workers still end.
 	TrialAt time.Time
-	// Crashes is the number of moments at which workers ended under the parts.
-	Crashes int
-
-	// expiresAt is when the crashes no longer count unless more of the calls come.
-	expiresAt time.Time
+	// Crashes is the number of moments at which servers ended under the parts, Servers
+	// has the starts of these servers, the last one first, and LastCrashAt is when that
+	// one ended.
+	Crashes     int
+	Servers     []string
+	LastCrashAt time.Time
+	// ExpiresAt is when the crashes no longer count unless more of the calls come.
+	ExpiresAt time.Time
 }
 
 // Register holds the crashes that this instance and others have seen. It is safe
@@ -187,6 +190,13 @@
 	return Admitted, Block{}, time.Time{}
 }
 
+// Blocks lists the blocks in force.
+func (r *Register) Blocks(now time.Time) []Block {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(r.blocks), func(block Block) bool { return !now.Before(block.ExpiresAt) })
+}
+
 // BeginTrial grants a trial of the block with a first part, unless the outcome of the last
 // one is not known yet.
 func (r *Register) BeginTrial(part string, now time.Time) bool {
