--- a/entry/crashing_prompt_test.go
+++ b/entry/crashing_prompt_test.go
@@ -29,9 +29,12 @@
 	// unframed answers end with their connection.
 	begun    *string
 	unframed bool
+	// callTime is how long a server runs a call.
+	callTime time.Duration
 
 	mu       sync.Mutex
 	restart  func(server string)
+	listed   func() []pomelospring.FleetServer
 	received map[string]int
 	crashes  int
 	// ended has the servers that have crashed.
@@ -44,6 +47,14 @@
 	if b.ended[dispatch.Server.ID] {
 		return nil, fmt.Errorf("%w: connection refused", pomelospring.ErrNotSent)
 	}
+	if b.callTime > 0 {
+		b.mu.Unlock()
+		time.Sleep(b.callTime)
+		b.mu.Lock()
+		if b.ended[dispatch.Server.ID] {
+			return nil, errors.New("EOF")
+		}
+	}
 	for _, part := range call.Parts {
 		b.received[part.ID]++
 	}
@@ -64,6 +75,20 @@
 	return &pomelospring.BackendAnswer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(events3)), Signed: true, Length: -1}, nil
 }
 
+// endServers ends some servers of a service by themselves, and starts others in their
+// place.
+func (b *crashingBackend) endServers(service string, count int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, server := range b.listed() {
+		if count > 0 && server.Service == service {
+			b.ended[server.ID] = true
+			b.restart(server.ID)
+			count--
+		}
+	}
+}
+
 func (b *crashingBackend) isCrashing(call *pomelospring.Call) bool {
 	if b.crashing != nil {
 		return b.crashing(call)
@@ -105,6 +130,7 @@
 		service.Board.SetServers(maps.Clone(servers), time.Now())
 		service.Board.AddResident(next.ID, "m/x", 1)
 	}
+	b.listed = service.Board.Servers
 	service.Backend, service.Engine = b, b
 	return service, b
 }
--- a/entry/crashing_request_test.go
+++ b/entry/crashing_request_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,3 +61,43 @@
 		})
 	}
 }
+
+// TestServersThatEndByThemselvesBlockARequest guards against sound requests that are
+// blocked because servers are restarted under them, in turn or together.
+func TestServersThatEndByThemselvesBlockARequest(t *testing.T) {
+	for _, together := range []int{1, 2} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprint(together, "-", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					random := rand.New(rand.NewPCG(seed, 1))
+					service, b := newCrashingService()
+					b.callTime = 100 * time.Millisecond
+					var blocked atomic.Int64
+					var group sync.WaitGroup
+					for began := time.Now(); time.Since(began) < 30*time.Second; {
+						body := fmt.Sprint(random.IntN(12))
+						path := []string{"/lookup/1", "/order/1"}[random.IntN(2)]
+						group.Go(func() {
+							out := &responder{}
+							service.Serve(t.Context(), &pomelospring.Call{
+								ID: body, Host: "shop.example", Target: path, Path: path, Key: key, Arrived: time.Now(), Body: []byte(body),
+							}, out)
+							if out.Code == pomelospring.CodeRequestBlocked {
+								blocked.Add(1)
+							}
+						})
+						time.Sleep(40 * time.Millisecond)
+						if random.IntN(20) == 0 {
+							b.endServers("app", together)
+						}
+					}
+					group.Wait()
+					time.Sleep(time.Second)
+					if blocked.Load() > 0 {
+						t.Errorf("%d sound calls were refused, %d servers ended", blocked.Load(), len(b.ended))
+					}
+				})
+			})
+		}
+	}
+}
