--- a/entry/limited_server.go
+++ b/entry/limited_server.go
@@ -110,5 +110,8 @@
 	wait := slotAt.Sub(now)
 	spread := time.Duration(limitRetryFraction * float64(wait))
 	retryAt := slotAt.Add(rand.N(min(maxPauseRetrySpread, max(retryAfterSpread, spread))))
+	if wait <= 0 {
+		return pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAt, "the backend servers name limits, and the next slots are for teams that have got fewer")
+	}
 	return pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAt, "the backend servers name limits, and the first slot is in %s", wait.Round(time.Millisecond))
 }
--- a/pacing/schedule.go
+++ b/pacing/schedule.go
@@ -20,7 +20,7 @@
 )
 
 // Schedule gives out the slots of servers: the times at which they get their next
-// calls, in the order of the reservations. It is not safe for concurrent use.
+// calls. It is not safe for concurrent use.
 type Schedule struct {
 	// KeepsCredit is set if the slots that an idle server did not use may be used
 	// later, few of them at once. Without it, a server's first slot is one interval
