Ask for a complete server list while an instance lists others than its leader

Cause: a server that only one instance lists, from its own read of a copy or from a former leader's relay, is named by no later change of the leader's list, so nothing removes it.

Change: a leader tells a digest of the starts of servers that it lists.

--- a/coordination/member.go
+++ b/coordination/member.go
@@ -115,6 +115,8 @@
 	// reportedCrashVersion that of this instance's crashes that the leader has.
 	crashVersion         int64
 	reportedCrashVersion int64
+	// difference is since when this instance lists other servers than the leader.
+	difference listDifference
 	// pacing gives out this instance's part of the limits of the domain's servers while
 	// the leader does not answer.
 	pacing pacing.Schedule
@@ -250,7 +252,7 @@
 	if address == "" {
 		return
 	}
-	if m.Servers.NeedsCompleteList() {
+	if m.Servers.NeedsCompleteList() || m.listsDiffer() {
 		serverVersion = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -462,6 +464,7 @@
 		Offset: reply.OperatorOffset,
 	}, now.Add(-operatorAge))
 	if serverAge < maxRelayAge {
+		defer m.compareLists(reply.ServerDigest, now)
 		m.Servers.Relay(serversFromProto(reply.Servers), reply.ServersGone, full, pomelospring.TopicPosition{
 			Era:    reply.ServerEra,
 			Offset: reply.ServerOffset,
--- a/coordination/restored_fleet_test.go
+++ b/coordination/restored_fleet_test.go
@@ -70,6 +70,7 @@
 type node struct {
 	name, domain string
 	board        *fleet.Board
+	servers      *fleet.ServerList
 	coordinator  *coordination.PlacementCoordinator
 	home         *coordination.Member
 	cut          *atomic.Bool
@@ -200,7 +201,7 @@
 		Board: n.board, Ledger: ledger, Logger: logger, Clock: time.Now, PolicyKey: platform.PolicyKey,
 		DecodePolicy: platform.DecodePolicy, DecodeVersion: platform.DecodeVersion,
 	}
-	servers := &fleet.ServerList{Board: n.board, Logger: logger, Clock: time.Now, Decode: platform.DecodeServer}
+	n.servers = &fleet.ServerList{Board: n.board, Logger: logger, Clock: time.Now, Decode: platform.DecodeServer}
 	peers := peer.NewClient(nil)
 	peers.Dial = f.dial
 	crashes := quarantine.NewRegister()
@@ -216,11 +217,11 @@
 		leader.Holder, leader.Instance = name, fmt.Sprint(name, "/", f.random.Uint32())
 		leader.Domain, leader.Domains = d, len(restoredDomains)
 		leader.AnsweringDomains = n.coordinator.AnsweringDomains
-		leader.Board, leader.Servers, leader.Engine, leader.Eras = n.board, servers, f, eras
+		leader.Board, leader.Servers, leader.Engine, leader.Eras = n.board, n.servers, f, eras
 		leader.Logger, leader.Clock, leader.Uptime = logger, time.Now, uptime
 		member := &coordination.Member{
 			Domain: d, Relay: d == domain, LeaderIndex: i, Address: name, Instance: leader.Instance, Board: n.board, Ledger: ledger,
-			Servers: servers, Eras: eras, Quarantine: crashes, Leader: leader, Local: server, Peers: peers, Logger: logger, Clock: time.Now, LeadsAny: leadsAny,
+			Servers: n.servers, Eras: eras, Quarantine: crashes, Leader: leader, Local: server, Peers: peers, Logger: logger, Clock: time.Now, LeadsAny: leadsAny,
 			OnReply: func(_ int, leaders map[string]string) { n.coordinator.AddLeaders(leaders) },
 		}
 		election := &coordination.Election{
@@ -246,7 +247,7 @@
 		Store: store, Topic: platform.OperatorTopic, ReadWait: 600 * time.Millisecond, Apply: operators.ApplyRead, Logger: logger,
 		Suspended: relayed((*coordination.Member).OperatorsRelayed), KnownPosition: n.board.OperatorPosition, Clock: time.Now,
 	}).Run, (&platform.Follower{
-		Store: store, Topic: platform.ServerTopic, ReadInterval: 500 * time.Millisecond, Apply: servers.ApplyRead, Logger: logger,
+		Store: store, Topic: platform.ServerTopic, ReadInterval: 500 * time.Millisecond, Apply: n.servers.ApplyRead, Logger: logger,
 		Suspended: relayed((*coordination.Member).ServersRelayed), Clock: time.Now,
 	}).Run, func(ctx context.Context) error { return server.Run(ctx, listener) })
 	var group sync.WaitGroup
@@ -417,7 +418,8 @@
 	}
 }
 
-func playRestores(t *testing.T, seed uint64) {
+// newRestoredFleet starts five instances before six workers.
+func newRestoredFleet(t *testing.T, seed uint64) *restoredFleet {
 	f := &restoredFleet{
 		t: t, seed: seed, began: time.Now(), random: rand.New(rand.NewPCG(seed, 23)), store: standin.NewStore(),
 		listeners: map[string]chan net.Conn{}, workers: map[string]*orderedWorker{}, version: 1,
@@ -429,6 +431,43 @@
 	for i := range 5 {
 		f.nodes = append(f.nodes, f.start(fmt.Sprint("n", i), restoredDomains[i%2], true))
 	}
+	return f
+}
+
+// TestServerThatOnlyOneInstanceListsStays guards against a server that an instance lists
+// and its leader doesn't, so that no change of the leader's list names it.
+func TestServerThatOnlyOneInstanceListsStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t, 1)
+		time.Sleep(10 * time.Second)
+		followers := slices.DeleteFunc(slices.Clone(f.nodes), func(n *node) bool {
+			return slices.ContainsFunc(n.coordinator.Members, func(m *coordination.Member) bool { return m.Leader.Leading() })
+		})
+		for _, n := range followers {
+			gone := pomelospring.FleetServer{ID: "gone", Service: "llm", Address: "gone:1", Domain: n.domain, Started: time.Now()}
+			_, _, _, readTo := n.servers.Changes(0)
+			n.servers.Relay([]pomelospring.FleetServer{gone}, nil, false, readTo, time.Now())
+		}
+		for range 50 {
+			time.Sleep(checkInterval)
+			f.heartbeats()
+		}
+		for _, n := range followers {
+			if slices.ContainsFunc(n.board.Servers(), func(server pomelospring.FleetServer) bool { return server.ID == "gone" }) {
+				t.Errorf("%s still lists a server that no leader lists", n.name)
+			}
+		}
+		if len(followers) < 3 {
+			t.Errorf("%d instances lead nothing", len(followers))
+		}
+		for _, n := range f.nodes {
+			n.stop()
+		}
+	})
+}
+
+func playRestores(t *testing.T, seed uint64) {
+	f := newRestoredFleet(t, seed)
 	nextFault := time.Now().Add(10 * time.Second)
 	faultsEnd := time.Now().Add(3 * time.Minute)
 	for step := 0; time.Now().Before(faultsEnd.Add(settleTime)); step++ {
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -195,6 +195,7 @@
 	reply.ServerOffset, reply.ServerEra = readTo.Offset, readTo.Era
 	reply.Servers = serversToProto(changed)
 	reply.ServersGone = removed
+	reply.ServerDigest = l.Board.ServerDigest()
 	reply.OperatorAgeMilliseconds = l.Board.PolicyAge(now).Milliseconds()
 	reply.ServerAgeMilliseconds = l.Board.ServersAge(now).Milliseconds()
 }
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -4,10 +4,12 @@
 package fleet
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/dispatch"
 )
@@ -51,6 +53,8 @@
 	// a server to the version at which it last changed or was removed.
 	serverVersion int64
 	changed       map[string]int64
+	// serverDigest is equal on boards that list the same starts of servers.
+	serverDigest uint64
 	// serversReadAt is when the current list was read from the store.
 	serversReadAt time.Time
 
@@ -235,6 +239,9 @@
 			b.changed[id] = b.serverVersion
 		}
 	}
+	if b.serverVersion > versionBefore {
+		b.serverDigest = digestServers(servers)
+	}
 	b.updateIndex(servers, b.serverVersion > versionBefore)
 	b.servers = servers
 	b.serversKnown = true
@@ -264,6 +271,24 @@
 	return changed, removed, b.serverVersion
 }
 
+// digestServers returns a digest of the starts of servers, whatever their order.
+func digestServers(servers map[string]pomelospring.FleetServer) (digest uint64) {
+	var buffer []byte
+	for id, server := range servers {
+		buffer = append(buffer[:0], id...)
+		buffer = strconv.AppendInt(buffer, server.Started.UnixMilli(), 10)
+		digest ^= xxhash.Sum64(buffer)
+	}
+	return digest
+}
+
+// ServerDigest is equal on boards that list the same starts of servers.
+func (b *Board) ServerDigest() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.serverDigest
+}
+
 // ServersAge returns the time since the server list was read from the store.
 func (b *Board) ServersAge(now time.Time) time.Duration {
 	b.mu.Lock()
