Call the times at which limited servers get calls turns, and share a loop of two tests

"Slot" was the place of an adapter, a place to run a call and the time of the next call of a limited server. The last one is a turn now.

--- a/coordination/limits.go
+++ b/coordination/limits.go
@@ -20,7 +20,7 @@
 	assumedInstances = 200
 )
 
-// Reserve gives out the next slot of a server of the domain to a team; ok is false if this instance does not lead.
+// Reserve gives out the next turn of a server of the domain to a team; ok is false if this instance does not lead.
 func (l *Leader) Reserve(server, team string, patience time.Duration) (reservation pomelospring.Reservation, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -31,7 +31,7 @@
 	return reserve(&l.pacing, server, team, l.Board.LimitOf(server), now.Add(patience), now), true
 }
 
-// reserve reserves a slot of a server that takes perSecond calls; 0 for any number.
+// reserve reserves a turn of a server that takes perSecond calls; 0 for any number.
 func reserve(schedule *pacing.Schedule, server, team string, perSecond float64, latest, now time.Time) pomelospring.Reservation {
 	if perSecond <= 0 {
 		return pomelospring.Reservation{
@@ -62,7 +62,7 @@
 	}, nil
 }
 
-// Reserve asks the domain's leader for a slot of a server. Without an answer it keeps to
+// Reserve asks the domain's leader for a turn of a server. Without an answer it keeps to
 // this instance's part of the limit.
 func (m *Member) Reserve(ctx context.Context, server pomelospring.FleetServer, team string, latest time.Time) pomelospring.Reservation {
 	limit, limited := m.Board.ServerLimitOf(server.ID)
@@ -92,7 +92,7 @@
 	return reserve(&m.pacing, server.ID, team, limit.PerSecond/float64(instances), latest, m.Clock())
 }
 
-// reserveAtLeader asks the domain's leader for a slot.
+// reserveAtLeader asks the domain's leader for a turn.
 func (m *Member) reserveAtLeader(ctx context.Context, limit fleet.ServerLimit, team string, latest time.Time) (reservation pomelospring.Reservation, err error) {
 	address, now := m.Known(), m.Clock()
 	patience := latest.Sub(now)
@@ -130,7 +130,7 @@
 	for _, member := range c.Members {
 		if member.Domain == server.Domain {
 			reservation = member.Reserve(ctx, server, team, latest)
-			c.Board.RecordNextSlot(server.ID, reservation.NextAt)
+			c.Board.RecordNextTurn(server.ID, reservation.NextAt)
 			return reservation
 		}
 	}
--- a/coordination/limits_test.go
+++ b/coordination/limits_test.go
@@ -13,9 +13,9 @@
 	"github.com/pomelospring/pomelospring/fleet"
 )
 
-// TestSlotsOfFormerHoldersAreGivenAgain guards against a new leader, or an instance that
+// TestTurnsOfFormerHoldersAreGivenAgain guards against a new leader, or an instance that
 // lost its leader, that gives out at once what others may have given out just before.
-func TestSlotsOfFormerHoldersAreGivenAgain(t *testing.T) {
+func TestTurnsOfFormerHoldersAreGivenAgain(t *testing.T) {
 	const limit = 4.0
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -31,7 +31,7 @@
 			Logger:  &log.Logger{Handler: discard.New()},
 			Clock:   time.Now,
 		}
-		// sendFor asks for a slot often and returns how long the first one took, and how
+		// sendFor asks for a turn often and returns how long the first one took, and how
 		// many there were.
 		sendFor := func(length time.Duration) (first time.Duration, count int) {
 			for began := time.Now(); time.Since(began) < length; time.Sleep(10 * time.Millisecond) {
--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -46,9 +46,9 @@
 	// CachedTokens of the prompt are assumed to be in its prefix cache.
 	CachedTokens int64
 	// Limited is set if the server names a limit, so that each call needs a
-	// reservation, and SlotWait is how long a call would wait for its time.
+	// reservation, and TurnWait is how long a call would wait for its time.
 	Limited  bool
-	SlotWait time.Duration
+	TurnWait time.Duration
 }
 
 // Requirements describes a call and the instance that sends it.
@@ -200,10 +200,10 @@
 	if !requirements.Model {
 		slots := max(1, candidate.Server.Slots)
 		queued := time.Duration(float64(requirements.Speeds.PlainCallTime()) * float64(candidate.Running+1) / float64(slots))
-		return candidate.SlotWait + queued + distance + time.Duration(candidate.FailureRate*float64(plainFailureCost))
+		return candidate.TurnWait + queued + distance + time.Duration(candidate.FailureRate*float64(plainFailureCost))
 	}
 	uncached := max(0, requirements.PromptTokens-candidate.CachedTokens)
-	return candidate.SlotWait +
+	return candidate.TurnWait +
 		requirements.Speeds.PrefillTime(candidate.WaitingTokens+uncached) +
 		time.Duration(candidate.Running)*runningCallCost +
 		distance +
--- a/entry/limited_server.go
+++ b/entry/limited_server.go
@@ -10,28 +10,28 @@
 )
 
 const (
-	// maxCopySlotWait is how long a call waits for a server that names a limit before its
+	// maxCopyTurnWait is how long a call waits for a server that names a limit before its
 	// adapter is looked for elsewhere: about the time of a load.
-	maxCopySlotWait = 300 * time.Millisecond
+	maxCopyTurnWait = 300 * time.Millisecond
 	// maxReservations bounds the reservations that one choice of a server asks for: each
-	// that fails tells more of when the servers have slots.
+	// that fails tells more of when the servers have turns.
 	maxReservations = 3
-	// limitRetryFraction is the fraction of the time until a server has a slot by which a
+	// limitRetryFraction is the fraction of the time until a server has a turn by which a
 	// refused call may come back later, at random, from retryAfterSpread to
 	// maxPauseRetrySpread.
 	limitRetryFraction = 0.5
 )
 
-// pickWithSlot picks a backend server among a number of candidates, and has waited for a
-// slot if the server names a limit.
-func (c *session) pickWithSlot(ctx context.Context) (choice dispatch.Choice, candidates int, refusal *pomelospring.Refusal) {
+// pickWithTurn picks a backend server among a number of candidates, and has waited for a
+// turn if the server names a limit.
+func (c *session) pickWithTurn(ctx context.Context) (choice dispatch.Choice, candidates int, refusal *pomelospring.Refusal) {
 	s := c.service
 	for tries := 0; ; tries++ {
 		if choice, candidates, refusal = c.pick(ctx); refusal != nil || !choice.Candidate.Limited {
 			return choice, candidates, refusal
 		}
 		// With a longer wait, another server may be the better choice.
-		patience := maxCopySlotWait
+		patience := maxCopyTurnWait
 		if tries == maxReservations {
 			patience = c.deadline.Sub(s.Clock())
 		}
@@ -42,13 +42,13 @@
 		switch {
 		case ctx.Err() != nil:
 			return choice, candidates, c.timeoutRefusal()
-		case tries == maxReservations || now.Add(choice.Candidate.SlotWait).After(c.latestStart(now)):
-			return choice, candidates, limitRefusal(s.Board.NextSlot(choice.Candidate.Server.ID, now), now)
+		case tries == maxReservations || now.Add(choice.Candidate.TurnWait).After(c.latestStart(now)):
+			return choice, candidates, limitRefusal(s.Board.NextTurn(choice.Candidate.Server.ID, now), now)
 		}
 	}
 }
 
-// latestStart returns until when the call may wait for an adapter, or for a slot of a
+// latestStart returns until when the call may wait for an adapter, or for a turn of a
 // server that names a limit.
 func (c *session) latestStart(now time.Time) time.Time {
 	return now.Add(time.Duration(placementTimeFraction * float64(c.firstEventDeadline.Sub(now))))
@@ -61,11 +61,11 @@
 		return false
 	}
 	c.soughtCopy = true
-	_, allLimited := c.service.Board.FirstSlot(c.targetService, c.call, c.service.Clock())
+	_, allLimited := c.service.Board.FirstTurn(c.targetService, c.call, c.service.Clock())
 	return !allLimited
 }
 
-// reserve reserves a slot of the chosen server if it names a limit, and waits for it.
+// reserve reserves a turn of the chosen server if it names a limit, and waits for it.
 // It reports false if there is none within patience of the expected time, or if the
 // server accepts no calls any more.
 func (c *session) reserve(ctx context.Context, choice dispatch.Choice, patience time.Duration) (reserved bool) {
@@ -76,7 +76,7 @@
 	server := choice.Candidate.Server
 	now := s.Clock()
 	latest := c.latestStart(now)
-	expected := now.Add(choice.Candidate.SlotWait)
+	expected := now.Add(choice.Candidate.TurnWait)
 	if expected.After(latest) {
 		return false
 	}
@@ -105,13 +105,13 @@
 	}
 }
 
-// limitRefusal returns the refusal of a call whose servers have no slot before slotAt.
-func limitRefusal(slotAt, now time.Time) *pomelospring.Refusal {
-	wait := slotAt.Sub(now)
+// limitRefusal returns the refusal of a call whose servers have no turn before turnAt.
+func limitRefusal(turnAt, now time.Time) *pomelospring.Refusal {
+	wait := turnAt.Sub(now)
 	spread := time.Duration(limitRetryFraction * float64(wait))
-	retryAt := slotAt.Add(rand.N(min(maxPauseRetrySpread, max(retryAfterSpread, spread))))
+	retryAt := turnAt.Add(rand.N(min(maxPauseRetrySpread, max(retryAfterSpread, spread))))
 	if wait <= 0 {
-		return pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAt, "the backend servers name limits, and the next slots are for teams that have got fewer")
+		return pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAt, "the backend servers name limits, and the next turns are for teams that have got fewer")
 	}
-	return pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAt, "the backend servers name limits, and the first slot is in %s", wait.Round(time.Millisecond))
+	return pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAt, "the backend servers name limits, and the first turn is in %s", wait.Round(time.Millisecond))
 }
--- a/entry/limited_server_test.go
+++ b/entry/limited_server_test.go
@@ -80,21 +80,21 @@
 	return answer, nil
 }
 
-// sharedSlots is the leader that all instances ask, as one of them sees it.
-type sharedSlots struct {
+// sharedTurns is the leader that all instances ask, as one of them sees it.
+type sharedTurns struct {
 	coordinator
 	mu       *sync.Mutex
 	schedule *pacing.Schedule
 	limit    float64
 }
 
-func (s *sharedSlots) Reserve(_ context.Context, server pomelospring.FleetServer, team string, latest time.Time) pomelospring.Reservation {
+func (s *sharedTurns) Reserve(_ context.Context, server pomelospring.FleetServer, team string, latest time.Time) pomelospring.Reservation {
 	time.Sleep(time.Millisecond)
 	s.mu.Lock()
 	reservation := s.schedule.Reserve(server.ID, team, s.limit, latest, time.Now())
 	s.mu.Unlock()
 	time.Sleep(time.Millisecond)
-	s.board.RecordNextSlot(server.ID, reservation.NextAt)
+	s.board.RecordNextTurn(server.ID, reservation.NextAt)
 	return reservation
 }
 
@@ -105,7 +105,7 @@
 	for range count {
 		service := newService(nil, true)
 		service.Backend = &limitedInstance{servers: servers, told: map[string]time.Time{}}
-		service.Coordinator = &sharedSlots{
+		service.Coordinator = &sharedTurns{
 			coordinator: coordinator{board: service.Board, none: true},
 			mu:          mu,
 			schedule:    schedule,
@@ -215,10 +215,10 @@
 	return most
 }
 
-// TestCallIsHeldForASlotThatIsTooLate guards against calls that are held although no
-// slot comes in time, and against callers that are told to come back before there is
+// TestCallIsHeldForATurnThatIsTooLate guards against calls that are held although no
+// turn comes in time, and against callers that are told to come back before there is
 // one, or all at once.
-func TestCallIsHeldForASlotThatIsTooLate(t *testing.T) {
+func TestCallIsHeldForATurnThatIsTooLate(t *testing.T) {
 	for _, path := range []string{"/lookup/1", "/order/1", "/brief/1"} {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -235,7 +235,7 @@
 						t.Errorf("the refusal took %s", took)
 					}
 					if out.refusal == nil || out.refusal.Outcome != pomelospring.NotRun || out.refusal.RetryAt.Before(began.Add(9*time.Second)) {
-						t.Fatalf("%+v, want a refusal until the first slot", out.refusal)
+						t.Fatalf("%+v, want a refusal until the first turn", out.refusal)
 					}
 					retryTimes[out.refusal.RetryAt] = true
 				}
--- a/entry/run.go
+++ b/entry/run.go
@@ -74,7 +74,7 @@
 	if refusal = c.checkQuarantine(ctx, now); refusal != nil {
 		return dispatch.Choice{}, refusal
 	}
-	choice, candidates, refusal := c.pickWithSlot(ctx)
+	choice, candidates, refusal := c.pickWithTurn(ctx)
 	if refusal != nil {
 		return dispatch.Choice{}, refusal
 	}
@@ -97,8 +97,8 @@
 		}
 		choice, candidates = c.chooseAmongCandidates()
 	}
-	if c.call.NeedsAdapter() && choice.Candidate.SlotWait > maxCopySlotWait && c.maySeekCopy() {
-		// A refusal only means that the call waits for its slot.
+	if c.call.NeedsAdapter() && choice.Candidate.TurnWait > maxCopyTurnWait && c.maySeekCopy() {
+		// A refusal only means that the call waits for its turn.
 		_ = c.requestPlacement(ctx, c.service.Clock())
 		choice, candidates = c.chooseAmongCandidates()
 	}
@@ -106,7 +106,7 @@
 	if !choice.Found {
 		return dispatch.Choice{}, 0, c.noServerRefusal(now)
 	}
-	if c.startsTooLate(now.Add(choice.Wait)) && choice.Candidate.SlotWait == 0 {
+	if c.startsTooLate(now.Add(choice.Wait)) && choice.Candidate.TurnWait == 0 {
 		return dispatch.Choice{}, 0, pomelospring.NewRefusal(pomelospring.CodeOverloaded, retryAfter(now), "the wait of %s exceeds the caller's timeout", choice.Wait)
 	}
 	return choice, candidates, nil
@@ -182,8 +182,8 @@
 		return pomelospring.NewRefusal(pomelospring.CodeNoBackendServer, retryAfter(now), "no worker has the adapter and the leader could not be asked to place it")
 	}
 	if outcome.Server == "" {
-		if slotAt, limited := c.service.Board.FirstSlot(c.targetService, c.call, now); limited && slotAt.After(c.latestStart(now)) {
-			return limitRefusal(slotAt, now)
+		if turnAt, limited := c.service.Board.FirstTurn(c.targetService, c.call, now); limited && turnAt.After(c.latestStart(now)) {
+			return limitRefusal(turnAt, now)
 		}
 		return pomelospring.NewRefusal(pomelospring.CodeOverloaded, outcome.RetryAt, "the adapter could not be loaded: %s", outcome.Reason)
 	}
@@ -211,14 +211,14 @@
 
 // placementRequest returns a request to place the call's adapter on another server
 // than those to avoid, of which those in missing answered to lack it, and than those
-// whose limit gives the call no slot until slotBy.
-func (c *session) placementRequest(avoid, missing map[string]bool, deadline, slotBy time.Time) pomelospring.PlacementRequest {
+// whose limit gives the call no turn until turnBy.
+func (c *session) placementRequest(avoid, missing map[string]bool, deadline, turnBy time.Time) pomelospring.PlacementRequest {
 	request := pomelospring.PlacementRequest{
 		Request:  c.call.ID,
 		Adapter:  c.call.Adapter,
 		Domain:   c.service.Board.Domain,
 		Deadline: deadline,
-		Unusable: c.service.Board.UnusableServers(c.targetService, slotBy, c.service.Clock()),
+		Unusable: c.service.Board.UnusableServers(c.targetService, turnBy, c.service.Clock()),
 	}
 	for id := range avoid {
 		switch {
@@ -249,7 +249,7 @@
 	default:
 		return
 	}
-	request.Unusable = s.Board.UnusableServers(choice.Candidate.Server.Service, now.Add(maxCopySlotWait), now)
+	request.Unusable = s.Board.UnusableServers(choice.Candidate.Server.Service, now.Add(maxCopyTurnWait), now)
 	s.requestCopy(request, now)
 }
 
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -215,7 +215,7 @@
 		a.logFailedTakeover("", refusal)
 		return choice, false
 	}
-	if !a.session.reserve(ctx, choice, maxCopySlotWait) {
+	if !a.session.reserve(ctx, choice, maxCopyTurnWait) {
 		a.logFailedTakeover("", "the backend server's limit")
 		return choice, false
 	}
@@ -249,7 +249,7 @@
 	if !choice.Found {
 		return choice, 0, "no backend server can take the call"
 	}
-	if choice.Candidate.SlotWait > maxCopySlotWait {
+	if choice.Candidate.TurnWait > maxCopyTurnWait {
 		return choice, 0, "the backend server's limit"
 	}
 	return choice, len(candidates), ""
--- a/fleet/candidates_bench_test.go
+++ b/fleet/candidates_bench_test.go
@@ -61,7 +61,7 @@
 		// many announced that it leaves; 0 for none.
 		pausing int
 		leaving int
-		// limited is one in how many servers names a limit and has no slot for long.
+		// limited is one in how many servers names a limit and has no turn for long.
 		limited int
 	}{
 		{name: "adapter", adapter: "m/a17"},
@@ -88,7 +88,7 @@
 				}
 				if scenario.limited > 0 && i%scenario.limited == 0 {
 					board.RecordLimit(fleet.ServerLimit{Server: id, Started: start, PerSecond: 1, At: start}, start)
-					board.RecordNextSlot(id, start.Add(time.Minute))
+					board.RecordNextTurn(id, start.Add(time.Minute))
 				}
 			}
 			call := &pomelospring.Call{ID: "r", Adapter: scenario.adapter, PromptTokens: 1000}
--- a/fleet/leaving.go
+++ b/fleet/leaving.go
@@ -79,16 +79,16 @@
 
 // UnusableServers lists the IDs of servers of a service that this instance sends
 // nothing to although a leader may still place adapters on them, at most
-// maxSharedServers. Servers with a limit are among them if they have no slot until
-// slotBy.
-func (b *Board) UnusableServers(service string, slotBy, now time.Time) (ids []string) {
+// maxSharedServers. Servers with a limit are among them if they have no turn until
+// turnBy.
+func (b *Board) UnusableServers(service string, turnBy, now time.Time) (ids []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, limit := range b.limits {
 		if len(ids) == maxSharedServers {
 			return ids
 		}
-		if limit.PerSecond > 0 && limit.nextSlotAt.After(slotBy) && b.servers[id].Service == service {
+		if limit.PerSecond > 0 && limit.nextTurnAt.After(turnBy) && b.servers[id].Service == service {
 			ids = append(ids, id)
 		}
 	}
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -31,9 +31,9 @@
 // serverLimit is the latest that is known of a server's limit.
 type serverLimit struct {
 	ServerLimit
-	// nextSlotAt is the earliest time for which this instance may get a reservation, as
+	// nextTurnAt is the earliest time for which this instance may get a reservation, as
 	// far as it knows.
-	nextSlotAt time.Time
+	nextTurnAt time.Time
 	// retainedUntil is when it is forgotten if it has ended or the server is not listed.
 	retainedUntil time.Time
 }
@@ -90,18 +90,18 @@
 	return limits
 }
 
-// AllLimits lists the limits that hold now, with the time of each server's next slot as
+// AllLimits lists the limits that hold now, with the time of each server's next turn as
 // far as it is known here.
-func (b *Board) AllLimits() (limits []ServerLimit, nextSlots []time.Time) {
+func (b *Board) AllLimits() (limits []ServerLimit, nextTurns []time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, id := range slices.Sorted(maps.Keys(b.limits)) {
 		if limit := b.limits[id]; limit.PerSecond > 0 {
 			limits = append(limits, limit.ServerLimit)
-			nextSlots = append(nextSlots, limit.nextSlotAt)
+			nextTurns = append(nextTurns, limit.nextTurnAt)
 		}
 	}
-	return limits, nextSlots
+	return limits, nextTurns
 }
 
 // ServerLimitOf returns a server's limit; limited is false if it names none.
@@ -114,21 +114,21 @@
 	return ServerLimit{}, false
 }
 
-// RecordNextSlot records the earliest time for which a call to a server with a limit may
+// RecordNextTurn records the earliest time for which a call to a server with a limit may
 // get a reservation.
-func (b *Board) RecordNextSlot(server string, at time.Time) {
+func (b *Board) RecordNextTurn(server string, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if limit := b.limits[server]; limit != nil {
-		limit.nextSlotAt = at
+		limit.nextTurnAt = at
 	}
 }
 
-// NextSlot returns the earliest time for which a call to a server may get a reservation.
-func (b *Board) NextSlot(server string, now time.Time) time.Time {
+// NextTurn returns the earliest time for which a call to a server may get a reservation.
+func (b *Board) NextTurn(server string, now time.Time) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	wait, _ := b.slotWait(server, now)
+	wait, _ := b.turnWait(server, now)
 	return now.Add(wait)
 }
 
@@ -147,20 +147,20 @@
 	return b.servers[server].Draining
 }
 
-// slotWait returns how long a call would wait for a slot of a server that names a limit;
+// turnWait returns how long a call would wait for a turn of a server that names a limit;
 // limited is false if it names none. The caller holds the lock.
-func (b *Board) slotWait(server string, now time.Time) (wait time.Duration, limited bool) {
+func (b *Board) turnWait(server string, now time.Time) (wait time.Duration, limited bool) {
 	limit := b.limits[server]
 	if limit == nil || limit.PerSecond == 0 {
 		return 0, false
 	}
-	return max(0, limit.nextSlotAt.Sub(now)), true
+	return max(0, limit.nextTurnAt.Sub(now)), true
 }
 
-// FirstSlot returns when the first of the servers that could take a call has a slot. ok is
+// FirstTurn returns when the first of the servers that could take a call has a turn. ok is
 // false if one of them names no limit, or if there are none. It looks at no more than
 // maxCandidates.
-func (b *Board) FirstSlot(service string, call *pomelospring.Call, now time.Time) (at time.Time, ok bool) {
+func (b *Board) FirstTurn(service string, call *pomelospring.Call, now time.Time) (at time.Time, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.limits) == 0 {
@@ -171,12 +171,12 @@
 		if server := b.servers[id]; server.Draining || b.paused(id, now) {
 			continue
 		}
-		wait, limited := b.slotWait(id, now)
+		wait, limited := b.turnWait(id, now)
 		if !limited {
 			return time.Time{}, false
 		}
-		if slotAt := now.Add(wait); !ok || slotAt.Before(at) {
-			at, ok = slotAt, true
+		if turnAt := now.Add(wait); !ok || turnAt.Before(at) {
+			at, ok = turnAt, true
 		}
 		if seen++; seen == maxCandidates {
 			break
--- a/fleet/server_load.go
+++ b/fleet/server_load.go
@@ -230,7 +230,7 @@
 		WaitingTokens: othersLoad.WaitingTokens,
 		Running:       othersLoad.Running,
 	}
-	candidate.SlotWait, candidate.Limited = b.slotWait(id, now)
+	candidate.TurnWait, candidate.Limited = b.turnWait(id, now)
 	if l := b.ownLoads[id]; l != nil {
 		candidate.WaitingTokens += l.waitingTokens
 		candidate.Running += l.running
--- a/front/crashing_prompt_test.go
+++ b/front/crashing_prompt_test.go
@@ -95,6 +95,36 @@
 	return instances
 }
 
+// callCounts counts calls that crash servers, and sound ones beside them.
+type callCounts struct {
+	refused int
+	sound   int
+	served  int
+}
+
+// sendBadAndSound sends a call at each interval for 12 s, to one instance after another:
+// each third one crashes servers, and the others, from half of the time on, are sound.
+func sendBadAndSound(instances []*instance, interval time.Duration, sendBad func(i *instance, n int) (status int), sendSound func(i *instance, n int) (served bool)) (counts callCounts) {
+	const length = 12 * time.Second
+	began := time.Now()
+	for n := 0; time.Since(began) < length; n++ {
+		i := instances[n%len(instances)]
+		switch {
+		case n%3 == 0:
+			if sendBad(i, n) == http.StatusServiceUnavailable {
+				counts.refused++
+			}
+		case time.Since(began) > length/2:
+			counts.sound++
+			if sendSound(i, n) {
+				counts.served++
+			}
+		}
+		time.Sleep(interval)
+	}
+	return counts
+}
+
 // TestPromptPartThatCrashesWorkersIsBlockedInTheWholeFleet guards against instances and
 // failure domains that each learn for themselves under which prompt part workers end.
 func TestPromptPartThatCrashesWorkersIsBlockedInTheWholeFleet(t *testing.T) {
@@ -108,29 +138,20 @@
 	for _, i := range instances {
 		eventually(t, "serves", func() bool { return i.serves("k1", "a1") })
 	}
-	sound, served, refused := 0, 0, 0
-	began := time.Now()
-	for n := 0; time.Since(began) < 12*time.Second; n++ {
-		i := instances[n%len(instances)]
-		if n%3 == 0 {
-			if status, _ := i.sendPrompt(t, fmt.Sprint("bad-", n), fmt.Sprintf("first:60,bad:30,own-%d:10", n)); status == http.StatusServiceUnavailable {
-				refused++
-			}
-		} else if time.Since(began) > 6*time.Second {
-			sound++
-			if status, body := i.sendPrompt(t, fmt.Sprint("sound-", n), fmt.Sprintf("first:60,subject-%d:30,own-%d:10", n%5, n)); status == http.StatusOK && strings.Count(body, "id:") == 3 {
-				served++
-			}
-		}
-		time.Sleep(60 * time.Millisecond)
-	}
+	counts := sendBadAndSound(instances, 60*time.Millisecond, func(i *instance, n int) int {
+		status, _ := i.sendPrompt(t, fmt.Sprint("bad-", n), fmt.Sprintf("first:60,bad:30,own-%d:10", n))
+		return status
+	}, func(i *instance, n int) bool {
+		status, body := i.sendPrompt(t, fmt.Sprint("sound-", n), fmt.Sprintf("first:60,subject-%d:30,own-%d:10", n%5, n))
+		return status == http.StatusOK && strings.Count(body, "id:") == 3
+	})
 	all, late := workers.crashesAfterWindow(5, 3*time.Second)
-	t.Logf("%d workers ended, %d of them late; %d calls with the part refused; %d of %d sound calls served", all, late, refused, served, sound)
+	t.Logf("%d workers ended, %d of them late; %d calls with the part refused; %d of %d sound calls served", all, late, counts.refused, counts.served, counts.sound)
 	if late > 3 {
 		t.Errorf("%d workers ended under the part later than 3 s after the fifth", late)
 	}
-	if served*10 < sound*9 {
-		t.Errorf("%d of %d sound calls of the same team and first part were served", served, sound)
+	if counts.served*10 < counts.sound*9 {
+		t.Errorf("%d of %d sound calls of the same team and first part were served", counts.served, counts.sound)
 	}
 }
 
--- a/front/crashing_request_test.go
+++ b/front/crashing_request_test.go
@@ -22,29 +22,18 @@
 			for _, i := range instances {
 				eventually(t, "serves", func() bool { return i.sendTo("probe", path+"probe") == http.StatusOK })
 			}
-			sound, served, refused := 0, 0, 0
-			began := time.Now()
-			for n := 0; time.Since(began) < 12*time.Second; n++ {
-				i := instances[n%len(instances)]
-				if n%3 == 0 {
-					if i.sendTo(fmt.Sprint("bad-", n), path+"bad") == http.StatusServiceUnavailable {
-						refused++
-					}
-				} else if time.Since(began) > 6*time.Second {
-					sound++
-					if i.sendTo(fmt.Sprint("sound-", n), path+fmt.Sprint(n%5)) == http.StatusOK {
-						served++
-					}
-				}
-				time.Sleep(100 * time.Millisecond)
-			}
+			counts := sendBadAndSound(instances, 100*time.Millisecond, func(i *instance, n int) int {
+				return i.sendTo(fmt.Sprint("bad-", n), path+"bad")
+			}, func(i *instance, n int) bool {
+				return i.sendTo(fmt.Sprint("sound-", n), path+fmt.Sprint(n%5)) == http.StatusOK
+			})
 			all, late := servers.crashesAfterWindow(3, 3*time.Second)
-			t.Logf("%d servers ended, %d of them late; the request refused %d times; %d of %d sound calls served", all, late, refused, served, sound)
+			t.Logf("%d servers ended, %d of them late; the request refused %d times; %d of %d sound calls served", all, late, counts.refused, counts.served, counts.sound)
 			if late > 3 {
 				t.Errorf("%d servers ended under the request later than 3 s after the third", late)
 			}
-			if served*100 < sound*97 {
-				t.Errorf("%d of %d sound calls of the same route and team were served", served, sound)
+			if counts.served*100 < counts.sound*97 {
+				t.Errorf("%d of %d sound calls of the same route and team were served", counts.served, counts.sound)
 			}
 		})
 	}
--- a/front/inspection.go
+++ b/front/inspection.go
@@ -29,7 +29,7 @@
 	Server     string    `json:"server"`
 	PerSecond  float64   `json:"perSecond"`
 	NamedAt    time.Time `json:"namedAt"`
-	NextSlotAt time.Time `json:"nextSlotAt,omitzero"`
+	NextTurnAt time.Time `json:"nextTurnAt,omitzero"`
 }
 
 // addInspection adds what operators may look at and change on this instance.
@@ -74,14 +74,14 @@
 }
 
 func (f *Front) showLimits(w http.ResponseWriter, _ *http.Request) {
-	limits, nextSlots := f.board.AllLimits()
+	limits, nextTurns := f.board.AllLimits()
 	views := make([]limitView, 0, len(limits))
 	for i, limit := range limits {
 		views = append(views, limitView{
 			Server:     limit.Server,
 			PerSecond:  limit.PerSecond,
 			NamedAt:    limit.At,
-			NextSlotAt: nextSlots[i],
+			NextTurnAt: nextTurns[i],
 		})
 	}
 	writeJSON(w, views)
--- a/pacing/schedule.go
+++ b/pacing/schedule.go
@@ -13,34 +13,34 @@
 	// minCreditCalls calls, or what it takes within creditTime.
 	minCreditCalls = 2
 	creditTime     = 500 * time.Millisecond
-	// maxServers bounds the servers whose last slot is remembered, and maxTeams the teams
+	// maxServers bounds the servers whose last turn is remembered, and maxTeams the teams
 	// of each whose use is.
 	maxServers = 4096
 	maxTeams   = 256
 )
 
-// Schedule gives out the slots of servers: the times at which they get their next
+// Schedule gives out the turns of servers: the times at which they get their next
 // calls. It is not safe for concurrent use.
 type Schedule struct {
-	// KeepsCredit is set if the slots that an idle server did not use may be used
-	// later, few of them at once. Without it, a server's first slot is one interval
+	// KeepsCredit is set if the turns that an idle server did not use may be used
+	// later, few of them at once. Without it, a server's first turn is one interval
 	// after the first reservation. That is for instances that each have a part of the
 	// rate, as their credits would add up.
 	KeepsCredit bool
 
-	// next has, by server, the earliest time of its next slot, credit left aside.
+	// next has, by server, the earliest time of its next turn, credit left aside.
 	next map[string]time.Time
 	// uses has the recent use of servers by teams.
 	uses map[string]map[string]*use
 }
 
-// Reserve gives out the next slot of a server that takes perSecond calls to a team,
-// unless it is later than latest. Where calls wait for slots, a team leaves some to those
+// Reserve gives out the next turn of a server that takes perSecond calls to a team,
+// unless it is later than latest. Where calls wait for turns, a team leaves some to those
 // that have got fewer lately.
 func (s *Schedule) Reserve(server, team string, perSecond float64, latest, now time.Time) pomelospring.Reservation {
 	interval := time.Duration(float64(time.Second) / perSecond)
 	next := s.start(server, interval, now)
-	at := s.slotAt(next, interval, now)
+	at := s.turnAt(next, interval, now)
 	own := s.use(server, team, now)
 	switch {
 	case at.After(latest):
@@ -54,7 +54,7 @@
 		return pomelospring.Reservation{
 			At:      at,
 			Granted: true,
-			NextAt:  s.slotAt(s.next[server], interval, now),
+			NextAt:  s.turnAt(s.next[server], interval, now),
 		}
 	}
 	return pomelospring.Reservation{
@@ -63,7 +63,7 @@
 	}
 }
 
-// start returns the earliest time of a server's next slot, and begins with an empty
+// start returns the earliest time of a server's next turn, and begins with an empty
 // account where nothing is known of it.
 func (s *Schedule) start(server string, interval time.Duration, now time.Time) time.Time {
 	next, known := s.next[server]
@@ -75,16 +75,16 @@
 	return next
 }
 
-// slotAt returns when a call may be sent, given the time of the next slot without
+// turnAt returns when a call may be sent, given the time of the next turn without
 // credit.
-func (s *Schedule) slotAt(next time.Time, interval time.Duration, now time.Time) time.Time {
+func (s *Schedule) turnAt(next time.Time, interval time.Duration, now time.Time) time.Time {
 	if at := next.Add(-s.credit(interval)); at.After(now) {
 		return at
 	}
 	return now
 }
 
-// credit is by how much a slot may be early after the server was idle.
+// credit is by how much a turn may be early after the server was idle.
 func (s *Schedule) credit(interval time.Duration) time.Duration {
 	if !s.KeepsCredit {
 		return 0
@@ -98,7 +98,7 @@
 	delete(s.uses, server)
 }
 
-// makeRoom forgets the servers without slots in the future if there are too many.
+// makeRoom forgets the servers without turns in the future if there are too many.
 func (s *Schedule) makeRoom(now time.Time) {
 	if s.next == nil {
 		s.next = map[string]time.Time{}
--- a/pacing/schedule_test.go
+++ b/pacing/schedule_test.go
@@ -12,7 +12,7 @@
 
 var start = time.Unix(1000, 0)
 
-// TestScheduleExceedsALimitInSomeWindow guards against more slots in some 4 s than one
+// TestScheduleExceedsALimitInSomeWindow guards against more turns in some 4 s than one
 // and a half times the limit and 5, and against limits that are not used.
 func TestScheduleExceedsALimitInSomeWindow(t *testing.T) {
 	const window, length = 4 * time.Second, 120 * time.Second
@@ -21,26 +21,26 @@
 			t.Run(fmt.Sprint(limit, patience), func(t *testing.T) {
 				random := rand.New(rand.NewPCG(1, 2))
 				schedule := pacing.Schedule{KeepsCredit: true}
-				var slots []time.Time
+				var turns []time.Time
 				for now := start; now.Sub(start) < length; now = now.Add(time.Duration(random.ExpFloat64() / (4*limit + 10) * float64(time.Second))) {
 					// Quiet times let credit grow.
 					if now.Sub(start)/(10*time.Second)%3 == 2 {
 						continue
 					}
-					if slot := schedule.Reserve("a", "x", limit, now.Add(patience), now); slot.Granted {
-						slots = append(slots, slot.At)
+					if turn := schedule.Reserve("a", "x", limit, now.Add(patience), now); turn.Granted {
+						turns = append(turns, turn.At)
 					}
 				}
 				first := 0
-				for i, at := range slots {
-					for at.Sub(slots[first]) >= window {
+				for i, at := range turns {
+					for at.Sub(turns[first]) >= window {
 						first++
 					}
 					if count, allowed := i+1-first, 1.5*limit*window.Seconds()+5; float64(count) > allowed {
-						t.Fatalf("%d slots in 4 s from %s, want at most %v", count, slots[first].Sub(start), allowed)
+						t.Fatalf("%d turns in 4 s from %s, want at most %v", count, turns[first].Sub(start), allowed)
 					}
 				}
-				if used := float64(len(slots)) / (limit * length.Seconds() * 2 / 3); used < 0.8 {
+				if used := float64(len(turns)) / (limit * length.Seconds() * 2 / 3); used < 0.8 {
 					t.Errorf("%.2f of the limit was used", used)
 				}
 			})
@@ -77,13 +77,13 @@
 	}
 }
 
-// TestLaterSlotIsGiven guards against a slot that the caller can't wait for, and against
+// TestLaterTurnIsGiven guards against a turn that the caller can't wait for, and against
 // one that is lost because of that.
-func TestLaterSlotIsGiven(t *testing.T) {
+func TestLaterTurnIsGiven(t *testing.T) {
 	schedule := pacing.Schedule{KeepsCredit: true}
 	at := func(after time.Duration, patience time.Duration) (granted bool, wait, next time.Duration) {
-		slot := schedule.Reserve("a", "x", 2, start.Add(after+patience), start.Add(after))
-		return slot.Granted, slot.At.Sub(start.Add(after)), slot.NextAt.Sub(start.Add(after))
+		turn := schedule.Reserve("a", "x", 2, start.Add(after+patience), start.Add(after))
+		return turn.Granted, turn.At.Sub(start.Add(after)), turn.NextAt.Sub(start.Add(after))
 	}
 	type result struct {
 		Granted    bool
--- a/pacing/share.go
+++ b/pacing/share.go
@@ -10,9 +10,9 @@
 const shareWindow = 4 * time.Second
 
 const (
-	// minUse is the use from which a team counts as one that asks for slots, and
+	// minUse is the use from which a team counts as one that asks for turns, and
 	// minRefused that from which it counts as refused. A team yields to one that has got
-	// fewer slots by more than shareMargin.
+	// fewer turns by more than shareMargin.
 	minUse      = 0.1
 	minRefused  = 0.5
 	shareMargin = 0.5
@@ -56,9 +56,9 @@
 	u.at = now
 }
 
-// isHeldBack reports whether a team with a use of a server gets no slot now, as others
+// isHeldBack reports whether a team with a use of a server gets no turn now, as others
 // have got fewer lately: it leaves one free for each of them, and all while one of these is
-// refused. A slot that has been free for an interval is for anyone.
+// refused. A turn that has been free for an interval is for anyone.
 func (s *Schedule) isHeldBack(server string, own *use, at, freeSince time.Time, interval time.Duration, latest, now time.Time) bool {
 	if now.Sub(freeSince) >= interval {
 		return false
--- a/pacing/share_test.go
+++ b/pacing/share_test.go
@@ -26,8 +26,8 @@
 	return shares
 }
 
-// TestTeamTakesMoreThanItsShare guards against a team whose many calls take the slots of
-// a server that others ask for, and against slots that are kept for teams that ask for
+// TestTeamTakesMoreThanItsShare guards against a team whose many calls take the turns of
+// a server that others ask for, and against turns that are kept for teams that ask for
 // few.
 func TestTeamTakesMoreThanItsShare(t *testing.T) {
 	const limit, length, tolerance = 5.0, 60 * time.Second, 0.3
@@ -65,12 +65,12 @@
 				for i, share := range maxMinShares(limit, asked) {
 					// What a team doesn't come for within an interval is for others.
 					if granted[i] < (1-tolerance)*share {
-						t.Errorf("team %d with %.2f calls a second got %.2f slots a second, want at least 0.7 of %.2f", i, asked[i], granted[i], share)
+						t.Errorf("team %d with %.2f calls a second got %.2f turns a second, want at least 0.7 of %.2f", i, asked[i], granted[i], share)
 					}
 					total += granted[i]
 				}
 				if total < 0.9*limit {
-					t.Errorf("%.2f slots a second were given out, want %v", total, limit)
+					t.Errorf("%.2f turns a second were given out, want %v", total, limit)
 				}
 			})
 		}
