Count ends of a request that no server answered one by one, at the same moment too

Callers that send one request at the same time to several servers ended nine before it was blocked, with four sends later than 3 s after the third end (three allowed).

Cause: ends within 200 ms count as one moment, as servers may end together for a reason of their own.

Change: that holds for prompt parts, and for requests that were answered before. A request that no server ever answered counts at each server. A scenario with two servers that end at the same moment under sound calls is in TestServersThatEndByThemselvesBlockARequest, and stays green.

Result: two new scenarios of TestWrongRequestIsBlocked fail without it and pass with it.

--- a/quarantine/evaluation.go
+++ b/quarantine/evaluation.go
@@ -100,7 +100,8 @@
 }
 
 // momentCounts returns at how many moments servers ended under each suspect. Servers that
-// ended at about the same time count once, but for a request that was sent to the later
+// ended at about the same time count once, as they may have ended together for a reason of
+// their own, but for a request that no server ever answered, or that was sent to the later
 // one because the earlier one had ended.
 func momentCounts(crashes map[string]*Crash, proven map[string]time.Time) map[string]int {
 	counts := map[string]int{}
@@ -111,12 +112,12 @@
 			at, moment = crash.At, map[string]bool{}
 		}
 		for part := range crash.Suspects {
-			switch {
-			case !suspectedIn(crash, part, proven) || moment[part] && !crash.Resent[part]:
+			_, answered := proven[part]
+			alone := crash.Resent[part] || pomelospring.IsFingerprint(part) && !answered
+			if !suspectedIn(crash, part, proven) || moment[part] && !alone {
 				continue
-			case !crash.Resent[part]:
-				moment[part] = true
 			}
+			moment[part] = moment[part] || !alone
 			counts[part]++
 		}
 	}
