--- a/coordination/election.go
+++ b/coordination/election.go
@@ -110,7 +110,7 @@
 	e.nextPollAt = e.Uptime() + e.firstPollDelay()
 	for ctx.Err() == nil {
 		wait := e.step(ctx)
-		if sleep(ctx, wait) != nil {
+		if pomelospring.Sleep(ctx, wait) != nil {
 			break
 		}
 	}
@@ -183,7 +183,7 @@
 	if err == nil && len(ownership.Owners) == 0 {
 		// Other instances may find no leader either; the first one to query again
 		// after its delay joins.
-		if sleep(ctx, e.joinDelay()) != nil {
+		if pomelospring.Sleep(ctx, e.joinDelay()) != nil {
 			return
 		}
 		ownership, err = e.Groups.Owners(ctx, e.Group)
--- a/coordination/place.go
+++ b/coordination/place.go
@@ -43,7 +43,7 @@
 			l.logPlacement(request, outcome, startedAt)
 			return outcome, nil
 		case plan.Kind == loading.PlanReady:
-			if err = sleep(ctx, plan.At.Sub(l.Clock())); err != nil {
+			if err = pomelospring.Sleep(ctx, plan.At.Sub(l.Clock())); err != nil {
 				return pomelospring.PlacementOutcome{}, err
 			}
 			outcome = pomelospring.PlacementOutcome{
@@ -54,7 +54,7 @@
 			l.logPlacement(request, outcome, startedAt)
 			return outcome, nil
 		default:
-			if err = sleep(ctx, plan.At.Sub(now)); err != nil {
+			if err = pomelospring.Sleep(ctx, plan.At.Sub(now)); err != nil {
 				return pomelospring.PlacementOutcome{}, err
 			}
 		}
@@ -180,18 +180,3 @@
 		"tookMs":  l.Clock().Sub(startedAt).Milliseconds(),
 	})
 }
-
-// sleep waits for a duration, or until the context ends and returns its error.
-func sleep(ctx context.Context, wait time.Duration) error {
-	if wait <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/entry/limited_server.go
+++ b/entry/limited_server.go
@@ -84,27 +84,12 @@
 		latest = patient
 	}
 	reservation := s.Coordinator.Reserve(ctx, server, c.team, latest)
-	if !reservation.Granted || !sleepUntil(ctx, reservation.At.Sub(s.Clock())) {
+	if !reservation.Granted || pomelospring.Sleep(ctx, reservation.At.Sub(s.Clock())) != nil {
 		return false
 	}
 	return s.Board.Accepts(server.ID, s.Clock())
 }
 
-// sleepUntil waits, and reports whether the context has not ended meanwhile.
-func sleepUntil(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // limitRefusal returns the refusal of a call whose servers have no turn before turnAt.
 func limitRefusal(turnAt, now time.Time) *pomelospring.Refusal {
 	wait := turnAt.Sub(now)
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -86,15 +86,11 @@
 // sleep waits for a time, and records that the attempt was canceled if its context
 // ends before.
 func (b *scriptedBackend) sleep(ctx context.Context, a *scriptedAttempt, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	err := pomelospring.Sleep(ctx, d)
+	if err != nil {
 		b.update(func() { a.end(true) })
-		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return err
 }
 
 func (b *scriptedBackend) Send(ctx context.Context, call *pomelospring.Call, dispatch pomelospring.Dispatch) (*pomelospring.BackendAnswer, error) {
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -108,7 +108,8 @@
 		next = min(next, remaining)
 	}
 	if w.takeover.retryReserved {
-		next = 0
+		go a.checkWatchdog(ctx)
+		return
 	}
 	w.timer.Reset(next)
 }
--- a/stream/follower.go
+++ b/stream/follower.go
@@ -82,7 +82,7 @@
 		if err := f.readOnce(ctx); err != nil && ctx.Err() == nil {
 			f.OnReadError(err)
 			f.readPeer(ctx)
-			pause(ctx, retryDelay)
+			_ = pomelospring.Sleep(ctx, retryDelay)
 		}
 	}
 	return nil
@@ -273,13 +273,6 @@
 	return batch, err
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
-
 // emptyAt is an empty fold whose next record is not at offset 0.
 type emptyAt struct {
 	Fold
