Record blocks in the store, so that they outlast a start of all instances

What callers saw: after all instances had ended at once, a request that was blocked ended three more servers, and their other calls with them, before it was blocked again. What the quarantine knows was in memory only.

Change: the leader of the failure domain that grants a block's trials records the crashes that it rests on (quarantine.Register.Evidence) in the topic keyed.blocks, compares once a second, and writes again only for other servers or after five minutes of calls; it removes what is no longer in force. Each new leader reads all records, and so does each instance at its start, but for the first start of the whole fleet. After a restore of the store from a copy the records are read and written anew. Written only where a block is in force, so a fleet without one makes one read for each start and each new leader.

--- a/coordination/crashes.go
+++ b/coordination/crashes.go
@@ -154,8 +154,28 @@
 	return err == nil && reply.Granted
 }
 
-// MayTry implements pomelospring.Coordinator. Each block has one domain whose leader
-// grants its trials.
+// MayTry implements pomelospring.Coordinator.
 func (c *PlacementCoordinator) MayTry(ctx context.Context, block string) bool {
-	return c.Members[xxhash.Sum64String(block)%uint64(len(c.Members))].MayTry(ctx, block)
+	return c.blockMember(block).MayTry(ctx, block)
+}
+
+// blockMember returns the member of the domain whose leader grants the trials of a block
+// and keeps its record.
+func (c *PlacementCoordinator) blockMember(block string) *Member {
+	return c.Members[xxhash.Sum64String(block)%uint64(len(c.Members))]
+}
+
+// leadsBlock reports whether this instance leads the domain that keeps a block's record.
+func (c *PlacementCoordinator) leadsBlock(block string) bool {
+	return c.blockMember(block).Leader.Leading()
+}
+
+// ledDomains lists the domains that this instance leads.
+func (c *PlacementCoordinator) ledDomains() (domains []string) {
+	for _, member := range c.Members {
+		if member.Leader.Leading() {
+			domains = append(domains, member.Domain)
+		}
+	}
+	return domains
 }
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -54,6 +54,10 @@
 
 	BlockLifted = define(231, "blockLifted", log.WarnLevel, "An operator lifted a block; the fields give its parts. It comes back after further ends of servers.")
 
+	BlocksRead    = define(232, "blocksRead", log.InfoLevel, "The leader of a failure domain read the blocks that the fleet had recorded in the store; the field gives their number. They hold until they expire.")
+	BlockRecorded = define(233, "blockRecorded", log.InfoLevel, "The leader of a failure domain recorded a block in the store, so that it outlasts a start of all instances; no servers: the record was removed.")
+	BlocksNotKept = define(234, "blocksNotKept", log.WarnLevel, "The records of the blocks could not be read or written; this is tried again each second, and logged once until it succeeds.")
+
 	AdapterLoading   = define(300, "adapterLoading", log.InfoLevel, "An adapter is loaded onto a model worker; the fields give the reason and what is evicted.")
 	AdapterLoaded    = define(301, "adapterLoaded", log.InfoLevel, "A load succeeded.")
 	AdapterFailed    = define(302, "adapterLoadFailed", log.WarnLevel, "A load failed; it is retried after a backoff, at another model worker if possible.")
--- a/fleet.go
+++ b/fleet.go
@@ -331,6 +331,15 @@
 	Owners(ctx context.Context, group string) (ownership Ownership, err error)
 }
 
+// BlockStore holds a record of each block of requests that end backend servers, so that
+// blocks outlast the instances.
+type BlockStore interface {
+	// BlockRecords returns all records, and the position up to which they were read.
+	BlockRecords(ctx context.Context) (records []KeyedRecord, end TopicPosition, err error)
+	// WriteBlockRecord replaces the record of a key; without a value it removes it.
+	WriteBlockRecord(ctx context.Context, key string, value []byte) (err error)
+}
+
 // KeyedRecord is the latest record of a key in one of the platform's keyed
 // topics; an empty value deletes the key.
 type KeyedRecord struct {
--- a/front/front.go
+++ b/front/front.go
@@ -342,6 +342,7 @@
 	})
 	var group run.Group
 	addLoop(&group, f.logWriter.Run)
+	addLoop(&group, f.blockKeeper().Run)
 	addLoop(&group, f.operatorFollower().Run)
 	addLoop(&group, f.serverFollower().Run)
 	addLoop(&group, f.watchSettings)
@@ -361,6 +362,19 @@
 	return errors.Join(err, f.peers.Close(), f.metrics.Close())
 }
 
+func (f *Front) blockKeeper() *coordination.BlockKeeper {
+	return &coordination.BlockKeeper{
+		Store:       f.store,
+		Quarantine:  f.quarantine,
+		Coordinator: f.coordinator,
+		Eras:        f.eras,
+		Logger:      f.logger,
+		Clock:       f.clock,
+
+		FirstFleetStart: f.settings.FirstStart,
+	}
+}
+
 func (f *Front) operatorFollower() *platform.Follower {
 	return &platform.Follower{
 		Store:         f.store,
--- a/standin/store.go
+++ b/standin/store.go
@@ -146,7 +146,11 @@
 func (s *Store) Put(topic, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.topic(topic)
+	s.topic(topic).add(key, value)
+}
+
+// add appends a record and wakes the reads that wait.
+func (t *storeTopic) add(key string, value []byte) {
 	record := append([]byte{byte(len(key))}, key...)
 	t.records = append(t.records, append(record, value...))
 	t.keys = append(t.keys, key)
@@ -197,6 +201,8 @@
 		s.newest(w, r)
 	case "/api/log-read":
 		s.read(w, r)
+	case "/api/log-append":
+		s.append(w, r)
 	case "/api/log-join":
 		s.join(w, r)
 	case "/api/log-commit":
@@ -308,6 +314,40 @@
 	_, _ = w.Write(body)
 }
 
+// append adds the records of the body to a topic that the instances may write.
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	topic := r.URL.Query().Get("topic")
+	body, err := io.ReadAll(r.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var records [][]byte
+	for len(body) >= 4 {
+		length := int(binary.BigEndian.Uint32(body))
+		if body = body[4:]; length == 0 || length > len(body) || 1+int(body[0]) > length {
+			break
+		}
+		records = append(records, body[:length])
+		body = body[length:]
+	}
+	switch {
+	case topic == "keyed.op" || topic == "keyed.servers":
+		s.answer(w, http.StatusForbidden, map[string]any{})
+	case err != nil || len(body) > 0:
+		s.answer(w, http.StatusBadRequest, map[string]any{})
+	default:
+		t := s.topic(topic)
+		offset := len(t.records)
+		for _, record := range records {
+			split := 1 + int(record[0])
+			t.add(string(record[1:split]), record[split:])
+		}
+		s.answer(w, http.StatusOK, map[string]any{
+			"offset": offset,
+			"end":    len(t.records),
+		})
+	}
+}
+
 // groupRequest is the body of a call to join or leave a group.
 type groupRequest struct {
 	Group  string `json:"group"`
