Restore the store from a copy in the soak, and frame answers by their connection

Its stand-in of a server had wire names of its own.

A third of the servers end their answers with the connection, and so do crashing ones for some parts and requests, at each of the four moments. The check returnedKey, without an excuse but a new process, finds a withdrawn key that an instance accepts after it had refused it; its row is in TestEachCheckFindsItsFault. The names of the wire are in package standin, and the tests of front use the same.

--- a/cmd/soak/arena/arena.go
+++ b/cmd/soak/arena/arena.go
@@ -26,12 +26,15 @@
 	// recoveryPatience is how long an instance is asked to serve a new adapter.
 	recoveryPatience = 40 * time.Second
 	probeInterval    = 200 * time.Millisecond
+	// One server in closingShare ends its answers with their connection.
+	closingShare = 3
 )
 
 // arena is a fleet under test with its surroundings.
 type arena struct {
 	recorder  history.Recorder
 	store     *standin.Store
+	published *publications
 	operator  *operator
 	instances []*instance
 	// group has the background work of faults.
@@ -50,9 +53,11 @@
 // the processes go into a directory. No process outlives it, also when the context
 // ends first.
 func Run(ctx context.Context, program, directory string, p plan.Plan) (h *history.History, err error) {
+	store := standin.NewStore()
 	a := &arena{
-		store: standin.NewStore(),
-		taken: map[*server]bool{},
+		store:     store,
+		published: newPublications(store),
+		taken:     map[*server]bool{},
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -64,7 +69,7 @@
 	}
 	go func() { _ = storeServer.Serve(listener) }()
 	defer storeServer.Close()
-	a.operator = newOperator(a.store, &a.recorder)
+	a.operator = newOperator(a.published, &a.recorder)
 	a.operator.change()
 	defer a.endServers()
 	if err = a.startServers(p); err != nil {
@@ -111,8 +116,9 @@
 		return err
 	}
 	s.onCrash, s.newestVersion = a.crash, a.operator.newestVersion
+	s.framesByClosing = a.started%closingShare == 0
 	a.servers = append(a.servers, s)
-	s.list(a.store, "ready")
+	s.list(a.published, "ready")
 	return nil
 }
 
@@ -131,7 +137,7 @@
 	}
 }
 
-func (a *arena) unlist(s *server) { a.store.Put(platform.ServerTopic, s.id, nil) }
+func (a *arena) unlist(s *server) { a.published.put(platform.ServerTopic, s.id, nil) }
 
 // takeServer returns a server that has no fault, or nil.
 func (a *arena) takeServer(target int) *server {
--- a/cmd/soak/arena/caller.go
+++ b/cmd/soak/arena/caller.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pomelospring/pomelospring/cmd/soak/history"
+	"github.com/pomelospring/pomelospring/standin"
 )
 
 const (
@@ -151,15 +152,15 @@
 	}
 	request.Host = host
 	request.Header.Set("Authorization", "Bearer "+r.Key)
-	request.Header.Set(headerRequestID, r.ID)
-	request.Header.Set(headerTokenCount, "100,10")
-	request.Header.Set(headerDeadline, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+	request.Header.Set(standin.HeaderRequestID, r.ID)
+	request.Header.Set(standin.HeaderTokenCount, "100,10")
+	request.Header.Set(standin.HeaderDeadline, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
 	if r.Adapter != "" {
-		request.Header.Set(headerAdapter, modelName+"/"+r.Adapter)
-		request.Header.Set(headerPromptPrefix, "5e:60,"+r.ID+":40")
+		request.Header.Set(standin.HeaderAdapter, modelName+"/"+r.Adapter)
+		request.Header.Set(standin.HeaderPromptPrefix, "5e:60,"+r.ID+":40")
 	}
 	if r.Part != "" {
-		request.Header.Set(headerPromptPrefix, "5e:60,"+r.Part+":30,"+r.ID+":10")
+		request.Header.Set(standin.HeaderPromptPrefix, "5e:60,"+r.Part+":30,"+r.ID+":10")
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
--- a/cmd/soak/arena/configuration.go
+++ b/cmd/soak/arena/configuration.go
@@ -9,7 +9,6 @@
 
 	"github.com/pomelospring/pomelospring/cmd/soak/history"
 	"github.com/pomelospring/pomelospring/platform"
-	"github.com/pomelospring/pomelospring/standin"
 )
 
 const (
@@ -38,8 +37,8 @@
 
 // operator publishes configurations.
 type operator struct {
-	store    *standin.Store
-	recorder *history.Recorder
+	published *publications
+	recorder  *history.Recorder
 
 	mu        sync.Mutex
 	version   int
@@ -49,12 +48,12 @@
 	versions map[string]int64
 }
 
-func newOperator(store *standin.Store, recorder *history.Recorder) *operator {
+func newOperator(published *publications, recorder *history.Recorder) *operator {
 	o := &operator{
-		store:    store,
-		recorder: recorder,
-		versions: map[string]int64{},
-		keys:     append([]string{}, soundKeys...),
+		published: published,
+		recorder:  recorder,
+		versions:  map[string]int64{},
+		keys:      append([]string{}, soundKeys...),
 	}
 	for n := range withdrawableKeys {
 		o.keys = append(o.keys, fmt.Sprintf("grid-withdrawable%d", n))
@@ -107,7 +106,7 @@
 			At:      time.Now(),
 		})
 	})
-	o.store.Put(platform.OperatorTopic, "version/"+modelName+"."+adapter, record)
+	o.published.put(platform.OperatorTopic, "version/"+modelName+"."+adapter, record)
 }
 
 // newestVersion returns the newest version of an adapter.
@@ -158,7 +157,7 @@
 		"tenants": teams,
 	})
 	if err == nil {
-		o.store.Put(platform.OperatorTopic, platform.PolicyKey, record)
+		o.published.put(platform.OperatorTopic, platform.PolicyKey, record)
 	}
 }
 
--- a/cmd/soak/arena/faults.go
+++ b/cmd/soak/arena/faults.go
@@ -17,6 +17,10 @@
 	drainingAfter = 4500 * time.Millisecond
 	removedAfter  = 8500 * time.Millisecond
 	endsAfter     = 11 * time.Second
+	// restoreOutage is how long the store is away for a restore, and rewriteDelay the
+	// time from its return until what the copy lacks is written again.
+	restoreOutage = 500 * time.Millisecond
+	rewriteDelay  = time.Second
 	// crashingInterval is the time between requests of one caller that crash servers.
 	crashingInterval = 400 * time.Millisecond
 	// killMargin is what a process gets beyond its time to stop.
@@ -44,6 +48,8 @@
 		a.store.SetDown(true, step.Kind == plan.StoreSilent)
 		time.Sleep(length)
 		a.store.SetDown(false, false)
+	case plan.RestoreStore:
+		a.restoreStore(length)
 	case plan.CrashingPart, plan.CrashingRequest:
 		a.sendCrashing(step)
 	case plan.ChangeConfiguration:
@@ -60,6 +66,18 @@
 	}
 }
 
+// restoreStore restores the store from a copy of an age. Operator and servers write again
+// what the copy lacks.
+func (a *arena) restoreStore(age time.Duration) {
+	a.storeFaults.Lock()
+	defer a.storeFaults.Unlock()
+	defer a.fault(plan.RestoreStore, history.Store)()
+	copiedAt := time.Now().Add(-age)
+	a.store.Rewind(age, restoreOutage)
+	time.Sleep(restoreOutage + rewriteDelay)
+	a.published.repeat(copiedAt)
+}
+
 // fault records a fault once the returned function is called.
 func (a *arena) fault(kind, target string) (end func()) {
 	begin := time.Now()
@@ -182,7 +200,7 @@
 	s.mu.Unlock()
 	a.replace(s)
 	time.Sleep(drainingAfter)
-	s.list(a.store, "draining")
+	s.list(a.published, "draining")
 	a.recorder.Record(func(h *history.History) {
 		h.Departures = append(h.Departures, history.Departure{
 			Server: s.id,
--- a/cmd/soak/arena/server.go
+++ b/cmd/soak/arena/server.go
@@ -17,21 +17,6 @@
 	"github.com/pomelospring/pomelospring/standin"
 )
 
-// HTTP headers that the stand-ins read or write.
-const (
-	headerRequestID     = "X-Pomelospring-Request-Id"
-	headerStamp         = "X-Pomelospring-Server-Stamp"
-	headerAdapter       = "X-Pomelospring-Model-Id"
-	headerTeam          = "X-Pomelospring-Tenant-Id"
-	headerExpectServer  = "X-Pomelospring-Expect-Instance"
-	headerExpectVersion = "X-Pomelospring-Expect-Version"
-	headerNotExecuted   = "X-Pomelospring-Not-Executed"
-	headerPromptPrefix  = "X-Pomelospring-Prompt-Prefix"
-	headerTokenCount    = "X-Pomelospring-Token-Count"
-	headerDeadline      = "X-Pomelospring-Deadline-Ms"
-	headerLimit         = "Server-Limit"
-)
-
 const (
 	workerSlots     = 8
 	adapterLoadTime = 100 * time.Millisecond
@@ -52,6 +37,9 @@
 	born     time.Time
 	proxy    *proxy
 	http     *http.Server
+	// framesByClosing says that answers have neither a length nor chunks and end with
+	// their connection.
+	framesByClosing bool
 	// onCrash is called when a prompt part crashed the server.
 	onCrash func(s *server)
 	// newestVersion returns the version that a load without one fetches.
@@ -97,7 +85,7 @@
 }
 
 // list enters the server in the server list.
-func (s *server) list(store *standin.Store, state string) {
+func (s *server) list(published *publications, state string) {
 	record, err := json.Marshal(map[string]any{
 		"service": s.service,
 		"address": s.proxy.address(),
@@ -109,7 +97,7 @@
 		"seq":     0,
 	})
 	if err == nil {
-		store.Put(platform.ServerTopic, s.id, record)
+		published.put(platform.ServerTopic, s.id, record)
 	}
 }
 
@@ -150,10 +138,10 @@
 	s.mu.Lock()
 	silence := time.Until(s.silentUntil)
 	if s.leaving {
-		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set(standin.HeaderLeaving, "1")
 	}
 	if s.limit > 0 {
-		w.Header().Set(headerLimit, strconv.FormatFloat(s.limit, 'f', -1, 64))
+		w.Header().Set(standin.HeaderLimit, strconv.FormatFloat(s.limit, 'f', -1, 64))
 	}
 	s.mu.Unlock()
 	time.Sleep(silence)
@@ -204,7 +192,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if expected := r.Header.Get(headerExpectServer); expected != "" && expected != s.id {
+	if expected := r.Header.Get(standin.HeaderExpectServer); expected != "" && expected != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -236,16 +224,16 @@
 // admit decides whether a request runs, and records its arrival. status is zero for
 // one that runs; index is that of the arrival in the history.
 func (s *server) admit(r *http.Request, part string) (status, index int, version int64, pausedUntil time.Time) {
-	_, adapter, _ := strings.Cut(r.Header.Get(headerAdapter), "/")
+	_, adapter, _ := strings.Cut(r.Header.Get(standin.HeaderAdapter), "/")
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.loads[adapter]
-	expectedVersion := r.Header.Get(headerExpectVersion)
+	expectedVersion := r.Header.Get(standin.HeaderExpectVersion)
 	switch {
 	case r.Context().Err() != nil || s.gone:
 		return http.StatusServiceUnavailable, 0, 0, time.Time{}
-	case r.Header.Get(headerExpectServer) != s.id:
+	case r.Header.Get(standin.HeaderExpectServer) != s.id:
 		return http.StatusMisdirectedRequest, 0, 0, time.Time{}
 	case now.Before(s.pausedUntil):
 		status, pausedUntil = http.StatusServiceUnavailable, s.pausedUntil
@@ -257,7 +245,7 @@
 	s.recorder.Record(func(h *history.History) {
 		index = len(h.Arrivals)
 		h.Arrivals = append(h.Arrivals, history.Arrival{
-			RequestID:   r.Header.Get(headerRequestID),
+			RequestID:   r.Header.Get(standin.HeaderRequestID),
 			Server:      s.id,
 			At:          now,
 			Part:        part,
@@ -273,31 +261,38 @@
 
 // execute runs a request, or rejects it as not run.
 func (s *server) execute(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(headerRequestID)
+	id := r.Header.Get(standin.HeaderRequestID)
 	part := crashingPart(r)
 	status, index, version, pausedUntil := s.admit(r, part)
-	w.Header().Set(headerRequestID, id)
+	w.Header().Set(standin.HeaderRequestID, id)
 	if status != 0 {
 		if !pausedUntil.IsZero() {
 			w.Header().Set("Retry-After", strconv.FormatFloat(time.Until(pausedUntil).Seconds(), 'f', 3, 64))
 		}
-		w.Header().Set(headerNotExecuted, "1")
+		w.Header().Set(standin.HeaderNotExecuted, "1")
 		w.WriteHeader(status)
 		return
 	}
-	w.Header().Set(headerStamp, s.id)
+	w.Header().Set(standin.HeaderStamp, s.id)
 	if part != "" {
+		if (part[len(part)-1]-'0')/4%2 == 1 {
+			w.Header().Set("Transfer-Encoding", "identity")
+		}
 		s.beginAnswer(w, r, part, version)
 		go s.onCrash(s)
 		panic(http.ErrAbortHandler)
 	}
+	if s.framesByClosing {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	if s.write(w, r, version, s.eventCount()) {
 		s.recorder.Record(func(h *history.History) { h.Arrivals[index].Completed = true })
 	}
 }
 
 // beginAnswer writes what a server sends of its answer before it crashes: nothing, the
-// head, one event, or one and a half. It is always the same for a part.
+// head, one event, or one and a half. It is always the same for a part, as is whether the
+// answer has chunks or would end with its connection.
 func (s *server) beginAnswer(w http.ResponseWriter, r *http.Request, part string, version int64) {
 	moment := part[len(part)-1] % 4
 	if moment == 0 {
@@ -323,15 +318,15 @@
 
 // write writes a number of events of the answer and reports whether all were written.
 func (s *server) write(w http.ResponseWriter, r *http.Request, version int64, count int) (whole bool) {
-	id := r.Header.Get(headerRequestID)
-	_, adapter, _ := strings.Cut(r.Header.Get(headerAdapter), "/")
+	id := r.Header.Get(standin.HeaderRequestID)
+	_, adapter, _ := strings.Cut(r.Header.Get(standin.HeaderAdapter), "/")
 	for i := range count {
 		event, err := json.Marshal(history.Event{
 			Number:    i + 1,
 			RequestID: id,
 			Adapter:   adapter,
 			Version:   version,
-			Team:      r.Header.Get(headerTeam),
+			Team:      r.Header.Get(standin.HeaderTeam),
 		})
 		if err != nil {
 			return false
@@ -350,7 +345,7 @@
 // crashingPart returns the prompt part, or the name of the request, that crashes servers,
 // if there is one.
 func crashingPart(r *http.Request) string {
-	for _, part := range strings.Split(r.Header.Get(headerPromptPrefix), ",") {
+	for _, part := range strings.Split(r.Header.Get(standin.HeaderPromptPrefix), ",") {
 		id, _, _ := strings.Cut(part, ":")
 		if strings.HasPrefix(id, crashingPartPrefix) {
 			return id
--- a/cmd/soak/history/judge.go
+++ b/cmd/soak/history/judge.go
@@ -84,6 +84,7 @@
 		{Name: "atMostOnce", find: (*judge).repetitions},
 		{Name: "denied", find: (*judge).denials},
 		{Name: "withdrawnKey", find: (*judge).usedKeys},
+		{Name: "returnedKey", find: (*judge).returnedKeys},
 		{Name: "leftServer", find: (*judge).usedServers},
 		{Name: "pause", find: (*judge).ignoredPauses},
 		{Name: "oneLeader", find: (*judge).sharedLeaderships},
@@ -342,6 +343,25 @@
 	return texts
 }
 
+// returnedKeys finds withdrawn keys that an instance accepted after it had refused them.
+func (j *judge) returnedKeys() (texts []string) {
+	type keyAt struct{ instance, key string }
+	refused := map[keyAt]time.Time{}
+	for _, r := range j.Requests {
+		use := keyAt{r.Instance, r.Key}
+		if at, known := refused[use]; r.Status == http.StatusUnauthorized && (!known || r.Ended.Before(at)) {
+			refused[use] = r.Ended
+		}
+	}
+	for _, r := range j.Requests {
+		at, known := refused[keyAt{r.Instance, r.Key}]
+		if known && r.Status == http.StatusOK && r.Sent.After(at) && !j.ended(r.Instance, at, r.Sent) {
+			texts = append(texts, fmt.Sprintf("%s at %s was served %s after %s had been refused", r.ID, r.Instance, r.Sent.Sub(at), r.Key))
+		}
+	}
+	return texts
+}
+
 // pair is an instance and a server that it sends requests to.
 type pair struct {
 	instance string
--- a/cmd/soak/history/judge_test.go
+++ b/cmd/soak/history/judge_test.go
@@ -147,6 +147,23 @@
 			},
 			allowed: func(h *history.History) { h.Withdrawals[0].At = at(4.1) },
 		},
+		{
+			check: "returnedKey",
+			broken: func(h *history.History) {
+				h.Withdrawals = []history.Withdrawal{{Key: "grid-key", At: at(5)}}
+				h.Requests = append(h.Requests, history.Request{
+					ID:       "refused",
+					Instance: "a",
+					Key:      "grid-key",
+					Sent:     at(7),
+					Ended:    at(7),
+					Status:   http.StatusUnauthorized,
+				})
+			},
+			allowed: func(h *history.History) {
+				h.Stops = []history.Stop{{Instance: "a", Forced: true, SignalledAt: at(8), EndedAt: at(9)}}
+			},
+		},
 		{
 			check: "leftServer",
 			broken: func(h *history.History) {
--- a/cmd/soak/plan/plan.go
+++ b/cmd/soak/plan/plan.go
@@ -15,6 +15,8 @@
 	CutStore    = "cutStore"
 	StoreDown   = "storeDown"
 	StoreSilent = "storeSilent"
+	// RestoreStore restores the store from a copy some seconds old.
+	RestoreStore = "restoreStore"
 	// ResetServer resets the connections of a server; CutServer drops its answers.
 	ResetServer   = "resetServer"
 	CutServer     = "cutServer"
@@ -36,7 +38,7 @@
 // Kinds returns all kinds of faults.
 func Kinds() []string {
 	return []string{
-		KillInstance, StopInstance, FreezeInstance, CutStore, StoreDown, StoreSilent, ResetServer, CutServer,
+		KillInstance, StopInstance, FreezeInstance, CutStore, StoreDown, StoreSilent, RestoreStore, ResetServer, CutServer,
 		SilenceServer, LeaveServer, PauseServer, RestartServer, LimitServer, CrashingPart, CrashingRequest, ChangeConfiguration, WithdrawKey, DeclareVersion,
 	}
 }
--- a/front/answer_framing_test.go
+++ b/front/answer_framing_test.go
@@ -43,7 +43,7 @@
 
 // head starts an answer; an empty framing leaves it without a length and chunks.
 func (e *exchange) head(framing string) {
-	e.write("HTTP/1.1 200 OK\r\n" + stampHeader + ": s1\r\n" + requestIDHeader + ": " + e.id + "\r\n" + framing + "\r\n")
+	e.write("HTTP/1.1 200 OK\r\n" + standin.HeaderStamp + ": s1\r\n" + standin.HeaderRequestID + ": " + e.id + "\r\n" + framing + "\r\n")
 }
 
 // end ends the answer with its connection.
@@ -102,7 +102,7 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
-		id := request.Header.Get(requestIDHeader)
+		id := request.Header.Get(standin.HeaderRequestID)
 		if id == "" {
 			_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 			continue
@@ -169,10 +169,10 @@
 		GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused },
 	}))
 	request.Host = "shop.example"
-	request.Header.Set(requestIDHeader, id)
-	request.Header.Set("X-Pomelospring-Token-Count", "100,10")
+	request.Header.Set(standin.HeaderRequestID, id)
+	request.Header.Set(standin.HeaderTokenCount, "100,10")
 	if strings.HasPrefix(path, "/proof/") || strings.HasPrefix(path, "/brief/") {
-		request.Header.Set("X-Pomelospring-Model-Id", "m")
+		request.Header.Set(standin.HeaderAdapter, "m")
 	}
 	response, err := client.Do(request)
 	if err != nil {
@@ -216,7 +216,7 @@
 	},
 	{
 		name: "an order is cut inside the head", path: "/order/",
-		play: func(e *exchange) { e.wait(); e.write("HTTP/1.1 200 OK\r\n" + stampHeader + ": s"); e.end() },
+		play: func(e *exchange) { e.wait(); e.write("HTTP/1.1 200 OK\r\n" + standin.HeaderStamp + ": s"); e.end() },
 		want: received{Status: 502, Complete: true, Attempts: 1},
 	},
 	{
@@ -270,7 +270,7 @@
 	},
 	{
 		name: "a stream is cut inside the head", path: "/brief/",
-		play: func(e *exchange) { e.wait(); e.write("HTTP/1.1 200 OK\r\n" + stampHeader); e.end() },
+		play: func(e *exchange) { e.wait(); e.write("HTTP/1.1 200 OK\r\n" + standin.HeaderStamp); e.end() },
 		want: received{Status: 502, Complete: true, Attempts: 1},
 	},
 	{
--- a/front/crashing_prompt_test.go
+++ b/front/crashing_prompt_test.go
@@ -12,11 +12,8 @@
 	"github.com/pomelospring/pomelospring/standin"
 )
 
-const (
-	promptPrefixHeader = "X-Pomelospring-Prompt-Prefix"
-	// workerRestartTime is how long a worker that crashed is away.
-	workerRestartTime = time.Second
-)
+// workerRestartTime is how long a worker that crashed is away.
+const workerRestartTime = time.Second
 
 // crashingWorkers are workers that end when they begin to answer a prompt with the part
 // bad, or a request to a path that ends with it, and come back as others.
@@ -39,12 +36,12 @@
 	c.mu.Unlock()
 	execute := w.server.Config.Handler
 	w.server.Config.Handler = http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
-		if !strings.Contains(r.Header.Get(promptPrefixHeader), "bad:") && !strings.HasSuffix(r.URL.Path, "/bad") {
+		if !strings.Contains(r.Header.Get(standin.HeaderPromptPrefix), "bad:") && !strings.HasSuffix(r.URL.Path, "/bad") {
 			execute.ServeHTTP(out, r)
 			return
 		}
 		w.mu.Lock()
-		_, adapter, _ := strings.Cut(r.Header.Get("X-Pomelospring-Model-Id"), "/")
+		_, adapter, _ := strings.Cut(r.Header.Get(standin.HeaderAdapter), "/")
 		resident := adapter == "" || w.adapters[adapter]
 		w.mu.Unlock()
 		if !resident {
@@ -158,7 +155,7 @@
 // sendPrompt sends a request with prompt parts and returns the status and the body.
 func (i *instance) sendPrompt(t *testing.T, id, parts string) (status int, body string) {
 	t.Helper()
-	status, body, err := i.sendWith(id, "k1", "a1", map[string]string{promptPrefixHeader: parts})
+	status, body, err := i.sendWith(id, "k1", "a1", map[string]string{standin.HeaderPromptPrefix: parts})
 	if err != nil {
 		return 0, ""
 	}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -26,8 +26,6 @@
 )
 
 const (
-	stampHeader     = "X-Pomelospring-Server-Stamp"
-	requestIDHeader = "X-Pomelospring-Request-Id"
 	// readyWithin is how long eventually waits for a condition.
 	readyWithin = 15 * time.Second
 )
@@ -110,8 +108,8 @@
 		return false
 	}
 	out.Header().Set("Retry-After", w.retryAfter)
-	out.Header().Set("X-Pomelospring-Not-Executed", "1")
-	out.Header().Set(requestIDHeader, r.Header.Get(requestIDHeader))
+	out.Header().Set(standin.HeaderNotExecuted, "1")
+	out.Header().Set(standin.HeaderRequestID, r.Header.Get(standin.HeaderRequestID))
 	out.WriteHeader(http.StatusServiceUnavailable)
 	return true
 }
@@ -179,21 +177,21 @@
 // execute executes a request, or rejects it as not executed if its adapter is not
 // resident.
 func (w *worker) execute(out http.ResponseWriter, r *http.Request) {
-	_, adapter, _ := strings.Cut(r.Header.Get("X-Pomelospring-Model-Id"), "/")
+	_, adapter, _ := strings.Cut(r.Header.Get(standin.HeaderAdapter), "/")
 	w.mu.Lock()
 	resident := adapter == "" || w.adapters[adapter]
 	if resident {
-		w.executions[r.Header.Get(requestIDHeader)]++
+		w.executions[r.Header.Get(standin.HeaderRequestID)]++
 	}
 	eventCount, eventInterval := w.eventCount, w.eventInterval
 	w.mu.Unlock()
 	if !resident {
-		out.Header().Set("X-Pomelospring-Not-Executed", "1")
+		out.Header().Set(standin.HeaderNotExecuted, "1")
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	out.Header().Set(stampHeader, w.id)
-	out.Header().Set(requestIDHeader, r.Header.Get(requestIDHeader))
+	out.Header().Set(standin.HeaderStamp, w.id)
+	out.Header().Set(standin.HeaderRequestID, r.Header.Get(standin.HeaderRequestID))
 	for i := range eventCount {
 		fmt.Fprintf(out, "id: %d\ndata: x\n\n", i+1)
 		_ = http.NewResponseController(out).Flush()
@@ -293,8 +291,8 @@
 	if err != nil {
 		return 0, "", err
 	}
-	httpRequest.Header.Set("X-Pomelospring-Model-Id", "m/"+adapter)
-	httpRequest.Header.Set("X-Pomelospring-Token-Count", "100,10")
+	httpRequest.Header.Set(standin.HeaderAdapter, "m/"+adapter)
+	httpRequest.Header.Set(standin.HeaderTokenCount, "100,10")
 	for name, value := range header {
 		httpRequest.Header.Set(name, value)
 	}
@@ -320,8 +318,8 @@
 func sendRequest(httpRequest *http.Request, id, key string) (status int, body string, err error) {
 	httpRequest.Host = "shop.example"
 	httpRequest.Header.Set("Authorization", "Bearer "+key)
-	httpRequest.Header.Set(requestIDHeader, id)
-	httpRequest.Header.Set("X-Pomelospring-Deadline-Ms", "8000")
+	httpRequest.Header.Set(standin.HeaderRequestID, id)
+	httpRequest.Header.Set(standin.HeaderDeadline, "8000")
 	response, err := http.DefaultClient.Do(httpRequest)
 	if err != nil {
 		return 0, "", err
--- a/front/limited_server_test.go
+++ b/front/limited_server_test.go
@@ -28,7 +28,7 @@
 func (w *worker) nameLimit(perSecond float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.header = map[string]string{"Server-Limit": fmt.Sprint(perSecond)}
+	w.header = map[string]string{standin.HeaderLimit: fmt.Sprint(perSecond)}
 }
 
 // mostRequests returns the largest number of requests that arrived in a window that
@@ -63,27 +63,30 @@
 }
 
 // sendMany sends perSecond requests for some adapters to each instance until a time, and
-// returns their number by status; 0 for no complete response.
-func sendMany(instances []*instance, perSecond int, until time.Time) (counts map[int]int) {
-	counts = map[int]int{}
+// returns their number by status, 0 for no complete response, and the reasons of refusals.
+func sendMany(instances []*instance, perSecond int, until time.Time) (counts map[int]int, reasons map[string]int) {
+	counts, reasons = map[int]int{}, map[string]int{}
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	for n := 0; time.Now().Before(until); n++ {
 		for k, i := range instances {
 			group.Go(func() {
-				status, _, err := i.send(fmt.Sprintf("%d-%d", k, n), "k1", fmt.Sprintf("a%d", (n+k)%6))
+				status, body, err := i.send(fmt.Sprintf("%d-%d", k, n), "k1", fmt.Sprintf("a%d", (n+k)%6))
 				if err != nil {
 					status = 0
 				}
 				mu.Lock()
 				defer mu.Unlock()
 				counts[status]++
+				if status != http.StatusOK {
+					reasons[body]++
+				}
 			})
 		}
 		time.Sleep(time.Second / time.Duration(perSecond))
 	}
 	group.Wait()
-	return counts
+	return counts, reasons
 }
 
 // TestLimitOfAServerIsExceededByTheFleet guards against instances that each keep the
@@ -139,12 +142,12 @@
 			if leader != nil {
 				time.AfterFunc(limitStableTime+time.Second, leader.stop)
 			}
-			counts := sendMany(instances, perInstance, began.Add(limitStableTime+2*limitWindow))
+			counts, reasons := sendMany(instances, perInstance, began.Add(limitStableTime+2*limitWindow))
 			sent := 0
 			for _, count := range counts {
 				sent += count
 			}
-			t.Logf("%d requests by status: %v", sent, counts)
+			t.Logf("%d requests by status: %v; refused: %v", sent, counts, reasons)
 			for n, limit := range scenario.limits {
 				if limit == 0 {
 					continue
--- a/front/server_notice_test.go
+++ b/front/server_notice_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/pomelospring/pomelospring/platform"
+	"github.com/pomelospring/pomelospring/standin"
 )
 
 // serveBoth sends requests for the adapter to the instances until a time, at 20 a
@@ -42,7 +43,7 @@
 	store.Put(platform.ServerTopic, other.id, other.entry("ready"))
 	time.Sleep(time.Second)
 	w.mu.Lock()
-	w.header = map[string]string{"Server-Leaving": "1"}
+	w.header = map[string]string{standin.HeaderLeaving: "1"}
 	w.mu.Unlock()
 	// Only a gets a response that says so; b learns it from the leader.
 	if status, _, err := a.send("last", "k1", "a1"); status != 200 {
--- a/front/soak_test.go
+++ b/front/soak_test.go
@@ -186,7 +186,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if expected := r.Header.Get("X-Pomelospring-Expect-Instance"); expected != "" && expected != w.id {
+	if expected := r.Header.Get(standin.HeaderExpectServer); expected != "" && expected != w.id {
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -216,21 +216,21 @@
 // execute executes a request, or rejects it as not executed if its adapter is not
 // resident or the request is for another incarnation.
 func (w *soakWorker) execute(out http.ResponseWriter, r *http.Request) {
-	_, adapter, _ := strings.Cut(r.Header.Get("X-Pomelospring-Model-Id"), "/")
-	id := r.Header.Get(requestIDHeader)
+	_, adapter, _ := strings.Cut(r.Header.Get(standin.HeaderAdapter), "/")
+	id := r.Header.Get(standin.HeaderRequestID)
 	w.mu.Lock()
 	at, resident := w.readyAt[adapter]
-	expected := r.Header.Get("X-Pomelospring-Expect-Instance")
+	expected := r.Header.Get(standin.HeaderExpectServer)
 	accepted := resident && !time.Now().Before(at) && expected == w.id
 	w.mu.Unlock()
 	if !accepted {
-		out.Header().Set("X-Pomelospring-Not-Executed", "1")
+		out.Header().Set(standin.HeaderNotExecuted, "1")
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	w.recorder.addExecution(id)
-	out.Header().Set(stampHeader, w.id)
-	out.Header().Set(requestIDHeader, id)
+	out.Header().Set(standin.HeaderStamp, w.id)
+	out.Header().Set(standin.HeaderRequestID, id)
 	for i := range 3 {
 		fmt.Fprintf(out, "id: %d\ndata: %s %s\n\n", i+1, adapter, id)
 		_ = http.NewResponseController(out).Flush()
--- a/standin/store.go
+++ b/standin/store.go
@@ -218,9 +218,6 @@
 	}
 }
 
-// eraHeader is in every answer.
-const eraHeader = "Store-Era"
-
 // refuses answers 503 if the store is down or being restored.
 func (s *Store) refuses(w http.ResponseWriter) bool {
 	s.mu.Lock()
@@ -235,7 +232,7 @@
 // answer answers with a JSON body. The lock is held, so that the era is the one of
 // the content.
 func (s *Store) answer(w http.ResponseWriter, status int, body any) {
-	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
+	w.Header().Set(HeaderStoreEra, strconv.FormatInt(s.era, 10))
 	writeJSON(w, status, body)
 }
 
@@ -309,7 +306,7 @@
 		body = binary.BigEndian.AppendUint32(body, uint32(len(t.records[i])))
 		body = append(body, t.records[i]...)
 	}
-	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
+	w.Header().Set(HeaderStoreEra, strconv.FormatInt(s.era, 10))
 	// A write fails only if the reader has disconnected.
 	_, _ = w.Write(body)
 }
