Judge a team's quota in the soak, and play fleets of another size

The soak had no team that asks for more than its quota and only four instances.

The flag -instances plays a plan's faults in a larger fleet, with domains and servers in proportion and the same load in all. Callers without an adapter send no token count, as on the platform.

--- a/cmd/soak/arena/arena.go
+++ b/cmd/soak/arena/arena.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -213,13 +214,29 @@
 	defer stopBalancing()
 	defer stopCalling()
 	var callers sync.WaitGroup
+	share := time.Duration(max(1, len(a.instances)/usualInstances))
 	for n, i := range a.instances {
 		go i.balance(balancing)
-		for c := range callersPerInstance {
-			caller := newCaller(fmt.Sprintf("c%d-%d", n, c), i, &a.recorder)
-			callers.Go(func() { caller.run(calling, p.Seed, uint64(n*callersPerInstance+c+1), a.operator.keys) })
+		for c := range callersPerInstance + 1 {
+			random := rand.New(rand.NewPCG(p.Seed, uint64(n*(callersPerInstance+1)+c+1)))
+			draw := func() target { return drawTarget(random, a.operator.keys) }
+			name := fmt.Sprintf("c%d-%d", n, c)
+			if c == callersPerInstance {
+				draw = func() target { return orderTarget(floodKey) }
+				name = fmt.Sprint("flood-", n)
+			}
+			caller := newCaller(name, i, &a.recorder)
+			callers.Go(func() { caller.run(calling, share*meanCallInterval, random, draw) })
 		}
 	}
+	a.recorder.Record(func(h *history.History) {
+		h.Quotas = []history.Quota{{
+			Team:            teamOf(floodKey),
+			TokensPerSecond: floodRate,
+			Burst:           floodRate,
+			RequestTokens:   floodRequestTokens,
+		}}
+	})
 	a.awaitServing("first")
 	time.Sleep(warmUpTime)
 	before, err := a.levels()
--- a/cmd/soak/arena/caller.go
+++ b/cmd/soak/arena/caller.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/cmd/soak/history"
 	"github.com/pomelospring/pomelospring/standin"
 )
@@ -23,9 +24,12 @@
 	// wait for the end of an answer.
 	requestTimeout = 5 * time.Second
 	callerPatience = 10 * time.Second
-	// meanCallInterval is the mean time between two requests of a caller.
+	// meanCallInterval is the mean time between two requests of a caller, with
+	// usualInstances instances. The requests of the whole fleet stay the same with more.
 	meanCallInterval = 80 * time.Millisecond
-	// callersPerInstance is the number of callers with a connection of their own.
+	usualInstances   = 4
+	// callersPerInstance is the number of callers with a connection of their own, beside
+	// the one of the team that sends more than its quota.
 	callersPerInstance = 2
 	// adapterCount is the number of adapters in use.
 	adapterCount = 12
@@ -79,17 +83,11 @@
 	events  int
 }
 
-// run sends random requests until the context ends.
-func (c *caller) run(ctx context.Context, seed, stream uint64, keys []string) {
-	random := rand.New(rand.NewPCG(seed, stream))
-	for {
-		select {
-		case <-ctx.Done():
-			c.client.CloseIdleConnections()
-			return
-		case <-time.After(time.Duration(random.ExpFloat64() * float64(meanCallInterval))):
-		}
-		c.send(drawTarget(random, keys))
+// run sends requests at random times, with a mean interval, until the context ends.
+func (c *caller) run(ctx context.Context, interval time.Duration, random *rand.Rand, draw func() target) {
+	defer c.client.CloseIdleConnections()
+	for pomelospring.Sleep(ctx, time.Duration(random.ExpFloat64()*float64(interval))) == nil {
+		c.send(draw())
 	}
 }
 
@@ -153,10 +151,10 @@
 	request.Host = host
 	request.Header.Set("Authorization", "Bearer "+r.Key)
 	request.Header.Set(standin.HeaderRequestID, r.ID)
-	request.Header.Set(standin.HeaderTokenCount, "100,10")
 	request.Header.Set(standin.HeaderDeadline, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
 	if r.Adapter != "" {
 		request.Header.Set(standin.HeaderAdapter, modelName+"/"+r.Adapter)
+		request.Header.Set(standin.HeaderTokenCount, "100,10")
 		request.Header.Set(standin.HeaderPromptPrefix, "5e:60,"+r.ID+":40")
 	}
 	if r.Part != "" {
--- a/cmd/soak/arena/configuration.go
+++ b/cmd/soak/arena/configuration.go
@@ -24,6 +24,11 @@
 	maxAttempts = 2
 	// withoutLimit is a rate and a burst that no team reaches.
 	withoutLimit = 1_000_000_000
+	// floodKey is that of a team that sends more than its quota allows. Each of its
+	// requests counts floodRequestTokens.
+	floodKey           = "flood-key"
+	floodRate          = 200_000
+	floodRequestTokens = 10_000
 )
 
 // soundKeys are never withdrawn. Each is that of a team.
@@ -124,7 +129,7 @@
 			keys[teamOf(key)] = append(keys[teamOf(key)], key)
 		}
 	}
-	teams := make([]any, 0, len(soundKeys))
+	teams := make([]any, 0, len(soundKeys)+1)
 	for _, key := range soundKeys {
 		teams = append(teams, map[string]any{
 			"name":         teamOf(key),
@@ -135,6 +140,14 @@
 			"burst":        withoutLimit,
 		})
 	}
+	teams = append(teams, map[string]any{
+		"name":         teamOf(floodKey),
+		"api-keys":     []string{floodKey},
+		"unit":         "tokens",
+		"plain-tokens": floodRequestTokens,
+		"rate-per-s":   floodRate,
+		"burst":        floodRate,
+	})
 	record, err := json.Marshal(map[string]any{
 		"version": o.version,
 		"routes": []any{
--- a/cmd/soak/commands.go
+++ b/cmd/soak/commands.go
@@ -55,7 +55,8 @@
 // runCommand plays the plan of one seed.
 type runCommand struct {
 	options
-	length time.Duration
+	length    time.Duration
+	instances int
 }
 
 // Name implements subcommands.Command.
@@ -66,13 +67,23 @@
 
 // Usage implements subcommands.Command.
 func (*runCommand) Usage() string {
-	return "run [-program FILE] [-out DIR] [-length TIME] SEED\n  Exit codes: 0 all promises kept, 1 broken or failed, 2 bad usage.\n"
+	return "run [-program FILE] [-out DIR] [-length TIME] [-instances N] SEED\n  Exit codes: 0 all promises kept, 1 broken or failed, 2 bad usage.\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (c *runCommand) SetFlags(flags *flag.FlagSet) {
 	c.setFlags(flags)
 	flags.DurationVar(&c.length, "length", defaultLength, "time in which faults begin")
+	flags.IntVar(&c.instances, "instances", 0, "number of instances, 4 or more; 0 for that of the plan")
+}
+
+// draw draws the plan of a seed in the size that is asked for.
+func (c *runCommand) draw(seed uint64) plan.Plan {
+	p := plan.Draw(seed, c.length)
+	if c.instances > p.Instances {
+		p.Resize(c.instances)
+	}
+	return p
 }
 
 // Execute implements subcommands.Command.
@@ -81,7 +92,7 @@
 	if err != nil || flags.NArg() != 1 {
 		return usageError("a seed is needed: a number")
 	}
-	return exitStatus(c.play(ctx, plan.Draw(seed, c.length)))
+	return exitStatus(c.play(ctx, c.draw(seed)))
 }
 
 // manyCommand plays the plans of several seeds.
@@ -99,7 +110,7 @@
 
 // Usage implements subcommands.Command.
 func (*manyCommand) Usage() string {
-	return "many [-seeds N] [-first SEED] [-program FILE] [-out DIR] [-length TIME]\n"
+	return "many [-seeds N] [-first SEED] [-program FILE] [-out DIR] [-length TIME] [-instances N]\n"
 }
 
 // SetFlags implements subcommands.Command.
@@ -113,7 +124,7 @@
 func (c *manyCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...interface{}) subcommands.ExitStatus {
 	var broken []uint64
 	for seed := c.first; seed < c.first+c.count && ctx.Err() == nil; seed++ {
-		if !c.play(ctx, plan.Draw(seed, c.length)) {
+		if !c.play(ctx, c.draw(seed)) {
 			broken = append(broken, seed)
 		}
 	}
--- a/cmd/soak/history/history.go
+++ b/cmd/soak/history/history.go
@@ -11,6 +11,7 @@
 type History struct {
 	// Holders has the names of the instances by how they name themselves in orders.
 	Holders      map[string]string `json:"holders"`
+	Quotas       []Quota           `json:"quotas"`
 	Requests     []Request         `json:"requests"`
 	Arrivals     []Arrival         `json:"arrivals"`
 	Faults       []Fault           `json:"faults"`
@@ -23,6 +24,15 @@
 	Levels       []Level           `json:"levels"`
 }
 
+// Quota limits the tokens of a team.
+type Quota struct {
+	Team            string  `json:"team"`
+	TokensPerSecond float64 `json:"tokensPerSecond"`
+	Burst           float64 `json:"burst"`
+	// RequestTokens is what each request of the team counts.
+	RequestTokens float64 `json:"requestTokens"`
+}
+
 // Request is one request of a caller, with the answer that the caller saw.
 type Request struct {
 	ID       string    `json:"id"`
--- a/cmd/soak/history/judge.go
+++ b/cmd/soak/history/judge.go
@@ -42,6 +42,11 @@
 	limitFactor = 1.5
 	limitSlack  = 5
 	limitGrace  = 500 * time.Millisecond
+	// A team may use quotaFactor times what its rate gives in quotaWindow and its burst,
+	// and quotaSlackTokens.
+	quotaWindow      = 8 * time.Second
+	quotaFactor      = 1.1
+	quotaSlackTokens = 110_000
 	// answerBound is the time from a request to the end of its answer. It is longer
 	// than the deadline that callers give.
 	answerBound = 7 * time.Second
@@ -83,6 +88,7 @@
 		{Name: "notRun", find: (*judge).falseRefusals},
 		{Name: "atMostOnce", find: (*judge).repetitions},
 		{Name: "denied", find: (*judge).denials},
+		{Name: "quota", find: (*judge).exceededQuotas},
 		{Name: "withdrawnKey", find: (*judge).usedKeys},
 		{Name: "returnedKey", find: (*judge).returnedKeys},
 		{Name: "leftServer", find: (*judge).usedServers},
@@ -503,6 +509,36 @@
 	return texts
 }
 
+// exceededQuotas finds teams whose requests in some window, both sent and begun there,
+// have more tokens than their quota allows, each once.
+func (j *judge) exceededQuotas() (texts []string) {
+	for _, q := range j.Quotas {
+		allowed := quotaFactor*(q.TokensPerSecond*quotaWindow.Seconds()+q.Burst) + quotaSlackTokens
+		var begun []Arrival
+		for _, a := range j.Arrivals {
+			if a.Ran && j.requests[a.RequestID].Team == q.Team {
+				begun = append(begun, a)
+			}
+		}
+		slices.SortFunc(begun, func(x, y Arrival) int { return x.At.Compare(y.At) })
+		most := 0.0
+		for n, last := range begun {
+			from := last.At.Add(-quotaWindow)
+			used := 0.0
+			for k := n; k >= 0 && begun[k].At.After(from); k-- {
+				if j.requests[begun[k].RequestID].Sent.After(from) {
+					used += q.RequestTokens
+				}
+			}
+			most = max(most, used)
+		}
+		if most > allowed {
+			texts = append(texts, fmt.Sprintf("team %s used %.0f tokens in %s, allowed %.0f", q.Team, most, quotaWindow, allowed))
+		}
+	}
+	return texts
+}
+
 // ended reports whether a process of an instance ended at some time from begin to end.
 func (j *judge) ended(instance string, begin, end time.Time) bool {
 	return slices.ContainsFunc(j.Stops, func(s Stop) bool {
--- a/cmd/soak/history/judge_test.go
+++ b/cmd/soak/history/judge_test.go
@@ -147,6 +147,13 @@
 			},
 			allowed: func(h *history.History) { h.Withdrawals[0].At = at(4.1) },
 		},
+		{
+			check: "quota",
+			broken: func(h *history.History) {
+				h.Quotas = []history.Quota{{Team: "grid", TokensPerSecond: 100, Burst: 9200, RequestTokens: 121_001}}
+			},
+			allowed: func(h *history.History) { h.Quotas[0].RequestTokens = 121_000 },
+		},
 		{
 			check: "returnedKey",
 			broken: func(h *history.History) {
--- a/cmd/soak/plan/plan.go
+++ b/cmd/soak/plan/plan.go
@@ -53,6 +53,10 @@
 	silenceLength = time.Second
 	// crashingLength is how long requests with a part that crashes workers come.
 	crashingLength = 9 * time.Second
+	// instancesPerDomain and instancesPerWorker are the numbers of further instances for
+	// which a larger plan has one more domain, and one more server of each service.
+	instancesPerDomain = 40
+	instancesPerWorker = 8
 	// limitLength is how long a server names a limit: the time until it binds, and a
 	// window in which its requests are counted.
 	limitLength = 8 * time.Second
@@ -111,6 +115,15 @@
 	}
 }
 
+// Resize gives the plan another number of instances, and domains and servers in
+// proportion to those of a drawn one. The faults stay.
+func (p *Plan) Resize(instances int) {
+	p.Domains += (instances - p.Instances) / instancesPerDomain
+	p.ModelWorkers += (instances - p.Instances) / instancesPerWorker
+	p.OrderServers += (instances - p.Instances) / instancesPerWorker
+	p.Instances = instances
+}
+
 func drawLength(random *rand.Rand, kind string) time.Duration {
 	length := minLength + time.Duration(random.Int64N(int64(maxLength-minLength)))
 	switch kind {
--- a/cmd/soak/plan/plan_test.go
+++ b/cmd/soak/plan/plan_test.go
@@ -22,3 +22,19 @@
 		}
 	}
 }
+
+func TestResizedPlanKeepsItsFaults(t *testing.T) {
+	usual, large := plan.Draw(1, time.Minute), plan.Draw(1, time.Minute)
+	large.Resize(204)
+	expected := plan.Plan{
+		Seed:         1,
+		Domains:      7,
+		Instances:    204,
+		ModelWorkers: 31,
+		OrderServers: 28,
+		Steps:        usual.Steps,
+	}
+	if diff := cmp.Diff(expected, large); diff != "" {
+		t.Error(diff)
+	}
+}
