Take back the demand peaks of the ledger, which refused sound requests

What callers saw: with a team beyond its rate for some seconds was refused much of what its rate allows.

Change: the ledger is as before.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -31,11 +31,6 @@
 	// initialShare is an instance's share of a rate before the first report. It
 	// is small, as the fleet may be large.
 	initialShare = 0.02
-	// overdraftFraction is the fraction of a burst that must be owed after a report for
-	// the demand of its interval to count as a peak, and peakLifetime is how long the
-	// next ones are expected to be as high.
-	overdraftFraction = 0.5
-	peakLifetime      = 10 * time.Second
 	// minRefillRate keeps the retry delay finite, in tokens per second.
 	minRefillRate = 1
 	// minRetryDelay and maxRetryDelay bound the time after which a refused
@@ -103,12 +98,6 @@
 	// demandWindow.
 	recentRefused float64
 	decayedAt     time.Time
-	// askedBefore is own.Asked at the last report.
-	askedBefore float64
-	// peak are the tokens that the whole fleet requested between two reports when that
-	// left a debt; it is expected again until peakExpiresAt.
-	peak          float64
-	peakExpiresAt time.Time
 	// share is the fraction of the team's rate that this instance may use while
 	// no leader's report is current.
 	share float64
@@ -159,8 +148,7 @@
 // A bucket above the reserve admits a request of any size, so that large
 // requests are not refused more often than small ones with the same reserve.
 // While the whole fleet requests more than the bucket holds until the next
-// report, on average or at a recent peak, requests are admitted in proportion to
-// what is available.
+// report, requests are admitted in proportion to what is available.
 func (l *Ledger) Admit(team string, tokens, reserve float64, now time.Time) (admitted bool, retryAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -191,11 +179,7 @@
 		return 0
 	}
 	span := max(leader.interval, now.Sub(leader.reportedAt))
-	demand := (a.recentOwn + a.recentOthers) / demandWindow.Seconds() * span.Seconds()
-	if now.Before(a.peakExpiresAt) {
-		demand = max(demand, a.peak)
-	}
-	return demand
+	return (a.recentOwn + a.recentOthers) / demandWindow.Seconds() * span.Seconds()
 }
 
 // activeLeader returns the first leader whose report is current; nil without
@@ -272,11 +256,8 @@
 	for name, a := range l.accounts {
 		if sameLeader {
 			a.level -= report.Others[name].Spent - before[name].Spent
-			asked := report.Others[name].Asked - before[name].Asked
-			a.recentOthers = max(0, a.recentOthers+asked)
-			a.recordPeak(asked+a.own.Asked-a.askedBefore, now)
+			a.recentOthers = max(0, a.recentOthers+report.Others[name].Asked-before[name].Asked)
 		}
-		a.askedBefore = a.own.Asked
 		a.share = a.computeShare(leader)
 	}
 }
@@ -293,19 +274,6 @@
 	return a.level
 }
 
-// recordPeak remembers the demand between two reports if it left a debt: the instances
-// were asked for more than the bucket held before they could know of each other.
-func (a *account) recordPeak(asked float64, now time.Time) {
-	if a.level >= -overdraftFraction*a.burst {
-		return
-	}
-	if !now.Before(a.peakExpiresAt) {
-		a.peak = 0
-	}
-	a.peak = max(a.peak, asked)
-	a.peakExpiresAt = now.Add(peakLifetime)
-}
-
 func (a *account) charge(tokens float64) {
 	a.level -= tokens
 	a.own.Spent += tokens
