Draw the course of a soak

A report tells how many requests were refused or failed, but not when and beside which faults; with 200 instances the text no longer shows it.

--- a/cmd/soak/session/session.go
+++ b/cmd/soak/session/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/cmd/soak/arena"
+	"github.com/pomelospring/pomelospring/cmd/soak/chart"
 	"github.com/pomelospring/pomelospring/cmd/soak/history"
 	"github.com/pomelospring/pomelospring/cmd/soak/plan"
 )
@@ -21,6 +22,7 @@
 	historyFile = "history.json"
 	reportFile  = "report.json"
 	textFile    = "report.txt"
+	chartFile   = "timeline.png"
 )
 
 // Play plays a plan and keeps everything in a new directory.
@@ -43,6 +45,9 @@
 	if err = write(directory, reportFile, report); err != nil {
 		return report, err
 	}
+	if err = chart.Draw(history.NewTimeline(h), filepath.Join(directory, chartFile)); err != nil {
+		return report, err
+	}
 	var text strings.Builder
 	report.Print(&text)
 	return report, os.WriteFile(filepath.Join(directory, textFile), []byte(text.String()), 0o600)
