Name the moments at which the soak's servers crash

The variant of a crash was computed from the last character of a part in two places. crashOf now tells moment and framing, which stay what they were, and two comments of the keeper of blocks say what it does. No change of behaviour; the module's tests and linter pass.

--- a/cmd/soak/arena/server.go
+++ b/cmd/soak/arena/server.go
@@ -275,10 +275,11 @@
 	}
 	w.Header().Set(standin.HeaderStamp, s.id)
 	if part != "" {
-		if (part[len(part)-1]-'0')/4%2 == 1 {
+		moment, framesByClosing := crashOf(part)
+		if framesByClosing {
 			w.Header().Set("Transfer-Encoding", "identity")
 		}
-		s.beginAnswer(w, r, part, version)
+		s.beginAnswer(w, r, moment, version)
 		go s.onCrash(s)
 		panic(http.ErrAbortHandler)
 	}
@@ -290,19 +291,32 @@
 	}
 }
 
-// beginAnswer writes what a server sends of its answer before it crashes: nothing, the
-// head, one event, or one and a half. It is always the same for a part, as is whether the
-// answer has chunks or would end with its connection.
-func (s *server) beginAnswer(w http.ResponseWriter, r *http.Request, part string, version int64) {
-	moment := part[len(part)-1] % 4
-	if moment == 0 {
+// Moments of an answer at which servers crash.
+const (
+	beforeHead = iota
+	afterHead
+	afterEvent
+	insideEvent
+	momentCount
+)
+
+// crashOf returns the moment at which servers crash under a part, and whether their answers
+// would end with their connection. Both are always the same for a part.
+func crashOf(part string) (moment int, framesByClosing bool) {
+	variant := int(part[len(part)-1])
+	return variant % momentCount, variant/momentCount%2 == 1
+}
+
+// beginAnswer writes what a server sends of its answer before it crashes at a moment.
+func (s *server) beginAnswer(w http.ResponseWriter, r *http.Request, moment int, version int64) {
+	if moment == beforeHead {
 		return
 	}
 	w.WriteHeader(http.StatusOK)
-	if moment > 1 {
+	if moment >= afterEvent {
 		s.write(w, r, version, 1)
 	}
-	if moment > 2 {
+	if moment == insideEvent {
 		_, _ = io.WriteString(w, "id: 2\ndata: ")
 	}
 	_ = http.NewResponseController(w).Flush()
--- a/coordination/block_keeper.go
+++ b/coordination/block_keeper.go
@@ -78,8 +78,8 @@
 	return nil
 }
 
-// keep reads the records if this instance leads other domains than before or the store was
-// restored from a copy, and then writes those that are out of date.
+// keep reads the records if it has not read them, if this instance leads other domains than
+// then, or if the store was restored from a copy; it then writes those that are out of date.
 func (k *BlockKeeper) keep(ctx context.Context) error {
 	led := k.Coordinator.ledDomains()
 	era, _ := k.Eras.Current()
@@ -107,7 +107,7 @@
 	for i := range stored {
 		var record blockRecord
 		if err := json.Unmarshal(stored[i].Value, &record); err != nil {
-			// The record stays in the map without crashes, so that it is replaced.
+			// The record stays in the map without crashes, so that it is removed.
 			events.Log(k.Logger, events.BlocksNotKept, log.Fields{
 				"key":   stored[i].Key,
 				"error": err.Error(),
