Read the log line that follows a cut one without a line break

What operators saw: explain called requests open, "the process did not start again", whose process had: the line of its start was on the same line as the cut one of a process that was killed while it wrote, and was skipped with it.

Change: after text that can't be decoded, a line further right is looked for; the cut one still counts as unreadable. TestLineAfterACutOneIsRead fails without it.

--- a/explanation/line.go
+++ b/explanation/line.go
@@ -19,17 +19,32 @@
 	Fields  map[string]any `json:"fields"`
 }
 
-// parse decodes a line. The last word before the JSON, if any, names the process.
-func parse(file string, text []byte) (line Line, ok bool) {
+// parse decodes a line. The last word before the JSON, if any, names the process. If a
+// process was killed while it wrote, a line of another one may follow on the same line:
+// that one is decoded, and wasCut is set.
+func parse(file string, text []byte) (line Line, wasCut, ok bool) {
 	start := bytes.IndexByte(text, '{')
-	if start < 0 {
-		return Line{}, false
+	for start >= 0 {
+		if line, ok = decode(file, text[:start], text[start:]); ok {
+			return line, wasCut, true
+		}
+		wasCut = true
+		next := bytes.Index(text[start+1:], []byte(` {"`))
+		if next < 0 {
+			break
+		}
+		start += 1 + next + 1
 	}
+	return Line{}, wasCut, false
+}
+
+// decode decodes the JSON of a line, with what is in front of it.
+func decode(file string, before, text []byte) (line Line, ok bool) {
 	line.Process = file
-	if words := bytes.Fields(text[:start]); len(words) > 0 {
+	if words := bytes.Fields(before); len(words) > 0 {
 		line.Process = string(words[len(words)-1])
 	}
-	if err := json.Unmarshal(text[start:], &line); err != nil || line.Message == "" {
+	if err := json.Unmarshal(text, &line); err != nil || line.Message == "" {
 		return Line{}, false
 	}
 	return line, true
--- a/explanation/log.go
+++ b/explanation/log.go
@@ -63,9 +63,11 @@
 		l.Unreadable++
 		return
 	}
-	line, ok := parse(file, text)
-	if !ok {
+	line, wasCut, ok := parse(file, text)
+	if wasCut || !ok {
 		l.Unreadable++
+	}
+	if !ok {
 		return
 	}
 	if request := line.text("request"); request != "" {
--- a/explanation/log_test.go
+++ b/explanation/log_test.go
@@ -143,6 +143,17 @@
 	}
 }
 
+func TestLineAfterACutOneIsRead(t *testing.T) {
+	glued := routedLine[:len(routedLine)/2] + "  2.5 front.log " + refusedLine
+	history := read(t, routedLine, glued)
+	if diff := cmp.Diff(read(t, routedLine, refusedLine).CauseOf("r1"), history.CauseOf("r1")); diff != "" {
+		t.Error(diff)
+	}
+	if history.Unreadable != 1 {
+		t.Errorf("%d lines could not be read", history.Unreadable)
+	}
+}
+
 func TestPrintCauses(t *testing.T) {
 	other := strings.ReplaceAll(routedLine, "r1", "r2")
 	var out strings.Builder
