End the soak's servers before their last answer ends

The server of the arena ended its connection first, and itself in another goroutine. An answer that ends with its connection had then passed for whole, as the server still answered the check: instances took the part as answered, and blocked it after six ends in place of three. A process that ends does not answer once its connections end.

Evidence: of the four instances that had calls at the server i-15, one recorded that it ended (event 228); the block names six ends (229), the number for parts that were answered before.

Change: a server ends, with its listener, before the connection of the request that crashes it; connections close as a process's do, and are reset 100 ms later if they are still open. No check is changed.

--- a/cmd/soak/arena/arena.go
+++ b/cmd/soak/arena/arena.go
@@ -116,7 +116,8 @@
 	if err != nil {
 		return err
 	}
-	s.onCrash, s.newestVersion = a.crash, a.operator.newestVersion
+	s.newestVersion = a.operator.newestVersion
+	s.onCrash = func(s *server) { go a.crash(s)() }
 	s.framesByClosing = a.started%closingShare == 0
 	a.servers = append(a.servers, s)
 	s.list(a.published, "ready")
--- a/cmd/soak/arena/faults.go
+++ b/cmd/soak/arena/faults.go
@@ -187,7 +187,7 @@
 		time.Sleep(length)
 		s.nameLimit(0)
 	case plan.RestartServer:
-		a.crash(s)
+		a.crash(s)()
 	case plan.LeaveServer:
 		a.leave(s)
 	}
@@ -213,15 +213,17 @@
 	s.end()
 }
 
-// crash ends a server; its successor starts a while later.
-func (a *arena) crash(s *server) {
-	if s.isGone() {
-		return
-	}
+// crash ends a server unless it has ended. The returned function starts its successor a
+// while later.
+func (a *arena) crash(s *server) (succeed func()) {
 	end := a.fault("serverEnded", s.id)
-	s.end()
-	time.Sleep(crashTail)
-	a.unlist(s)
-	a.replace(s)
-	end()
+	if !s.end() {
+		return func() {}
+	}
+	return func() {
+		time.Sleep(crashTail)
+		a.unlist(s)
+		a.replace(s)
+		end()
+	}
 }
--- a/cmd/soak/arena/proxy.go
+++ b/cmd/soak/arena/proxy.go
@@ -102,8 +102,17 @@
 	}
 }
 
-func (p *proxy) close() {
+// stopAccepting ends the listener, and connections that it accepted but that are not
+// forwarded yet.
+func (p *proxy) stopAccepting() {
 	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refuses = true
+}
+
+func (p *proxy) close() {
+	p.stopAccepting()
 	p.reset()
 }
 
--- a/cmd/soak/arena/server.go
+++ b/cmd/soak/arena/server.go
@@ -24,6 +24,9 @@
 	streamEvents  = 5
 	orderEvents   = 1
 	eventInterval = 20 * time.Millisecond
+	// connectionEndTime is the time until connections are reset that did not end with
+	// the server.
+	connectionEndTime = 100 * time.Millisecond
 	// crashingPartPrefix begins the ids of prompt parts that crash workers.
 	crashingPartPrefix = "bad"
 )
@@ -40,7 +43,7 @@
 	// framesByClosing says that answers have neither a length nor chunks and end with
 	// their connection.
 	framesByClosing bool
-	// onCrash is called when a prompt part crashed the server.
+	// onCrash is called when a prompt part crashes the server, and ends it.
 	onCrash func(s *server)
 	// newestVersion returns the version that a load without one fetches.
 	newestVersion func(adapter string) int64
@@ -111,13 +114,18 @@
 	return []any{map[string]any{"name": modelName, "version": 1, "adapters": resident}}
 }
 
-// end ends the server with all its connections.
-func (s *server) end() {
+// end ends the server with all its connections, as the end of a process does: nothing
+// answers any longer when the first of them ends. It reports whether the server had not
+// ended before.
+func (s *server) end() (ended bool) {
 	s.mu.Lock()
+	ended = !s.gone
 	s.gone = true
 	s.mu.Unlock()
-	s.proxy.close()
+	s.proxy.stopAccepting()
 	_ = s.http.Close()
+	time.AfterFunc(connectionEndTime, s.proxy.close)
+	return ended
 }
 
 // nameLimit lets the server name a limit in its answers; 0 for none.
@@ -280,7 +288,7 @@
 			w.Header().Set("Transfer-Encoding", "identity")
 		}
 		s.beginAnswer(w, r, moment, version)
-		go s.onCrash(s)
+		s.onCrash(s)
 		panic(http.ErrAbortHandler)
 	}
 	if s.framesByClosing {
