Share the paths of orders and reports between the stand-ins

The stand-ins of servers in the soak and in front's tests each spelled the two paths of the wire. They take them from package standin now, as the headers.

--- a/cmd/soak/arena/server.go
+++ b/cmd/soak/arena/server.go
@@ -154,9 +154,9 @@
 	s.mu.Unlock()
 	time.Sleep(silence)
 	switch r.URL.Path {
-	case "/api/report":
+	case standin.PathReport:
 		s.report(w)
-	case "/api/order":
+	case standin.PathOrder:
 		s.order(w, r)
 	default:
 		s.execute(w, r)
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -79,9 +79,9 @@
 		return
 	}
 	switch r.URL.Path {
-	case "/api/report":
+	case standin.PathReport:
 		w.report(out)
-	case "/api/order":
+	case standin.PathOrder:
 		w.order(out, r)
 	default:
 		w.execute(out, r)
@@ -97,9 +97,9 @@
 		out.Header().Set(name, value)
 	}
 	switch r.URL.Path {
-	case "/api/report":
+	case standin.PathReport:
 		return false
-	case "/api/order":
+	case standin.PathOrder:
 		w.orders = append(w.orders, time.Now())
 	default:
 		w.requests = append(w.requests, time.Now())
--- a/front/soak_test.go
+++ b/front/soak_test.go
@@ -142,9 +142,9 @@
 
 func (w *soakWorker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
-	case "/api/report":
+	case standin.PathReport:
 		w.report(out)
-	case "/api/order":
+	case standin.PathOrder:
 		w.order(out, r)
 	default:
 		w.execute(out, r)
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -17,3 +17,9 @@
 	HeaderLeaving       = "Server-Leaving"
 	HeaderStoreEra      = "Store-Era"
 )
+
+// Paths of the calls that leaders make at backend servers.
+const (
+	PathOrder  = "/api/order"
+	PathReport = "/api/report"
+)
