Log how long a call had been here when its caller was found gone

Event 225 did not tell a caller that left while its call was served from one that had left before the instance read the call; heldMs does.

--- a/entry/run.go
+++ b/entry/run.go
@@ -508,6 +508,7 @@
 		events.Log(c.service.Logger, events.CallerLeft, log.Fields{
 			"request": c.call.ID,
 			"sends":   c.attemptsSent,
+			"heldMs":  c.service.Clock().Sub(c.call.Arrived).Milliseconds(),
 		})
 		c.out.Abort()
 		return
