End a call whose caller left before it is sent to a server

Cause: an instance without processor time reads a call late, with its caller's close behind it. The HTTP server notices a close with a read beside the handler, and the handler is often sooner at the server; so it is after each wait.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -16,6 +16,7 @@
 	"github.com/pomelospring/pomelospring/admission"
 	"github.com/pomelospring/pomelospring/blackboard"
 	"github.com/pomelospring/pomelospring/configuration"
+	"github.com/pomelospring/pomelospring/connection"
 	"github.com/pomelospring/pomelospring/engine"
 	"github.com/pomelospring/pomelospring/events"
 	"github.com/pomelospring/pomelospring/serving"
@@ -152,16 +153,20 @@
 // again after the registration, as it may have been withdrawn in between. release
 // must be called when the request ends.
 func (h *Handler) trackRequest(ctx context.Context, identity requestIdentity) (tracked context.Context, release func()) {
+	ctx, leave := connection.WithClose(ctx)
 	ctx, stop := context.WithTimeout(ctx, h.Limits.TotalTime)
 	ctx, cancel := context.WithCancelCause(ctx)
 	h.Board.Running.Add(identity.requestID, identity.key.ID, cancel)
 	if identity.key.ID != "" && !admission.KeyValid(h.Board.Configuration.Get(), identity.key.ID) {
 		cancel(errKeyWithdrawn)
 	}
+	// A caller that left before its request was read ends the request at once.
+	_ = connection.Check(ctx)
 	return ctx, func() {
 		h.Board.Running.Remove(identity.requestID)
 		cancel(nil)
 		stop()
+		leave()
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,6 +40,7 @@
 
 	"github.com/pomelospring/pomelospring/budget"
 	"github.com/pomelospring/pomelospring/configuration"
+	"github.com/pomelospring/pomelospring/connection"
 	"github.com/pomelospring/pomelospring/stream"
 )
 
@@ -331,6 +332,7 @@
 		MaxHeaderBytes:    d.settings.Callers.HeaderBytes,
 		IdleTimeout:       d.settings.Callers.IdleTime,
 		ErrorLog:          events.NewErrorLog(d.logger),
+		ConnContext:       connection.Remember,
 	}
 }
 
--- a/front/front.go
+++ b/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/gorilla/mux"
 	"github.com/oklog/run"
 	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/connection"
 	"github.com/pomelospring/pomelospring/coordination"
 	"github.com/pomelospring/pomelospring/entry"
 	"github.com/pomelospring/pomelospring/events"
@@ -467,6 +468,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          events.NewErrorLog(f.logger),
+		ConnContext:       connection.Remember,
 	}
 	f.addServer(group, server, listener)
 	interrupted, interrupt := context.WithCancel(context.Background())
