Notice callers that leave behind bytes that follow their request

What callers saw: the same GONE, wherever bytes come after a request, as a line break that old clients send or a request sent ahead. Cause: the HTTP server looks one byte ahead on the connection and then no more until the answer is written, so the close behind it stays unseen, and the server works to the end of the run. Change: the connection of a request is looked at every 200 ms.

--- a/connection/connection.go
+++ b/connection/connection.go
@@ -7,10 +7,16 @@
 	"context"
 	"net"
 	"syscall"
+	"time"
 
+	"github.com/pomelospring/pomelospring"
 	"golang.org/x/sys/unix"
 )
 
+// watchInterval is the time between looks at the connection of a request. The HTTP server
+// sees no close behind bytes that follow the request.
+const watchInterval = 200 * time.Millisecond
+
 type connectionKey struct{}
 
 // request is a request whose context ends when its caller is found to have left.
@@ -27,8 +33,8 @@
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
 
-// WithClose returns a context of a request that Check ends if the caller has closed its
-// connection.
+// WithClose returns a context of a request that ends soon after the caller has closed its
+// connection, and at once where Check finds the close.
 func WithClose(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	conn := ctx.Value(connectionKey{})
@@ -43,10 +49,21 @@
 	if err != nil {
 		return ctx, cancel
 	}
-	return context.WithValue(ctx, requestKey{}, &request{
+	r := &request{
 		raw:    raw,
 		cancel: cancel,
-	}), cancel
+	}
+	go r.watch(ctx)
+	return context.WithValue(ctx, requestKey{}, r), cancel
+}
+
+// watch looks for the close of the connection until the request has ended.
+func (r *request) watch(ctx context.Context) {
+	for pomelospring.Sleep(ctx, watchInterval) == nil {
+		if isClosed(r.raw) {
+			r.cancel()
+		}
+	}
 }
 
 // Check returns the error of a request's context, which it ends if the caller has closed
--- a/front/left_caller_test.go
+++ b/front/left_caller_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/pomelospring/pomelospring/platform"
+	"github.com/pomelospring/pomelospring/standin"
 )
 
 // dialCorked connects to the instance for callers. What is written arrives with the close
@@ -81,3 +84,95 @@
 	}
 	return count
 }
+
+// heldRun is a server's answer that goes on until its connection closes, or for
+// maxHeldRun.
+type heldRun struct {
+	worker *worker
+	// events is the number of events that are sent before.
+	events int
+	began  chan struct{}
+	// ended gets the time at which the connection closed; zero if it did not.
+	ended chan time.Time
+}
+
+const maxHeldRun = 3 * time.Second
+
+func (h *heldRun) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == standin.PathReport || r.URL.Path == standin.PathOrder || r.Header.Get(standin.HeaderRequestID) != "held" {
+		h.worker.ServeHTTP(out, r)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	out.Header().Set(standin.HeaderStamp, h.worker.id)
+	out.Header().Set(standin.HeaderRequestID, "held")
+	for n := range h.events {
+		fmt.Fprintf(out, "id: %d\ndata: x\n\n", n+1)
+		_ = http.NewResponseController(out).Flush()
+	}
+	h.began <- struct{}{}
+	select {
+	case <-r.Context().Done():
+		h.ended <- time.Now()
+	case <-time.After(maxHeldRun):
+		h.ended <- time.Time{}
+	}
+}
+
+// TestRunOutlastsItsCaller guards against servers that are at work on calls whose callers
+// have left, also if bytes that follow the request hide the close.
+func TestRunOutlastsItsCaller(t *testing.T) {
+	const head = "Host: shop.example\r\nX-Pomelospring-Request-Id: held\r\nX-Pomelospring-Deadline-Ms: 8000\r\nAuthorization: Bearer k1\r\nContent-Length: 3\r\n"
+	const streamHead = "X-Pomelospring-Model-Id: m/a1\r\nX-Pomelospring-Token-Count: 100,10\r\n"
+	requests := []struct {
+		name    string
+		request string
+		events  int
+	}{
+		{name: "a lookup", request: "POST /lookup/1 HTTP/1.1\r\n" + head + "\r\nabc"},
+		{name: "an order", request: "POST /order/1 HTTP/1.1\r\n" + head + "\r\nabc"},
+		{name: "a stream before its first event", request: "POST /proof/1 HTTP/1.1\r\n" + head + streamHead + "\r\nabc"},
+		{name: "a stream between events", request: "POST /proof/1 HTTP/1.1\r\n" + head + streamHead + "\r\nabc", events: 2},
+	}
+	followers := []struct{ name, bytes string }{
+		{name: "", bytes: ""},
+		{name: " with a line break behind", bytes: "\r\n"},
+		{name: " with a byte behind", bytes: "\n"},
+		{name: " with a request behind", bytes: "GET /lookup/2 HTTP/1.1\r\nHost: shop.example\r\n\r\n"},
+	}
+	store, address, w := newStoreWithWorker(t)
+	app := newWorker(t, "i-app")
+	app.service = "app"
+	runs := []*heldRun{{worker: w}, {worker: app}}
+	began, ended := make(chan struct{}, 1), make(chan time.Time, 1)
+	for _, run := range runs {
+		run.began, run.ended = began, ended
+		run.worker.server.Config.Handler = run
+	}
+	store.Put(platform.ServerTopic, app.id, app.entry("ready"))
+	i := startInstance(t, "a", address)
+	eventually(t, "serves", func() bool { return i.serves("k1", "a1") && i.sendTo("probe", "/lookup/1") == 200 })
+	for _, request := range requests {
+		for _, follower := range followers {
+			t.Run(request.name+follower.name, func(t *testing.T) {
+				runs[0].events = request.events
+				conn, err := net.Dial("tcp", i.config.Listen.Callers)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = fmt.Fprint(conn, request.request)
+				<-began
+				_, _ = fmt.Fprint(conn, follower.bytes)
+				time.Sleep(50 * time.Millisecond)
+				left := time.Now()
+				_ = conn.Close()
+				switch end := <-ended; {
+				case end.IsZero():
+					t.Errorf("the server was at work %s after the caller had left", maxHeldRun)
+				case end.Sub(left) > 500*time.Millisecond:
+					t.Errorf("the server was at work until %s after the caller had left, want 500 ms at most", end.Sub(left))
+				}
+			})
+		}
+	}
+}
