Don't count a server as unreachable because its caller left

What callers saw: sound servers got fewer calls for some seconds after callers had left. Change: such an end counts neither as a failure nor as unreachable.

--- a/entry/broken_server_test.go
+++ b/entry/broken_server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -279,6 +280,29 @@
 	}
 }
 
+// connecting leaves calls without a connection, and lets the caller leave meanwhile.
+type connecting struct{ leave func() }
+
+func (c connecting) Send(ctx context.Context, _ *pomelospring.Call, _ pomelospring.Dispatch) (*pomelospring.BackendAnswer, error) {
+	c.leave()
+	return nil, fmt.Errorf("%w: %w", pomelospring.ErrNotSent, ctx.Err())
+}
+
+// TestServerCountsAsUnreachableAfterItsCallerLeft guards against sound servers that get
+// fewer calls because callers left while connections to them were being made.
+func TestServerCountsAsUnreachableAfterItsCallerLeft(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	service := newService(nil, false)
+	service.Backend = connecting{leave: leave}
+	left := &pomelospring.Call{ID: "r1", Host: "shop.example", Path: "/order/1", Key: key, Arrived: time.Now()}
+	service.Serve(ctx, left, &responder{})
+	for _, candidate := range service.Board.Candidates("app", left, nil, time.Now()) {
+		if candidate.FailureRate > 0 {
+			t.Errorf("server %s counts as failing %.2f of its calls", candidate.Server.ID, candidate.FailureRate)
+		}
+	}
+}
+
 // TestStatusThatIsNoFinalOneIsNotForwarded guards against connections that were closed
 // without an answer, as net/http panics on such a status.
 func TestStatusThatIsNoFinalOneIsNotForwarded(t *testing.T) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -374,15 +374,18 @@
 // the call has ended.
 func (a *attempt) handleSendError(ctx context.Context, err error) (done bool) {
 	c, server := a.session, a.server
-	a.end(!a.isSilent())
+	notSent := errors.Is(err, pomelospring.ErrNotSent)
+	// That no connection was made before the caller left shows nothing of the server.
+	proves := !notSent || !errors.Is(ctx.Err(), context.Canceled)
+	a.end(proves && !a.isSilent())
 	err = a.cause(err)
 	c.avoid[server.ID] = true
-	notSent := errors.Is(err, pomelospring.ErrNotSent)
-	if notSent {
+	if notSent && proves {
 		c.unreachable++
 		c.service.Board.RecordUnreachable(server.ID, c.service.Clock())
 		c.service.recordConnectTimeout(server, err)
-	} else {
+	}
+	if !notSent {
 		c.attemptsSent++
 		c.attemptsExecuted++
 		a.recordBreak(ctx)
