Let streams go on at the software version that began them only

What callers saw: streams joined from two software versions, with 200 and nothing to show it (ORDER), resumed inside an answer, taken over from a silent server, or taken up again at any instance, most of all after all instances were killed. Cause: neither a server's version nor Resumes was used anywhere. Change: the first event binds a stream to its server's version; resumptions, takeovers and placements leave the other versions out. The start (call, version, server) is kept here, and while servers of several versions serve or did so within a minute, written to the store in batches, off the path of the call; leaders record the versions of each service. A call that takes a stream up again goes to the version that is found for Resumes here or in the store; where only one version has served, to that one; else it is refused at once as originUnknown or originGone. A server that goes on with a stream is asked whether it was started anew, as it may be back under its ID with another version. Ruled out: a choice of version by a hash of what callers send again needs no record, but refuses all of the share that moved between versions for as long as a stream lasts, and needs every adapter at each version.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -242,6 +242,7 @@
 	}
 	a.recordOutput()
 	if !c.forwarded {
+		c.beginAt(&a.server)
 		c.beginStream(answer)
 		c.countServed()
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -115,7 +115,7 @@
 // chooseAmongCandidates chooses a server among those that have what the call needs.
 func (c *session) chooseAmongCandidates() (choice dispatch.Choice, count int) {
 	s := c.service
-	candidates := s.Board.Candidates(c.targetService, c.call, c.avoid, s.Clock())
+	candidates := s.Board.Candidates(c.targetService, c.call, c.withOtherSoftware(c.avoid), s.Clock())
 	return dispatch.Choose(candidates, c.requirements()), len(candidates)
 }
 
@@ -221,7 +221,7 @@
 		Adapter:  c.call.Adapter,
 		Domain:   c.service.Board.Domain,
 		Deadline: deadline,
-		Unusable: c.service.Board.UnusableServers(c.targetService, turnBy, c.service.Clock()),
+		Unusable: append(c.service.Board.UnusableServers(c.targetService, turnBy, c.service.Clock()), c.otherSoftware()...),
 	}
 	for id := range avoid {
 		switch {
@@ -333,10 +333,20 @@
 	c.service.Board.BeginCall(a.server.ID, c.call.Adapter, a.prefillTokens)
 	c.service.Board.RecordProbe(a.server.ID, c.service.Clock())
 	answer, err = c.service.Backend.Send(ctx, c.call, c.dispatch(a.choice, resumeAfter))
-	if err == nil {
-		c.service.notices().Record(a.server, answer.Notice)
+	if err != nil {
+		return nil, err
+	}
+	c.service.notices().Record(a.server, answer.Notice)
+	if resumeAfter == "" || answer.NotRun {
+		return answer, nil
+	}
+	if err = a.confirmSoftware(ctx); err != nil {
+		_ = answer.Body.Close()
+		// The server did not end under this call.
+		a.isProven = true
+		return nil, err
 	}
-	return answer, err
+	return answer, nil
 }
 
 // conclude takes an attempt from the head of its answer, or the error in place of
--- a/entry/service.go
+++ b/entry/service.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -67,6 +68,8 @@
 	// prompt parts under which workers ended.
 	Engine     pomelospring.Engine
 	Quarantine *quarantine.Register
+	// Origins says at which software version streams began; it may be nil.
+	Origins pomelospring.StreamOrigins
 
 	mu      sync.Mutex
 	retries map[string]*retry.Budget
@@ -152,6 +155,9 @@
 	longestPause time.Duration
 	// placementTime is how long the call waited for its adapter to be placed.
 	placementTime time.Duration
+	// software is the version at which alone the stream may go on; nil before its first
+	// event.
+	software atomic.Pointer[string]
 	// resumedServer is the server of the last resumption that was logged.
 	resumedServer string
 	// successor is the attempt that has taken the call over from the last one.
@@ -222,6 +228,9 @@
 	if refusal = c.checkQuarantine(ctx, now); refusal != nil {
 		return refusal
 	}
+	if refusal = c.findOrigin(ctx, now); refusal != nil {
+		return refusal
+	}
 	c.retries = s.retryBudget(c.targetService)
 	c.retries.RecordAttempt()
 	return c.charge(team, now)
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -52,6 +52,9 @@
 	PartsBlocked   = define(229, "partsBlocked", log.WarnLevel, "Calls with all of these prompt parts, or this content (a hash of caller, target and body), are kept from backend servers, because servers end under them; the fields give the number of ended servers and the teams, none for all. No parts: no call is.")
 	PartsTried     = define(230, "partsTried", log.WarnLevel, "A blocked call was let through, to see whether backend servers still end under it.")
 
+	OriginsNotKept   = define(235, "originsNotKept", log.WarnLevel, "At which software version streams began could not be read or written; this is tried again, and logged once until it succeeds, or with the call that asked.")
+	SoftwareVersions = define(236, "softwareVersions", log.InfoLevel, "The leader of a failure domain recorded the software versions of a service's servers, those that left lately included; while there are several, the starts of streams are recorded.")
+
 	BlockLifted = define(231, "blockLifted", log.WarnLevel, "An operator lifted a block; the fields give its parts. It comes back after further ends of servers.")
 
 	BlocksRead    = define(232, "blocksRead", log.InfoLevel, "The leader of a failure domain read the blocks that the fleet had recorded in the store; the field gives their number. They hold until they expire.")
--- a/fleet/server_index.go
+++ b/fleet/server_index.go
@@ -23,6 +23,8 @@
 	pools   map[poolKey]*pool
 	// domains is the number of failure domains that have servers.
 	domains int
+	// software counts the servers by service and software version.
+	software map[string]map[string]int
 }
 
 // poolKey names the servers of a service, or those of them that hold a base model.
@@ -87,8 +89,13 @@
 func (i *serverIndex) rebuildPools(servers map[string]pomelospring.FleetServer, ownDomain string) {
 	i.pools = map[poolKey]*pool{}
 	domains := map[string]bool{}
+	i.software = map[string]map[string]int{}
 	for _, server := range servers {
 		domains[server.Domain] = true
+		if i.software[server.Service] == nil {
+			i.software[server.Service] = map[string]int{}
+		}
+		i.software[server.Service][server.Software]++
 		if server.Draining {
 			continue
 		}
--- a/front/front.go
+++ b/front/front.go
@@ -25,6 +25,7 @@
 	"github.com/pomelospring/pomelospring/events"
 	"github.com/pomelospring/pomelospring/fleet"
 	"github.com/pomelospring/pomelospring/metrics"
+	"github.com/pomelospring/pomelospring/origin"
 	"github.com/pomelospring/pomelospring/peer"
 	"github.com/pomelospring/pomelospring/platform"
 	"github.com/pomelospring/pomelospring/quarantine"
@@ -86,6 +87,7 @@
 	elections   []*coordination.Election
 	coordinator *coordination.PlacementCoordinator
 	quarantine  *quarantine.Register
+	origins     *origin.Keeper
 	// home is the member of this instance's own domain.
 	home     *coordination.Member
 	instance string
@@ -153,6 +155,16 @@
 		Clock:  clock,
 	}.Record
 	f.wireCoordination()
+	f.origins = &origin.Keeper{
+		Store:           f.store,
+		Register:        origin.NewRegister(),
+		Board:           f.board,
+		LeadsAny:        f.leadsAny,
+		Instances:       f.home.InstanceCount,
+		FirstFleetStart: config.FirstStart,
+		Logger:          logger,
+		Clock:           clock,
+	}
 	f.service = &entry.Service{
 		Board:       f.board,
 		Backend:     f.backends,
@@ -163,6 +175,7 @@
 		Counters:    f.metrics,
 		Engine:      f.engines,
 		Quarantine:  f.quarantine,
+		Origins:     f.origins,
 		RetrySlack:  config.Bounds.RetrySlack / assumedInstances,
 	}
 	f.retrySlack.Store(&config.Bounds.RetrySlack)
@@ -344,6 +357,7 @@
 	var group run.Group
 	addLoop(&group, f.logWriter.Run)
 	addLoop(&group, f.blockKeeper().Run)
+	addLoop(&group, f.origins.Run)
 	addLoop(&group, f.operatorFollower().Run)
 	addLoop(&group, f.serverFollower().Run)
 	addLoop(&group, f.watchSettings)
--- a/front/software_version_test.go
+++ b/front/software_version_test.go
@@ -39,7 +39,9 @@
 	born     int64
 	// breaksOff is the part of the runs that end after some events.
 	breaksOff float64
-	runs      atomic.Int64
+	// stalls is the part of the runs that fall silent after some events.
+	stalls float64
+	runs   atomic.Int64
 }
 
 func newVersionedWorker(t *testing.T, store *standin.Store, id, software string) *versionedWorker {
@@ -70,16 +72,16 @@
 
 func (v *versionedWorker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	v.mu.Lock()
-	software, born, breaksOff := v.software, v.born, v.breaksOff
+	software, born, breaksOff, stalls := v.software, v.born, v.breaksOff, v.stalls
 	v.mu.Unlock()
 	switch r.URL.Path {
 	case standin.PathReport:
 		recorder := httptest.NewRecorder()
-		v.worker.report(recorder)
-		fmt.Fprint(out, strings.Replace(recorder.Body.String(), `"born":1000`, fmt.Sprintf(`"born":%d`, born), 1))
+		v.report(recorder)
+		_, _ = fmt.Fprint(out, strings.Replace(recorder.Body.String(), `"born":1000`, fmt.Sprintf(`"born":%d`, born), 1))
 		return
 	case standin.PathOrder:
-		v.worker.order(out, r)
+		v.order(out, r)
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
@@ -93,6 +95,12 @@
 		if n > last+1 && float64(run%10) < 10*breaksOff {
 			panic(http.ErrAbortHandler)
 		}
+		if n == last+eventsTillLeft && float64(run%10) < 10*stalls {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(maxHeldRun):
+			}
+		}
 		time.Sleep(20 * time.Millisecond)
 	}
 }
@@ -228,12 +236,17 @@
 		between func(t *testing.T, f *versionFleet, instances []*instance) []*instance
 		// breaksOff is the part of the runs that end after some events.
 		breaksOff float64
+		// stalls is the part of the runs that fall silent after some events.
+		stalls float64
 		// lost is a software version whose streams can't go on.
 		lost string
 		// complete is the least part of the other streams that must end whole.
 		complete float64
 	}{
-		{name: "broken off by their servers", breaksOff: 0.3, complete: 0.9, between: func(_ *testing.T, f *versionFleet, instances []*instance) []*instance {
+		{name: "broken off by their servers", breaksOff: 0.3, complete: 0.9, between: func(_ *testing.T, _ *versionFleet, instances []*instance) []*instance {
+			return instances
+		}},
+		{name: "taken over from silent servers", stalls: 0.3, complete: 0.9, between: func(_ *testing.T, _ *versionFleet, instances []*instance) []*instance {
 			return instances
 		}},
 		{name: "taken up at the same instance", complete: 0.95, between: func(_ *testing.T, f *versionFleet, instances []*instance) []*instance {
@@ -263,44 +276,19 @@
 			f := newVersionFleet(t)
 			instances := []*instance{f.startServing(t, "a"), f.startServing(t, "b")}
 			events := eventsTillLeft
-			if scenario.breaksOff > 0 {
+			if scenario.breaksOff+scenario.stalls > 0 {
 				events = streamEvents
 				for _, v := range f.workers {
-					v.breaksOff = scenario.breaksOff
+					v.breaksOff, v.stalls = scenario.breaksOff, scenario.stalls
 				}
 			}
 			f.readAll(instances, 1, events)
 			// What an instance keeps for others is written some time later.
 			time.Sleep(500 * time.Millisecond)
-			began := make([]string, len(f.streams))
-			for n, s := range f.streams {
-				for version := range s.versions {
-					began[n] = version
-				}
-			}
+			began := f.versionsBegun()
 			instances = scenario.between(t, f, instances)
-			for try := 2; try < 5; try++ {
-				var broken []*callerStream
-				for _, s := range f.streams {
-					if s.events > 0 && s.events < streamEvents {
-						broken = append(broken, s)
-					}
-				}
-				(&versionFleet{streams: broken}).readAll(instances, try, streamEvents)
-			}
-			mixed, complete, expected := 0, 0, 0
-			for n, s := range f.streams {
-				if len(s.versions) > 1 {
-					mixed++
-				}
-				if began[n] == "" || began[n] == scenario.lost {
-					continue
-				}
-				expected++
-				if s.events == streamEvents && len(s.versions) == 1 {
-					complete++
-				}
-			}
+			f.takeUp(instances)
+			mixed, complete, expected := f.count(began, scenario.lost)
 			t.Logf("%d streams of two versions, %d of %d whole", mixed, complete, expected)
 			if mixed > maxMixedStreams {
 				t.Errorf("%d of %d streams hold events of two software versions", mixed, len(f.streams))
@@ -312,6 +300,48 @@
 	}
 }
 
+// versionsBegun returns the software version at which each stream began.
+func (f *versionFleet) versionsBegun() []string {
+	began := make([]string, len(f.streams))
+	for n, s := range f.streams {
+		for version := range s.versions {
+			began[n] = version
+		}
+	}
+	return began
+}
+
+// takeUp takes the streams that are not whole up again, three times at most.
+func (f *versionFleet) takeUp(instances []*instance) {
+	for try := 2; try < 5; try++ {
+		var broken []*callerStream
+		for _, s := range f.streams {
+			if s.events > 0 && s.events < streamEvents {
+				broken = append(broken, s)
+			}
+		}
+		(&versionFleet{streams: broken}).readAll(instances, try, streamEvents)
+	}
+}
+
+// count counts the streams that hold events of several software versions, and those that
+// are whole among those expected to be: all that began at another version than lost.
+func (f *versionFleet) count(began []string, lost string) (mixed, complete, expected int) {
+	for n, s := range f.streams {
+		if len(s.versions) > 1 {
+			mixed++
+		}
+		if began[n] == "" || began[n] == lost {
+			continue
+		}
+		expected++
+		if s.events == streamEvents && len(s.versions) == 1 {
+			complete++
+		}
+	}
+	return mixed, complete, expected
+}
+
 // newInstances replaces all instances, after a change of the fleet.
 func newInstances(change func(f *versionFleet)) func(t *testing.T, f *versionFleet, instances []*instance) []*instance {
 	return func(t *testing.T, f *versionFleet, instances []*instance) []*instance {
@@ -319,7 +349,9 @@
 			i.stop()
 		}
 		for _, i := range instances {
-			<-i.done
+			if err := <-i.done; err != nil {
+				t.Error(err)
+			}
 		}
 		if change != nil {
 			change(f)
--- /dev/null
+++ b/origin/keeper.go
@@ -0,0 +1,194 @@
+package origin
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/events"
+	"github.com/pomelospring/pomelospring/fleet"
+)
+
+const (
+	// minWriteInterval is the shortest time between writes of one instance, and
+	// writeIntervalPerInstance what each instance adds to it, so that the store's one
+	// partition takes the writes of any number of instances.
+	minWriteInterval         = 150 * time.Millisecond
+	writeIntervalPerInstance = 5 * time.Millisecond
+	// restartMargin is how far the clocks of a server and an instance may differ.
+	restartMargin = 2 * time.Second
+	// lookupTimeout bounds the question to the store where a stream began, for which a
+	// call waits.
+	lookupTimeout = 500 * time.Millisecond
+)
+
+// Keeper writes the starts of streams to the store while servers of several software
+// versions serve, and finds those that other instances wrote.
+type Keeper struct {
+	Store    pomelospring.OriginStore
+	Register *Register
+	Board    *fleet.Board
+	// LeadsAny reports whether this instance leads a failure domain, and so records the
+	// software versions of the services.
+	LeadsAny func() bool
+	// Instances returns the number of instances.
+	Instances func() int
+	// FirstFleetStart says that the whole fleet is starting for the first time, so that
+	// nothing is recorded yet.
+	FirstFleetStart bool
+	Logger          log.Interface
+	Clock           pomelospring.Clock
+
+	// recorded has the software versions that the store has, by service.
+	recorded map[string][]string
+	failing  bool
+
+	// reading protects what follows, and lets one call at a time read the store.
+	reading sync.Mutex
+	next    pomelospring.TopicPosition
+	readAt  time.Time
+}
+
+var _ pomelospring.StreamOrigins = (*Keeper)(nil)
+
+// Run keeps the records up to date until the context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	if k.FirstFleetStart {
+		k.Register.AddHistory(nil, k.Clock())
+	}
+	for ; ctx.Err() == nil; _ = pomelospring.Sleep(ctx, k.interval()) {
+		err := k.keep(ctx)
+		if err != nil && !k.failing && ctx.Err() == nil {
+			events.Log(k.Logger, events.OriginsNotKept, log.Fields{
+				"error": err.Error(),
+			})
+		}
+		k.failing = err != nil
+	}
+	return nil
+}
+
+func (k *Keeper) interval() time.Duration {
+	return max(minWriteInterval, time.Duration(k.Instances())*writeIntervalPerInstance)
+}
+
+// keep writes what the store lacks.
+func (k *Keeper) keep(ctx context.Context) error {
+	now := k.Clock()
+	listed := k.Board.SoftwareVersions()
+	k.Register.SeeVersions(listed, now)
+	if err := k.readHistory(ctx, now); err != nil {
+		return err
+	}
+	if starts := k.Register.Unwritten(now); len(starts) > 0 {
+		if err := k.Store.AppendStarts(ctx, starts); err != nil {
+			return err
+		}
+		k.Register.Written(starts, now)
+	}
+	if !k.LeadsAny() {
+		k.recorded = nil
+		return nil
+	}
+	return k.writeHistory(ctx)
+}
+
+// readHistory reads, once, which software versions served before this instance started.
+func (k *Keeper) readHistory(ctx context.Context, now time.Time) error {
+	if _, complete := k.Register.Versions(""); complete {
+		return nil
+	}
+	versions, err := k.Store.SoftwareVersions(ctx)
+	if err != nil {
+		return err
+	}
+	k.Register.AddHistory(versions, now)
+	return nil
+}
+
+// writeHistory records the software versions of each service where they have changed.
+func (k *Keeper) writeHistory(ctx context.Context) (err error) {
+	for _, service := range k.Register.Services() {
+		current, _ := k.Register.Versions(service)
+		if recorded, known := k.recorded[service]; known && slices.Equal(current, recorded) {
+			continue
+		}
+		if err = k.Store.WriteSoftwareVersions(ctx, service, current); err != nil {
+			return err
+		}
+		if k.recorded == nil {
+			k.recorded = map[string][]string{}
+		}
+		k.recorded[service] = current
+		events.Log(k.Logger, events.SoftwareVersions, log.Fields{
+			"service":  service,
+			"versions": current,
+		})
+	}
+	return nil
+}
+
+// Begin implements pomelospring.StreamOrigins.
+func (k *Keeper) Begin(start pomelospring.StreamStart) { k.Register.Begin(start, k.Clock()) }
+
+// Several implements pomelospring.StreamOrigins.
+func (k *Keeper) Several(service string) bool { return k.Register.Several(service, k.Clock()) }
+
+// Origin implements pomelospring.StreamOrigins.
+func (k *Keeper) Origin(ctx context.Context, service, call string) (software string, known bool) {
+	start, found := k.Register.Find(call)
+	if !found && call != "" {
+		if err := k.refresh(ctx); err != nil {
+			events.Log(k.Logger, events.OriginsNotKept, log.Fields{
+				"call":  call,
+				"error": err.Error(),
+			})
+		}
+		start, found = k.Register.Find(call)
+	}
+	if found {
+		return start.Software, !k.startedAnew(&start)
+	}
+	k.Register.SeeVersions(k.Board.SoftwareVersions(), k.Clock())
+	versions, complete := k.Register.Versions(service)
+	if complete && len(versions) == 1 {
+		return versions[0], true
+	}
+	return "", false
+}
+
+// startedAnew reports whether the server of a start may have been started anew before, so
+// that its software version was another one than its entry said.
+func (k *Keeper) startedAnew(start *pomelospring.StreamStart) bool {
+	server, listed := k.Board.Server(start.Server)
+	return listed && server.Started.After(start.ServerStarted) && start.At.After(server.Started.Add(-restartMargin))
+}
+
+// refresh reads the starts that were recorded since the last read, unless another call
+// has done so since this one asked.
+func (k *Keeper) refresh(ctx context.Context) error {
+	askedAt := k.Clock()
+	k.reading.Lock()
+	defer k.reading.Unlock()
+	if k.readAt.After(askedAt) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	readAt := k.Clock()
+	for {
+		starts, next, err := k.Store.Starts(ctx, k.next)
+		if err != nil {
+			return err
+		}
+		k.next = next
+		k.Register.Merge(starts, k.Clock())
+		if len(starts) == 0 {
+			k.readAt = readAt
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/origin/register.go
@@ -0,0 +1,185 @@
+// Package origin keeps at which software version streams began, so that they go on at
+// that version only, also after all instances have started anew.
+package origin
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+)
+
+const (
+	// retention is how long a start is kept, and how long a software version counts
+	// after its last server has left. Callers take no stream up after that.
+	retention = time.Minute
+	// rewriteInterval is the time after which a start that may still be asked for is
+	// written again: the store's history is short.
+	rewriteInterval = 8 * time.Second
+	// maxStarts bounds the starts that are kept.
+	maxStarts = 200_000
+)
+
+// Register holds the starts of streams, and the software versions of each service. It is
+// safe for concurrent use.
+type Register struct {
+	mu     sync.Mutex
+	starts map[string]*kept
+	// versions has when a server of each software version was last listed, by service.
+	versions map[string]map[string]time.Time
+	// complete is set once versions has those from before this instance started.
+	complete bool
+	prunedAt time.Time
+}
+
+// kept is a start with when it was last written; zero for a start that was read.
+type kept struct {
+	pomelospring.StreamStart
+	// own says that this instance answered the stream, and so writes its start.
+	own       bool
+	writtenAt time.Time
+	keptAt    time.Time
+}
+
+// NewRegister returns an empty register.
+func NewRegister() *Register {
+	return &Register{
+		starts:   map[string]*kept{},
+		versions: map[string]map[string]time.Time{},
+	}
+}
+
+// Begin adds the start of a stream that this instance answers.
+func (r *Register) Begin(start pomelospring.StreamStart, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.add(start, true, now)
+}
+
+// Merge adds starts that other instances recorded.
+func (r *Register) Merge(starts []pomelospring.StreamStart, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, start := range starts {
+		r.see(start.Service, start.Software, now)
+		if r.starts[start.Call] == nil {
+			r.add(start, false, now)
+		}
+	}
+}
+
+// add adds a start, and drops old ones now and then. The caller holds the lock.
+func (r *Register) add(start pomelospring.StreamStart, own bool, now time.Time) {
+	if now.Sub(r.prunedAt) > retention/4 || len(r.starts) >= maxStarts {
+		r.prunedAt = now
+		maps.DeleteFunc(r.starts, func(_ string, k *kept) bool { return now.Sub(k.keptAt) > retention })
+	}
+	if len(r.starts) >= maxStarts {
+		return
+	}
+	r.starts[start.Call] = &kept{
+		StreamStart: start,
+		own:         own,
+		keptAt:      now,
+	}
+}
+
+// Find returns the start of a stream by the call that began it.
+func (r *Register) Find(call string) (start pomelospring.StreamStart, found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if k := r.starts[call]; k != nil {
+		return k.StreamStart, true
+	}
+	return pomelospring.StreamStart{}, false
+}
+
+// Unwritten lists the own starts that the store should have and lacks, at services with
+// several software versions.
+func (r *Register) Unwritten(now time.Time) (starts []pomelospring.StreamStart) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, k := range r.starts {
+		if k.own && now.Sub(k.keptAt) < retention && now.Sub(k.writtenAt) > rewriteInterval && r.several(k.Service, now) {
+			starts = append(starts, k.StreamStart)
+		}
+	}
+	return starts
+}
+
+// Written records that the store has starts.
+func (r *Register) Written(starts []pomelospring.StreamStart, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, start := range starts {
+		if k := r.starts[start.Call]; k != nil {
+			k.writtenAt = now
+		}
+	}
+}
+
+// SeeVersions records the software versions whose servers are listed.
+func (r *Register) SeeVersions(versions map[string][]string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, list := range versions {
+		for _, software := range list {
+			r.see(service, software, now)
+		}
+	}
+	for _, seen := range r.versions {
+		maps.DeleteFunc(seen, func(_ string, at time.Time) bool { return now.Sub(at) > retention })
+	}
+}
+
+// see records a version of a service. The caller holds the lock.
+func (r *Register) see(service, software string, now time.Time) {
+	seen := r.versions[service]
+	if seen == nil {
+		seen = map[string]time.Time{}
+		r.versions[service] = seen
+	}
+	seen[software] = now
+}
+
+// AddHistory adds the versions that served before this instance started.
+func (r *Register) AddHistory(versions map[string][]string, now time.Time) {
+	r.SeeVersions(versions, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.complete = true
+}
+
+// Versions lists the software versions of a service that serve or did so lately. complete
+// is false while others may have served before this instance started.
+func (r *Register) Versions(service string) (versions []string, complete bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.versions[service])), r.complete
+}
+
+// Services lists the services whose versions are known.
+func (r *Register) Services() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.versions))
+}
+
+// Several reports whether several software versions serve a service, or did so lately.
+func (r *Register) Several(service string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.several(service, now)
+}
+
+func (r *Register) several(service string, now time.Time) bool {
+	count := 0
+	for _, at := range r.versions[service] {
+		if now.Sub(at) <= retention {
+			count++
+		}
+	}
+	return count > 1
+}
--- a/refusal.go
+++ b/refusal.go
@@ -38,6 +38,8 @@
 	CodeNoBackendServer    Code = "noBackendServer"
 	CodePartBlocked        Code = "partBlocked"
 	CodeRequestBlocked     Code = "requestBlocked"
+	CodeOriginUnknown      Code = "originUnknown"
+	CodeOriginGone         Code = "originGone"
 	CodeBackendServerError Code = "backendServerError"
 	CodeLoadFailed         Code = "loadFailed"
 	CodeStopping           Code = "stopping"
