Send a call to the same server again over a new connection

What callers saw (operators of a system like ours): 'not run, try again' for a request that a server was running, as the server sent an earlier refusal once more on a kept connection. Cause here: the copy bears the call's own ID where a call goes to the same server again, as after a 421 for an adapter that was still loading; the ID tells only other calls' answers apart. Calls that must not repeat have always had connections of their own, so only repeatable ones were concerned. Change: a second send to a server never uses a kept connection. Result: the test passes.

--- a/entry/broken_server_test.go
+++ b/entry/broken_server_test.go
@@ -280,6 +280,40 @@
 	}
 }
 
+// copying answers each first send to a server with 421, and records which later ones go
+// over a connection that may bring that answer once more.
+type copying struct {
+	sent map[string]int
+	kept int
+}
+
+func (c *copying) Send(_ context.Context, _ *pomelospring.Call, dispatch pomelospring.Dispatch) (*pomelospring.BackendAnswer, error) {
+	c.sent[dispatch.Server.ID]++
+	if c.sent[dispatch.Server.ID] == 1 {
+		return &pomelospring.BackendAnswer{Status: http.StatusMisdirectedRequest, Body: http.NoBody, NotRun: true, Misdirected: true}, nil
+	}
+	if !dispatch.FreshConnection {
+		c.kept++
+	}
+	return &pomelospring.BackendAnswer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(events3)), Signed: true, Length: -1}, nil
+}
+
+// TestRefusalOfAnEarlierSendAnswersTheNext guards against calls that are reported as not
+// run although the server runs them, because it sent an earlier refusal once more.
+func TestRefusalOfAnEarlierSendAnswersTheNext(t *testing.T) {
+	service := newService(nil, false)
+	backends := &copying{sent: map[string]int{}}
+	service.Backend = backends
+	service.Serve(t.Context(), &pomelospring.Call{ID: "r1", Host: "shop.example", Path: "/proof/1", Key: key, Adapter: "m/x", Arrived: time.Now()}, &responder{})
+	again := 0
+	for _, count := range backends.sent {
+		again += count - 1
+	}
+	if again == 0 || backends.kept > 0 {
+		t.Errorf("%d of %d sends to a server that had refused the call went over a kept connection", backends.kept, again)
+	}
+}
+
 // connecting leaves calls without a connection, and lets the caller leave meanwhile.
 type connecting struct{ leave func() }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -369,14 +369,16 @@
 // dispatch returns what the backend client needs to send the call.
 func (c *session) dispatch(choice dispatch.Choice, resumeAfter string) pomelospring.Dispatch {
 	d := pomelospring.Dispatch{
-		Server:          choice.Candidate.Server,
-		Team:            c.team,
-		Priority:        c.priority,
-		AdapterVersion:  choice.Candidate.Version,
-		ResumeAfter:     resumeAfter,
-		Deadline:        c.deadline,
-		FreshConnection: !c.route.Repeatable(),
-	}
+		Server:         choice.Candidate.Server,
+		Team:           c.team,
+		Priority:       c.priority,
+		AdapterVersion: choice.Candidate.Version,
+		ResumeAfter:    resumeAfter,
+		Deadline:       c.deadline,
+		// A server may send its answer to the first send once more on a kept connection.
+		FreshConnection: !c.route.Repeatable() || c.sent[choice.Candidate.Server.ID],
+	}
+	c.sent[d.Server.ID] = true
 	if !c.call.NeedsAdapter() {
 		d.AdapterVersion = 0
 	}
