--- a/front/odd_entry_test.go
+++ b/front/odd_entry_test.go
@@ -15,7 +15,7 @@
 	entry := func(field, value string) string {
 		fields := map[string]string{"service": `"llm"`, "address": `"127.0.0.1:9"`, "zone": `"north"`, "version": `"v1"`, "slots": "8", "state": `"ready"`, "born": "1000", "models": `[{"name":"m","adapters":["a1@1"]}]`}
 		fields[field] = value
-		var pairs []string
+		pairs := make([]string, 0, len(fields))
 		for name, text := range fields {
 			pairs = append(pairs, fmt.Sprintf("%q:%s", name, text))
 		}
