Count both versions of an adapter that is being replaced

Suspected cause, found by reading: a replacement waits for its runs, and until then the worker holds the old version and loads the new one; the table counted one slot, also where a report lists both. The next load on that worker, with or without an eviction, is then one too many. Ruled out by reading: late orders, lost answers and other leaders, as each order names its sequence; restarts, as none had come back by then. Change: a slot says that it is replacing another version, counts twice, and ends with the worker's next report, which is asked for when the load should be done.

--- a/loading/placement_table.go
+++ b/loading/placement_table.go
@@ -161,6 +161,9 @@
 	cold      bool
 	// slowed says that the load took longer than at full speed, or was expected to.
 	slowed bool
+	// replacing says that the worker may hold an older version too, until calls on that
+	// one have ended.
+	replacing bool
 }
 
 // NewPlacementTable returns a table without workers.
@@ -257,6 +260,10 @@
 // DueReports lists the workers whose report is to be requested now.
 func (t *PlacementTable) DueReports(now time.Time) (servers []pomelospring.FleetServer) {
 	for _, w := range t.workers {
+		if w.synced && !w.orderInFlight && w.hasReplaced(now) {
+			// Only a report shows that the older version is gone.
+			w.synced = false
+		}
 		if !w.synced && !w.orderInFlight && !now.Before(w.nextReportAt) && !t.paused(w, now) {
 			w.nextReportAt = now.Add(reportRetryDelay)
 			servers = append(servers, w.server)
@@ -306,6 +313,7 @@
 	for _, loading := range report.Loading {
 		s := newResidentSlot(before[loading.Adapter], loading.Version, now)
 		s.readyAt = now.Add(coldLoadTime)
+		s.replacing = w.slots[loading.Adapter] != nil
 		t.setSlot(w, loading.Adapter, s)
 	}
 	w.synced = true
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -244,9 +244,14 @@
 // freeSlot finds a free slot on the worker, or the adapter to evict: the least
 // recently used one that has been unused for at least the idle time.
 func (w *worker) freeSlot(now time.Time, idle time.Duration) (evict string, found bool) {
-	if len(w.slots) < w.limits.AdapterSlots {
+	replacing := w.replacedVersions()
+	occupied := len(w.slots) + replacing
+	if occupied < w.limits.AdapterSlots {
 		return "", true
 	}
+	if replacing > 0 && occupied > w.limits.AdapterSlots {
+		return "", false
+	}
 	var oldest time.Time
 	for name, s := range w.slots {
 		if s.users > 0 || now.Before(s.readyAt) || now.Sub(s.lastUsed) < idle {
@@ -259,6 +264,26 @@
 	return evict, evict != ""
 }
 
+// replacedVersions counts the older versions that the worker may hold beside the newer ones.
+func (w *worker) replacedVersions() (count int) {
+	for _, s := range w.slots {
+		if s.replacing {
+			count++
+		}
+	}
+	return count
+}
+
+// hasReplaced reports whether a version that was being replaced may be gone by now.
+func (w *worker) hasReplaced(now time.Time) bool {
+	for _, s := range w.slots {
+		if s.replacing && !now.Before(s.readyAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // cost estimates the time until the first output of the adapter on a worker.
 func (t *PlacementTable) cost(w *worker, request pomelospring.PlacementRequest, now time.Time) time.Duration {
 	cost := t.loadTime(w, request.Adapter)
@@ -349,6 +374,9 @@
 		cold:      cold,
 		slowed:    t.slowdown > 1,
 	}
+	if before := w.slots[adapter]; before != nil && result == pomelospring.OrderAccepted {
+		loaded.replacing = before.version != version
+	}
 	t.setSlot(w, adapter, loaded)
 	if cold {
 		t.coldLoads = append(t.coldLoads, loaded)
