--- a/entry/run.go
+++ b/entry/run.go
@@ -332,7 +332,9 @@
 	c := a.session
 	c.service.Board.BeginCall(a.server.ID, c.call.Adapter, a.prefillTokens)
 	c.service.Board.RecordProbe(a.server.ID, c.service.Clock())
-	answer, err = c.service.Backend.Send(ctx, c.call, c.dispatch(a.choice, resumeAfter))
+	dispatched := c.dispatch(a.choice, resumeAfter)
+	c.sent[a.server.ID] = true
+	answer, err = c.service.Backend.Send(ctx, c.call, dispatched)
 	if err != nil {
 		return nil, err
 	}
@@ -378,7 +380,6 @@
 		// A server may send its answer to the first send once more on a kept connection.
 		FreshConnection: !c.route.Repeatable() || c.sent[choice.Candidate.Server.ID],
 	}
-	c.sent[d.Server.ID] = true
 	if !c.call.NeedsAdapter() {
 		d.AdapterVersion = 0
 	}
@@ -391,11 +392,11 @@
 	c, server := a.session, a.server
 	notSent := errors.Is(err, pomelospring.ErrNotSent)
 	// That no connection was made before the caller left shows nothing of the server.
-	proves := !notSent || !errors.Is(ctx.Err(), context.Canceled)
-	a.end(proves && !a.isSilent())
+	abandoned := notSent && errors.Is(ctx.Err(), context.Canceled)
+	a.end(!abandoned && !a.isSilent())
 	err = a.cause(err)
 	c.avoid[server.ID] = true
-	if notSent && proves {
+	if notSent && !abandoned {
 		c.unreachable++
 		c.service.Board.RecordUnreachable(server.ID, c.service.Clock())
 		c.service.recordConnectTimeout(server, err)
