--- a/entry/run.go
+++ b/entry/run.go
@@ -82,7 +82,7 @@
 	if c.limits != nil && c.call.NeedsAdapter() {
 		s.requestCopies(c.call.Adapter, choice, now)
 	}
-	c.logRouted(choice, candidates, now)
+	c.logRouted(choice, candidates, c.lastEventID, now)
 	return choice, nil
 }
 
@@ -125,8 +125,9 @@
 	return c.limits != nil && !c.forwarded && startsAt.After(c.firstEventDeadline)
 }
 
-// logRouted logs the choice of a server among a number of candidates.
-func (c *session) logRouted(choice dispatch.Choice, candidates int, now time.Time) {
+// logRouted logs the choice of a server among a number of candidates, which is to go on
+// after the event with an ID.
+func (c *session) logRouted(choice dispatch.Choice, candidates int, resumeAfter string, now time.Time) {
 	events.Log(c.service.Logger, events.CallRouted, log.Fields{
 		"request":    c.call.ID,
 		"team":       c.team,
@@ -135,7 +136,7 @@
 		"version":    choice.Candidate.Version,
 		"server":     choice.Candidate.Server.ID,
 		"software":   choice.Candidate.Server.Software,
-		"after":      c.lastEventID,
+		"after":      resumeAfter,
 		"resumes":    c.call.Resumes,
 		"waitMs":     choice.Wait.Milliseconds(),
 		"running":    choice.Candidate.Running,
@@ -333,7 +334,7 @@
 	c.service.Board.BeginCall(a.server.ID, c.call.Adapter, a.prefillTokens)
 	c.service.Board.RecordProbe(a.server.ID, c.service.Clock())
 	dispatched := c.dispatch(a.choice, resumeAfter)
-	c.sent[a.server.ID] = true
+	c.sent.Store(a.server.ID, true)
 	answer, err = c.service.Backend.Send(ctx, c.call, dispatched)
 	if err != nil {
 		return nil, err
@@ -370,6 +371,7 @@
 
 // dispatch returns what the backend client needs to send the call.
 func (c *session) dispatch(choice dispatch.Choice, resumeAfter string) pomelospring.Dispatch {
+	_, sentBefore := c.sent.Load(choice.Candidate.Server.ID)
 	d := pomelospring.Dispatch{
 		Server:         choice.Candidate.Server,
 		Team:           c.team,
@@ -378,7 +380,7 @@
 		ResumeAfter:    resumeAfter,
 		Deadline:       c.deadline,
 		// A server may send its answer to the first send once more on a kept connection.
-		FreshConnection: !c.route.Repeatable() || c.sent[choice.Candidate.Server.ID],
+		FreshConnection: !c.route.Repeatable() || sentBefore,
 	}
 	if !c.call.NeedsAdapter() {
 		d.AdapterVersion = 0
--- a/entry/service.go
+++ b/entry/service.go
@@ -132,8 +132,8 @@
 	// some that they answered to lack its adapter.
 	avoid   map[string]bool
 	missing map[string]bool
-	// sent has the IDs of backend servers that the call was sent to.
-	sent map[string]bool
+	// sent has the IDs of backend servers that the call was sent to, by takeovers too.
+	sent sync.Map
 	// unreachable counts the backend servers that no connection could be made to.
 	unreachable int
 	// attemptsSent counts attempts that reached a backend server, and
@@ -179,7 +179,6 @@
 		out:         out,
 		avoid:       map[string]bool{},
 		missing:     map[string]bool{},
-		sent:        map[string]bool{},
 		lastEventID: call.ResumeAfter,
 		priority:    -1,
 	}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -209,6 +209,7 @@
 	w := &a.watchdog
 	w.mu.Lock()
 	avoid, missing := w.takeover.excluded()
+	resumeAfter := w.takeover.resumeAfter
 	w.mu.Unlock()
 	choice, candidates, refusal := a.findSuccessor(ctx, avoid, missing)
 	if refusal != "" {
@@ -219,7 +220,7 @@
 		a.logFailedTakeover("", "the backend server's limit")
 		return choice, false
 	}
-	a.session.logRouted(choice, candidates, a.session.service.Clock())
+	a.session.logRouted(choice, candidates, resumeAfter, a.session.service.Clock())
 	return choice, true
 }
 
