Log where the start of a stream was found

Callers that took streams up elsewhere were told originUnknown, which did not say whether the start had not been recorded yet, could not be read in time, or was lost.

--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -139,9 +139,14 @@
 
 // Origin implements pomelospring.StreamOrigins.
 func (k *Keeper) Origin(ctx context.Context, service, call string) (software string, known bool) {
+	askedAt := k.Clock()
+	source := sourceHere
 	start, found := k.Register.Find(call)
+	read := 0
 	if !found && call != "" {
-		if err := k.refresh(ctx); err != nil {
+		source = sourceStore
+		var err error
+		if read, err = k.refresh(ctx); err != nil {
 			events.Log(k.Logger, events.OriginsNotKept, log.Fields{
 				"call":  call,
 				"error": err.Error(),
@@ -150,8 +155,35 @@
 		start, found = k.Register.Find(call)
 	}
 	if found {
-		return start.Software, !k.startedAnew(&start)
+		software, known = start.Software, !k.startedAnew(&start)
+	} else {
+		source = sourceNowhere
+		if software, known = k.onlyVersion(service); known {
+			source = sourceOnlyVersion
+		}
 	}
+	events.Log(k.Logger, events.OriginSought, log.Fields{
+		"call":     call,
+		"service":  service,
+		"software": software,
+		"known":    known,
+		"source":   source,
+		"read":     read,
+		"tookMs":   k.Clock().Sub(askedAt).Milliseconds(),
+	})
+	return software, known
+}
+
+// Where the start of a stream was found, for the log.
+const (
+	sourceHere        = "here"
+	sourceStore       = "store"
+	sourceOnlyVersion = "onlyVersion"
+	sourceNowhere     = "nowhere"
+)
+
+// onlyVersion returns the software version of a service if there has been only one.
+func (k *Keeper) onlyVersion(service string) (software string, known bool) {
 	k.Register.SeeVersions(k.Board.SoftwareVersions(), k.Clock())
 	versions, complete := k.Register.Versions(service)
 	if complete && len(versions) == 1 {
@@ -168,13 +200,13 @@
 }
 
 // refresh reads the starts that were recorded since the last read, unless another call
-// has done so since this one asked.
-func (k *Keeper) refresh(ctx context.Context) error {
+// has done so since this one asked, and returns their number.
+func (k *Keeper) refresh(ctx context.Context) (read int, err error) {
 	askedAt := k.Clock()
 	k.reading.Lock()
 	defer k.reading.Unlock()
 	if k.readAt.After(askedAt) {
-		return nil
+		return 0, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
@@ -182,13 +214,14 @@
 	for {
 		starts, next, err := k.Store.Starts(ctx, k.next)
 		if err != nil {
-			return err
+			return read, err
 		}
+		read += len(starts)
 		k.next = next
 		k.Register.Merge(starts, k.Clock())
 		if len(starts) == 0 {
 			k.readAt = readAt
-			return nil
+			return read, nil
 		}
 	}
 }
