Tell the leaders where streams begin, and ask them

What callers saw: a stream that broke off and was taken up at another instance was refused (originUnknown), though servers of its software version served and new streams began. Cause: a start was known only to the instance that began the stream until it had been written to the store, every 150 ms + 5 ms an instance, and the store was the only way to ask. An instance that was asked before that, or that could not read the store, refused at once. Change: package coordination keeps each start at the leaders of two failure domains, which follow from the call, told as the stream begins; any instance asks them, for all calls that wait in one message, before it reads the store. A leader that lacks a start reads the store for the one that asks. Begin looks at the list of servers itself, so that streams that begin before the next write see a second version. An origin that is not known has a time to retry by which its record can have arrived. Evidence: TestStreamTakenUpElsewhereIsRefused, now with the leaders known before the streams begin (else an instance that has just started is measured, not the way to ask).

--- a/coordination/server.go
+++ b/coordination/server.go
@@ -28,6 +28,8 @@
 	// Quarantine has the crashes that this instance and others have seen.
 	Quarantine *quarantine.Register
 	Eras       *StoreEras
+	// Starts keeps the starts of streams that other instances tell of.
+	Starts pomelospring.StreamStartKeeper
 }
 
 var _ coordinationpb.DRPCCoordinationServer = (*Server)(nil)
--- a/entry/service.go
+++ b/entry/service.go
@@ -230,7 +230,7 @@
 	if refusal = c.checkQuarantine(ctx, now); refusal != nil {
 		return refusal
 	}
-	if refusal = c.findOrigin(ctx, now); refusal != nil {
+	if refusal = c.findOrigin(ctx); refusal != nil {
 		return refusal
 	}
 	c.retries = s.retryBudget(c.targetService)
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -28,14 +28,15 @@
 
 // findOrigin finds the software version at which a stream began that the call goes on
 // with, or refuses the call.
-func (c *session) findOrigin(ctx context.Context, now time.Time) *pomelospring.Refusal {
+func (c *session) findOrigin(ctx context.Context) *pomelospring.Refusal {
 	if c.service.Origins == nil || !c.route.Streaming || c.call.ResumeAfter == "" {
 		return nil
 	}
-	software, known := c.service.Origins.Origin(ctx, c.targetService, c.call.Resumes)
-	if !known {
-		return pomelospring.NewRefusal(pomelospring.CodeOriginUnknown, retryAfter(now), "it is not known at which software version the stream began")
+	origin := c.service.Origins.Origin(ctx, c.targetService, c.call.Resumes)
+	if !origin.Known {
+		return pomelospring.NewRefusal(pomelospring.CodeOriginUnknown, origin.RetryAt, "it is not known at which software version the stream began")
 	}
+	software := origin.Software
 	if _, serves := c.service.Board.OtherSoftware(c.targetService, software); !serves {
 		return pomelospring.NewRefusal(pomelospring.CodeOriginGone, time.Time{}, "the software version %s that began the stream has left", software)
 	}
@@ -56,6 +57,7 @@
 		Server:        server.ID,
 		ServerStarted: server.Started,
 		At:            c.service.Clock(),
+		Deadline:      c.deadline,
 	})
 }
 
--- a/front/front.go
+++ b/front/front.go
@@ -88,6 +88,7 @@
 	coordinator *coordination.PlacementCoordinator
 	quarantine  *quarantine.Register
 	origins     *origin.Keeper
+	directory   *coordination.StreamDirectory
 	// home is the member of this instance's own domain.
 	home     *coordination.Member
 	instance string
@@ -155,9 +156,11 @@
 		Clock:  clock,
 	}.Record
 	f.wireCoordination()
+	f.directory = coordination.NewStreamDirectory(f.members, logger)
 	f.origins = &origin.Keeper{
 		Store:           f.store,
 		Register:        origin.NewRegister(),
+		Directory:       f.directory,
 		Board:           f.board,
 		LeadsAny:        f.leadsAny,
 		Instances:       f.home.InstanceCount,
@@ -165,6 +168,7 @@
 		Logger:          logger,
 		Clock:           clock,
 	}
+	f.server.Starts = f.origins
 	f.service = &entry.Service{
 		Board:       f.board,
 		Backend:     f.backends,
@@ -358,6 +362,7 @@
 	addLoop(&group, f.logWriter.Run)
 	addLoop(&group, f.blockKeeper().Run)
 	addLoop(&group, f.origins.Run)
+	addLoop(&group, f.directory.Run)
 	addLoop(&group, f.operatorFollower().Run)
 	addLoop(&group, f.serverFollower().Run)
 	addLoop(&group, f.watchSettings)
--- a/front/software_version_test.go
+++ b/front/software_version_test.go
@@ -259,7 +259,7 @@
 		}},
 		{name: "taken up after all instances are new", complete: 0.9, between: newInstances((*versionFleet).crashOneOfEachVersion)},
 		{name: "taken up after their version has left", complete: 0.9, lost: "v1", between: newInstances(func(f *versionFleet) { f.removeVersion("v1") })},
-		{name: "taken up while the store is away", complete: 0, between: func(_ *testing.T, f *versionFleet, instances []*instance) []*instance {
+		{name: "taken up while the store is away", complete: 0.9, between: func(_ *testing.T, f *versionFleet, instances []*instance) []*instance {
 			f.crashOneOfEachVersion()
 			f.store.SetDown(true, false)
 			return []*instance{instances[1], instances[0]}
--- a/front/taken_up_stream_test.go
+++ b/front/taken_up_stream_test.go
@@ -89,8 +89,9 @@
 		instances = append(instances, startInstance(t, fmt.Sprintf("i%d", n), link(f.address)))
 	}
 	for n, i := range instances {
-		eventually(t, "serves", func() bool {
-			s := &callerStream{id: fmt.Sprint("probe-", n, "-", time.Now().UnixNano()), adapter: "a0", versions: map[string]bool{}}
+		// No server has the adapter, so that the instance needs to know a leader.
+		eventually(t, "places adapters", func() bool {
+			s := &callerStream{id: fmt.Sprint("probe-", n, "-", time.Now().UnixNano()), adapter: fmt.Sprint("b", n), versions: map[string]bool{}}
 			s.read(i, 1, 1)
 			return s.events > 0
 		})
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -21,16 +21,26 @@
 	// restartMargin is how far the clocks of a server and an instance may differ.
 	restartMargin = 2 * time.Second
 	// lookupTimeout bounds the question to the store where a stream began, for which a
-	// call waits.
-	lookupTimeout = 500 * time.Millisecond
+	// call waits; maxLookupForOthers is the same for the calls of other instances.
+	lookupTimeout      = 500 * time.Millisecond
+	maxLookupForOthers = 250 * time.Millisecond
+	// recordDelay is how long after it was written a start can be read at the latest,
+	// unless the store is slow.
+	recordDelay = 150 * time.Millisecond
 )
 
+// askAgainAfter is how long after an answer that a start is not known the question is asked
+// again: a caller that takes a stream up at once may overtake the word of its start.
+var askAgainAfter = []time.Duration{20 * time.Millisecond, 60 * time.Millisecond}
+
 // Keeper writes the starts of streams to the store while servers of several software
 // versions serve, and finds those that other instances wrote.
 type Keeper struct {
 	Store    pomelospring.OriginStore
 	Register *Register
-	Board    *fleet.Board
+	// Directory has the instances that keep starts for the others.
+	Directory pomelospring.StreamDirectory
+	Board     *fleet.Board
 	// LeadsAny reports whether this instance leads a failure domain, and so records the
 	// software versions of the services.
 	LeadsAny func() bool
@@ -52,7 +62,10 @@
 	readAt  time.Time
 }
 
-var _ pomelospring.StreamOrigins = (*Keeper)(nil)
+var (
+	_ pomelospring.StreamOrigins     = (*Keeper)(nil)
+	_ pomelospring.StreamStartKeeper = (*Keeper)(nil)
+)
 
 // Run keeps the records up to date until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
@@ -83,6 +96,9 @@
 	if err := k.readHistory(ctx, now); err != nil {
 		return err
 	}
+	if starts := k.Register.Untold(now); len(starts) > 0 {
+		k.Directory.Tell(starts)
+	}
 	if starts := k.Register.Unwritten(now); len(starts) > 0 {
 		if err := k.Store.AppendStarts(ctx, starts); err != nil {
 			return err
@@ -132,51 +148,111 @@
 }
 
 // Begin implements pomelospring.StreamOrigins.
-func (k *Keeper) Begin(start pomelospring.StreamStart) { k.Register.Begin(start, k.Clock()) }
+func (k *Keeper) Begin(start pomelospring.StreamStart) {
+	now := k.Clock()
+	k.Register.SeeVersions(k.Board.SoftwareVersions(), now)
+	k.Register.Begin(start, now)
+	if starts := k.Register.Untold(now); len(starts) > 0 {
+		k.Directory.Tell(starts)
+	}
+}
 
 // Several implements pomelospring.StreamOrigins.
 func (k *Keeper) Several(service string) bool { return k.Register.Several(service, k.Clock()) }
 
+// Told implements pomelospring.StreamStartKeeper.
+func (k *Keeper) Told(starts []pomelospring.StreamStart) { k.Register.Merge(starts, k.Clock()) }
+
+// Lookup implements pomelospring.StreamStartKeeper.
+func (k *Keeper) Lookup(ctx context.Context, calls []string) (starts []pomelospring.StreamStart, complete bool) {
+	starts = k.Register.FindAll(calls)
+	if len(starts) == len(calls) {
+		return starts, false
+	}
+	_, err := k.refresh(ctx, maxLookupForOthers)
+	return k.Register.FindAll(calls), err == nil
+}
+
 // Origin implements pomelospring.StreamOrigins.
-func (k *Keeper) Origin(ctx context.Context, service, call string) (software string, known bool) {
+func (k *Keeper) Origin(ctx context.Context, service, call string) (origin pomelospring.StreamOrigin) {
 	askedAt := k.Clock()
-	source := sourceHere
-	start, found := k.Register.Find(call)
-	read := 0
-	if !found && call != "" {
-		source = sourceStore
-		var err error
-		if read, err = k.refresh(ctx); err != nil {
-			events.Log(k.Logger, events.OriginsNotKept, log.Fields{
-				"call":  call,
-				"error": err.Error(),
-			})
+	start, source, read := k.find(ctx, call)
+	if source != sourceNowhere {
+		origin = pomelospring.StreamOrigin{
+			Known:    !k.startedAnew(&start),
+			Service:  start.Service,
+			Software: start.Software,
 		}
-		start, found = k.Register.Find(call)
-	}
-	if found {
-		software, known = start.Software, !k.startedAnew(&start)
-	} else {
-		source = sourceNowhere
-		if software, known = k.onlyVersion(service); known {
-			source = sourceOnlyVersion
+	} else if software, known := k.onlyVersion(service); known {
+		source = sourceOnlyVersion
+		origin = pomelospring.StreamOrigin{
+			Known:    true,
+			Service:  service,
+			Software: software,
 		}
 	}
+	now := k.Clock()
+	if !origin.Known {
+		origin.RetryAt = now.Add(k.interval() + recordDelay)
+	}
 	events.Log(k.Logger, events.OriginSought, log.Fields{
 		"call":     call,
 		"service":  service,
-		"software": software,
-		"known":    known,
+		"software": origin.Software,
+		"known":    origin.Known,
 		"source":   source,
 		"read":     read,
-		"tookMs":   k.Clock().Sub(askedAt).Milliseconds(),
+		"tookMs":   now.Sub(askedAt).Milliseconds(),
 	})
-	return software, known
+	return origin
+}
+
+// find finds the start that a call made: here, at the instances that keep starts, or in
+// the store, of which it reads a number of starts.
+func (k *Keeper) find(ctx context.Context, call string) (start pomelospring.StreamStart, source string, read int) {
+	if call == "" {
+		return start, sourceNowhere, 0
+	}
+	if start, found := k.Register.Find(call); found {
+		return start, sourceHere, 0
+	}
+	start, found, complete := k.ask(ctx, call)
+	if found {
+		k.Told([]pomelospring.StreamStart{start})
+		return start, sourceInstance, 0
+	}
+	if complete {
+		return start, sourceNowhere, 0
+	}
+	read, err := k.refresh(ctx, lookupTimeout)
+	if err != nil {
+		events.Log(k.Logger, events.OriginsNotKept, log.Fields{
+			"call":  call,
+			"error": err.Error(),
+		})
+	}
+	if start, found = k.Register.Find(call); found {
+		return start, sourceStore, read
+	}
+	return start, sourceNowhere, read
+}
+
+// ask asks the instances that keep starts, and once more while they may be about to be
+// told of this one.
+func (k *Keeper) ask(ctx context.Context, call string) (start pomelospring.StreamStart, found, complete bool) {
+	for _, wait := range askAgainAfter {
+		start, found, complete = k.Directory.Ask(ctx, call)
+		if found || !complete || pomelospring.Sleep(ctx, wait) != nil {
+			return start, found, complete
+		}
+	}
+	return k.Directory.Ask(ctx, call)
 }
 
 // Where the start of a stream was found, for the log.
 const (
 	sourceHere        = "here"
+	sourceInstance    = "instance"
 	sourceStore       = "store"
 	sourceOnlyVersion = "onlyVersion"
 	sourceNowhere     = "nowhere"
@@ -200,15 +276,15 @@
 }
 
 // refresh reads the starts that were recorded since the last read, unless another call
-// has done so since this one asked, and returns their number.
-func (k *Keeper) refresh(ctx context.Context) (read int, err error) {
+// has done so since this one asked, for at most some time, and returns their number.
+func (k *Keeper) refresh(ctx context.Context, timeout time.Duration) (read int, err error) {
 	askedAt := k.Clock()
 	k.reading.Lock()
 	defer k.reading.Unlock()
 	if k.readAt.After(askedAt) {
 		return 0, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	readAt := k.Clock()
 	for {
--- a/origin/keeper_test.go
+++ b/origin/keeper_test.go
@@ -55,6 +55,15 @@
 	return nil
 }
 
+// noDirectory reaches no other instance.
+type noDirectory struct{}
+
+func (noDirectory) Tell([]pomelospring.StreamStart) {}
+
+func (noDirectory) Ask(context.Context, string) (start pomelospring.StreamStart, found, complete bool) {
+	return start, false, false
+}
+
 // instance is one instance's keeper, at a time that the test sets.
 type instance struct {
 	*origin.Keeper
@@ -66,6 +75,7 @@
 	i.Keeper = &origin.Keeper{
 		Store:     store,
 		Register:  origin.NewRegister(),
+		Directory: noDirectory{},
 		Board:     fleet.NewBoard("north"),
 		LeadsAny:  func() bool { return true },
 		Instances: func() int { return 1 },
@@ -224,9 +234,9 @@
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
 			at := scenario.play(&originStore{versions: map[string][]string{}})
-			software, known := at.Origin(t.Context(), "llm", "r1")
-			got := originOf{Software: software, Known: known}
-			if !known {
+			found := at.Origin(t.Context(), "llm", "r1")
+			got := originOf{Software: found.Software, Known: found.Known}
+			if !found.Known {
 				got.Software = ""
 			}
 			if diff := cmp.Diff(scenario.want, got); diff != "" {
--- a/origin/register.go
+++ b/origin/register.go
@@ -27,6 +27,9 @@
 type Register struct {
 	mu     sync.Mutex
 	starts map[string]*kept
+	// untold has the own starts of which no other instance was told, by service, oldest
+	// first.
+	untold map[string][]*kept
 	// versions has when a server of each software version was last listed, by service.
 	versions map[string]map[string]time.Time
 	// complete is set once versions has those from before this instance started.
@@ -47,6 +50,7 @@
 func NewRegister() *Register {
 	return &Register{
 		starts:   map[string]*kept{},
+		untold:   map[string][]*kept{},
 		versions: map[string]map[string]time.Time{},
 	}
 }
@@ -79,11 +83,23 @@
 	if len(r.starts) >= maxStarts {
 		return
 	}
-	r.starts[start.Call] = &kept{
+	k := &kept{
 		StreamStart: start,
 		own:         own,
 		keptAt:      now,
 	}
+	r.starts[start.Call] = k
+	if own {
+		r.untold[start.Service] = append(recentOnes(r.untold[start.Service], now), k)
+	}
+}
+
+// recentOnes drops the starts that are no longer kept from the beginning of a list.
+func recentOnes(list []*kept, now time.Time) []*kept {
+	for len(list) > 0 && now.Sub(list[0].keptAt) > retention {
+		list = list[1:]
+	}
+	return list
 }
 
 // Find returns the start of a stream by the call that began it.
@@ -96,6 +112,33 @@
 	return pomelospring.StreamStart{}, false
 }
 
+// FindAll returns those of the starts that calls made that are known.
+func (r *Register) FindAll(calls []string) (starts []pomelospring.StreamStart) {
+	for _, call := range calls {
+		if start, found := r.Find(call); found {
+			starts = append(starts, start)
+		}
+	}
+	return starts
+}
+
+// Untold lists the own starts of which other instances should be told, once each, at
+// services with several software versions.
+func (r *Register) Untold(now time.Time) (starts []pomelospring.StreamStart) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, list := range r.untold {
+		if !r.several(service, now) {
+			continue
+		}
+		for _, k := range list {
+			starts = append(starts, k.StreamStart)
+		}
+		delete(r.untold, service)
+	}
+	return starts
+}
+
 // Unwritten lists the own starts that the store should have and lacks, at services with
 // several software versions.
 func (r *Register) Unwritten(now time.Time) (starts []pomelospring.StreamStart) {
--- a/stream_origin.go
+++ b/stream_origin.go
@@ -16,25 +16,55 @@
 	Server        string
 	ServerStarted time.Time
 	At            time.Time
+	// Deadline is when the caller of the stream stops waiting for it.
+	Deadline time.Time
+}
+
+// StreamOrigin is where a stream that a call goes on with began.
+type StreamOrigin struct {
+	// Known is set if Service and Software are those at which the stream began.
+	Known    bool
+	Service  string
+	Software string
+	// RetryAt is when an origin that is not known may be.
+	RetryAt time.Time
 }
 
 // StreamOrigins says at which software version streams began.
 type StreamOrigins interface {
 	// Begin records the start of a stream.
 	Begin(start StreamStart)
-	// Origin returns the software version at which a call began a stream of a service;
-	// known is false if it can't be told.
-	Origin(ctx context.Context, service, call string) (software string, known bool)
+	// Origin returns where a call began a stream of a service.
+	Origin(ctx context.Context, service, call string) (origin StreamOrigin)
 	// Several reports whether servers of several software versions serve a service, or
 	// did so lately.
 	Several(service string) bool
 }
 
+// StreamDirectory tells other instances of the starts of streams, and asks them.
+type StreamDirectory interface {
+	// Tell hands starts over to the instances that keep them. It does not wait for them.
+	Tell(starts []StreamStart)
+	// Ask asks these instances for the start that a call made. complete says that one of
+	// them has all starts that are in the store.
+	Ask(ctx context.Context, call string) (start StreamStart, found, complete bool)
+}
+
+// StreamStartKeeper keeps the starts that other instances tell of.
+type StreamStartKeeper interface {
+	// Told adds starts.
+	Told(starts []StreamStart)
+	// Lookup returns the starts that calls made, those in the store included; complete
+	// says that the store was read to its end.
+	Lookup(ctx context.Context, calls []string) (starts []StreamStart, complete bool)
+}
+
 // OriginStore keeps what must outlast the instances of the starts of streams.
 type OriginStore interface {
 	// AppendStarts records starts, which expire with the store's history.
 	AppendStarts(ctx context.Context, starts []StreamStart) (err error)
-	// Starts returns the starts recorded from a position on, and the next position.
+	// Starts returns some of the starts recorded from a position on, and the next
+	// position; none at the end.
 	Starts(ctx context.Context, from TopicPosition) (starts []StreamStart, next TopicPosition, err error)
 	// SoftwareVersions returns the recorded software versions of each service.
 	SoftwareVersions(ctx context.Context) (versions map[string][]string, err error)
