Read the starts of streams in parts that later lookups go on with

What callers saw: at instances whose link is slow, or that had not read lately, streams that were taken up were refused for ever. Cause: a lookup read all starts in the store from the oldest on, up to 1 MB in one answer, within 0.5 s; over a link of 10 Mbit/s that takes 0.84 s. A read that did not end in time left nothing behind, so the next lookup began at the same place. With 79 instances and 200 streams a second the store holds more than that. The end is where the position stays, not where a part has no valid start. The stand-in of the store bounds its answers as the platform's does, and does not hold its lock while a slow reader takes one; the slow link is a stand-in of its own.

--- a/front/taken_up_stream_test.go
+++ b/front/taken_up_stream_test.go
@@ -1,14 +1,13 @@
 package front_test
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/pomelospring/pomelospring/platform"
+	"github.com/pomelospring/pomelospring/standin"
 )
 
 const (
@@ -23,57 +22,12 @@
 // slowLink returns an address at which a server is reached over a slow link of one
 // instance.
 func slowLink(t *testing.T, address string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := standin.NewSlowLink(address, slowLinkBytes)
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(func() {
-		cancel()
-		_ = listener.Close()
-	})
-	var link sync.Mutex
-	go func() {
-		for {
-			near, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			far, err := net.Dial("tcp", address)
-			if err != nil {
-				_ = near.Close()
-				continue
-			}
-			context.AfterFunc(ctx, func() {
-				_ = near.Close()
-				_ = far.Close()
-			})
-			go carry(far, near, &link)
-			go carry(near, far, &link)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-// carry copies bytes from one connection to another, at the pace of the link.
-func carry(to, from net.Conn, link *sync.Mutex) {
-	defer to.Close()
-	defer from.Close()
-	buffer := make([]byte, 8<<10)
-	for {
-		n, err := from.Read(buffer)
-		if n > 0 {
-			link.Lock()
-			time.Sleep(time.Duration(n) * time.Second / slowLinkBytes)
-			link.Unlock()
-			if _, err := to.Write(buffer[:n]); err != nil {
-				return
-			}
-		}
-		if err != nil {
-			return
-		}
-	}
+	t.Cleanup(l.Close)
+	return l.Address
 }
 
 // fillHistory records starts of streams that nobody takes up.
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	// call waits; maxLookupForOthers is the same for the calls of other instances.
 	lookupTimeout      = 500 * time.Millisecond
 	maxLookupForOthers = 250 * time.Millisecond
+	// readTimeout bounds a read of the store's whole history.
+	readTimeout = 10 * time.Second
 	// recordDelay is how long after it was written a start can be read at the latest,
 	// unless the store is slow.
 	recordDelay = 150 * time.Millisecond
@@ -56,9 +59,13 @@
 	recorded map[string][]string
 	failing  bool
 
-	// reading protects what follows, and lets one call at a time read the store.
-	reading sync.Mutex
-	next    pomelospring.TopicPosition
+	// next is where the read in progress goes on.
+	next pomelospring.TopicPosition
+	// mu protects what follows.
+	mu sync.Mutex
+	// running is the read in progress, and readAt when the last one to reach the end of
+	// the history asked for it.
+	running *historyRead
 	readAt  time.Time
 }
 
@@ -275,29 +282,78 @@
 	return listed && server.Started.After(start.ServerStarted) && start.At.After(server.Started.Add(-restartMargin))
 }
 
-// refresh reads the starts that were recorded since the last read, unless another call
-// has done so since this one asked, for at most some time, and returns their number.
+// historyRead is a read of the starts in the store, which several calls wait for.
+type historyRead struct {
+	done chan struct{}
+	// starts is how many were read, and err why it ended early; set when done is closed.
+	starts int
+	err    error
+}
+
+// refresh reads the starts that were recorded until now, unless that was done since, and
+// returns their number. After some time it does not wait any longer, but the read goes on
+// for the calls that come later.
 func (k *Keeper) refresh(ctx context.Context, timeout time.Duration) (read int, err error) {
 	askedAt := k.Clock()
-	k.reading.Lock()
-	defer k.reading.Unlock()
-	if k.readAt.After(askedAt) {
-		return 0, nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	readAt := k.Clock()
 	for {
+		running := k.beginRead(askedAt)
+		if running == nil {
+			return read, nil
+		}
+		select {
+		case <-ctx.Done():
+			return read, fmt.Errorf("the starts of streams were not read in time: %w", ctx.Err())
+		case <-running.done:
+		}
+		read += running.starts
+		if running.err != nil {
+			return read, running.err
+		}
+	}
+}
+
+// beginRead returns the read in progress, and begins one if there is none; nil if one has
+// reached the end of the store's history since a time.
+func (k *Keeper) beginRead(since time.Time) *historyRead {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.readAt.After(since) {
+		return nil
+	}
+	if k.running == nil {
+		k.running = &historyRead{
+			done: make(chan struct{}),
+		}
+		go k.read(k.running)
+	}
+	return k.running
+}
+
+// read reads the starts from where the last read ended.
+func (k *Keeper) read(running *historyRead) {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	for {
+		readAt := k.Clock()
 		starts, next, err := k.Store.Starts(ctx, k.next)
-		if err != nil {
-			return read, err
+		running.starts += len(starts)
+		atEnd := next == k.next
+		if err == nil {
+			k.next = next
+			k.Register.Merge(starts, k.Clock())
 		}
-		read += len(starts)
-		k.next = next
-		k.Register.Merge(starts, k.Clock())
-		if len(starts) == 0 {
-			k.readAt = readAt
-			return read, nil
+		if err != nil || atEnd {
+			running.err = err
+			k.mu.Lock()
+			if err == nil {
+				k.readAt = readAt
+			}
+			k.running = nil
+			k.mu.Unlock()
+			close(running.done)
+			return
 		}
 	}
 }
--- a/standin/store.go
+++ b/standin/store.go
@@ -13,6 +13,9 @@
 // partitionsPerTopic is the number of partitions of every topic.
 const partitionsPerTopic = 12
 
+// defaultReadKilobytes bounds the answer to a read that names no size.
+const defaultReadKilobytes = 1024
+
 // Store simulates the platform's metadata store, which has keyed topics and
 // consumer groups over HTTP, with the faults documented by the platform.
 type Store struct {
@@ -276,6 +279,10 @@
 	// A missing or malformed number counts as 0, as in the platform's store.
 	from, _ := strconv.ParseInt(query.Get("from"), 10, 64)
 	wait, _ := strconv.ParseInt(query.Get("wait-ms"), 10, 64)
+	maxKilobytes, _ := strconv.ParseInt(query.Get("max-kb"), 10, 64)
+	if maxKilobytes <= 0 {
+		maxKilobytes = defaultReadKilobytes
+	}
 	s.mu.Lock()
 	t := s.topic(query.Get("topic"))
 	appended, caughtUp := t.appended, int64(len(t.records)) == from
@@ -288,27 +295,34 @@
 			return
 		}
 	}
+	body := s.readFrom(w, t, from, maxKilobytes<<10)
+	// A write fails only if the reader has disconnected.
+	_, _ = w.Write(body)
+}
+
+// readFrom returns the records from an offset on, of a number of bytes or one more, or
+// sets another status.
+func (s *Store) readFrom(w http.ResponseWriter, t *storeTopic, from, maxBytes int64) (body []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if time.Now().Before(s.awayUntil) {
 		s.answer(w, http.StatusServiceUnavailable, map[string]any{})
-		return
+		return nil
 	}
 	if from < t.first || from > int64(len(t.records)) {
 		s.answer(w, http.StatusGone, map[string]any{
 			"first": t.first,
 		})
-		return
+		return nil
 	}
-	body := binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
+	body = binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
 	body = binary.BigEndian.AppendUint64(body, uint64(t.first))
-	for i := from; i < int64(len(t.records)); i++ {
+	for i := from; i < int64(len(t.records)) && int64(len(body)) < maxBytes; i++ {
 		body = binary.BigEndian.AppendUint32(body, uint32(len(t.records[i])))
 		body = append(body, t.records[i]...)
 	}
 	w.Header().Set(HeaderStoreEra, strconv.FormatInt(s.era, 10))
-	// A write fails only if the reader has disconnected.
-	_, _ = w.Write(body)
+	return body
 }
 
 // append adds the records of the body to a topic that the instances may write.
--- a/stream_origin.go
+++ b/stream_origin.go
@@ -64,7 +64,7 @@
 	// AppendStarts records starts, which expire with the store's history.
 	AppendStarts(ctx context.Context, starts []StreamStart) (err error)
 	// Starts returns some of the starts recorded from a position on, and the next
-	// position; none at the end.
+	// position, which is the same at the end.
 	Starts(ctx context.Context, from TopicPosition) (starts []StreamStart, next TopicPosition, err error)
 	// SoftwareVersions returns the recorded software versions of each service.
 	SoftwareVersions(ctx context.Context) (versions map[string][]string, err error)
