Write starts of streams again only while their callers wait

Cause: each start was written again every 8 s for a minute, whatever its caller's deadline, so that the store's history held some seven records of each stream, which an instance that is asked has to read. Change: a start has the caller's deadline, and is written again until then. Evidence: TestStartIsWrittenAgainAfterItsDeadline: for callers that wait 5, 15 and 60 s a start was written seven times in a minute; now once, twice and seven times.

--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -57,7 +57,7 @@
 		Server:        server.ID,
 		ServerStarted: server.Started,
 		At:            c.service.Clock(),
-		Deadline:      c.deadline,
+		Deadline:      c.call.Deadline,
 	})
 }
 
--- a/origin/history_test.go
+++ b/origin/history_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/fleet"
 	"github.com/pomelospring/pomelospring/origin"
 	"github.com/pomelospring/pomelospring/platform"
@@ -57,3 +59,40 @@
 	}
 	t.Errorf("the newest of %d starts is not found after %d lookups", historyRecords, maxLookups)
 }
+
+// TestStartIsWrittenAgainAfterItsDeadline guards against a store full of starts that no
+// caller can ask for.
+func TestStartIsWrittenAgainAfterItsDeadline(t *testing.T) {
+	scenarios := []struct {
+		name string
+		// callerWaits is how long the stream's caller waits.
+		callerWaits time.Duration
+		writes      int
+	}{
+		{name: "five seconds", callerWaits: 5 * time.Second, writes: 1},
+		{name: "15 seconds", callerWaits: 15 * time.Second, writes: 2},
+		{name: "a minute", callerWaits: time.Minute, writes: 7},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			store := &originStore{versions: map[string][]string{}}
+			i := newInstance(store, "v1", "v2")
+			i.Begin(pomelospring.StreamStart{
+				Call:          "r1",
+				Service:       "llm",
+				Software:      "v1",
+				Server:        "i-v1",
+				ServerStarted: time.UnixMilli(1000),
+				At:            i.now,
+				Deadline:      i.now.Add(scenario.callerWaits),
+			})
+			for range 59 {
+				i.keep()
+				i.now = i.now.Add(time.Second)
+			}
+			if diff := cmp.Diff(scenario.writes, len(store.starts)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/origin/register.go
+++ b/origin/register.go
@@ -145,13 +145,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, k := range r.starts {
-		if k.own && now.Sub(k.keptAt) < retention && now.Sub(k.writtenAt) > rewriteInterval && r.several(k.Service, now) {
+		if k.own && k.isDue(now) && r.several(k.Service, now) {
 			starts = append(starts, k.StreamStart)
 		}
 	}
 	return starts
 }
 
+// isDue reports whether an own start has to be written, or written again for a caller that
+// still waits for its stream.
+func (k *kept) isDue(now time.Time) bool {
+	if k.writtenAt.IsZero() {
+		return now.Sub(k.keptAt) < retention
+	}
+	isAwaited := k.Deadline.IsZero() || now.Before(k.Deadline)
+	return now.Sub(k.writtenAt) > rewriteInterval && isAwaited && now.Sub(k.keptAt) < retention
+}
+
 // Written records that the store has starts.
 func (r *Register) Written(starts []pomelospring.StreamStart, now time.Time) {
 	r.mu.Lock()
--- a/stream_origin.go
+++ b/stream_origin.go
@@ -16,7 +16,8 @@
 	Server        string
 	ServerStarted time.Time
 	At            time.Time
-	// Deadline is when the caller of the stream stops waiting for it.
+	// Deadline is when the caller of the stream stops waiting for it; zero if it did not
+	// say.
 	Deadline time.Time
 }
 
