Drop the oldest start when the register of starts is full

Cause: beyond 200,000 starts each further one walked all of them under the lock, and was then dropped, an instance's own ones too: neither found here, nor told, nor written. Change: starts leave in the order in which they came, when they are too old or too many.

--- a/origin/register.go
+++ b/origin/register.go
@@ -34,7 +34,8 @@
 	versions map[string]map[string]time.Time
 	// complete is set once versions has those from before this instance started.
 	complete bool
-	prunedAt time.Time
+	// order has the starts in the order in which they were added.
+	order []*kept
 }
 
 // kept is a start with when it was last written; zero for a start that was read.
@@ -74,14 +75,14 @@
 	}
 }
 
-// add adds a start, and drops old ones now and then. The caller holds the lock.
+// add adds a start, and drops those that are too old or too many. The caller holds the
+// lock.
 func (r *Register) add(start pomelospring.StreamStart, own bool, now time.Time) {
-	if now.Sub(r.prunedAt) > retention/4 || len(r.starts) >= maxStarts {
-		r.prunedAt = now
-		maps.DeleteFunc(r.starts, func(_ string, k *kept) bool { return now.Sub(k.keptAt) > retention })
-	}
-	if len(r.starts) >= maxStarts {
-		return
+	for len(r.order) > 0 && (len(r.order) >= maxStarts || now.Sub(r.order[0].keptAt) > retention) {
+		if oldest := r.order[0]; r.starts[oldest.Call] == oldest {
+			delete(r.starts, oldest.Call)
+		}
+		r.order = r.order[1:]
 	}
 	k := &kept{
 		StreamStart: start,
@@ -89,6 +90,7 @@
 		keptAt:      now,
 	}
 	r.starts[start.Call] = k
+	r.order = append(r.order, k)
 	if own {
 		r.untold[start.Service] = append(recentOnes(r.untold[start.Service], now), k)
 	}
