Refuse streams whose call began at several software versions

Cause: of two starts of one call the register kept the first or the last one, depending on who told of them, and a stream that was taken up went on at a guess. Change: such a start is marked as ambiguous, also for the instances that ask, and its stream is refused as unknown. Evidence: two scenarios of TestOriginOfAStreamIsGuessed; both named a version before.

--- a/coordination/stream_directory.go
+++ b/coordination/stream_directory.go
@@ -323,6 +323,7 @@
 		Server:        start.Server,
 		ServerStarted: start.ServerStarted.UnixMilli(),
 		At:            start.At.UnixMilli(),
+		Ambiguous:     start.Ambiguous,
 	}
 }
 
@@ -335,6 +336,7 @@
 			Server:        start.Server,
 			ServerStarted: time.UnixMilli(start.ServerStarted),
 			At:            time.UnixMilli(start.At),
+			Ambiguous:     start.Ambiguous,
 		})
 	}
 	return starts
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -186,7 +186,7 @@
 	start, source, read := k.find(ctx, call)
 	if source != sourceNowhere {
 		origin = pomelospring.StreamOrigin{
-			Known:    !k.startedAnew(&start),
+			Known:    !start.Ambiguous && !k.startedAnew(&start),
 			Service:  start.Service,
 			Software: start.Software,
 		}
--- a/origin/keeper_test.go
+++ b/origin/keeper_test.go
@@ -199,6 +199,26 @@
 				return late
 			},
 		},
+		{
+			name: "its call began streams at two versions",
+			play: func(store *originStore) *instance {
+				i := newInstance(store, "v1", "v2")
+				i.begin("v1")
+				i.begin("v2")
+				return i
+			},
+		},
+		{
+			name: "its call began streams at two versions, at two instances",
+			play: func(store *originStore) *instance {
+				i, j := newInstance(store, "v1", "v2"), newInstance(store, "v1", "v2")
+				i.begin("v1")
+				j.begin("v2")
+				i.keep()
+				j.keep()
+				return newInstance(store, "v1", "v2")
+			},
+		},
 		{
 			name: "its server had been started anew",
 			play: func(store *originStore) *instance {
--- a/origin/register.go
+++ b/origin/register.go
@@ -69,15 +69,21 @@
 	defer r.mu.Unlock()
 	for _, start := range starts {
 		r.see(start.Service, start.Software, now)
-		if r.starts[start.Call] == nil {
-			r.add(start, false, now)
-		}
+		r.add(start, false, now)
 	}
 }
 
-// add adds a start, and drops those that are too old or too many. The caller holds the
-// lock.
+// add adds a start, and drops those that are too old or too many. Of a call that began
+// streams at several software versions it is not known which one its caller goes on with.
+// The caller holds the lock.
 func (r *Register) add(start pomelospring.StreamStart, own bool, now time.Time) {
+	if k := r.starts[start.Call]; k != nil {
+		k.Ambiguous = k.Ambiguous || start.Ambiguous || k.Software != start.Software || k.Service != start.Service
+		if own && k.Ambiguous {
+			r.untold[start.Service] = append(r.untold[start.Service], k)
+		}
+		return
+	}
 	for len(r.order) > 0 && (len(r.order) >= maxStarts || now.Sub(r.order[0].keptAt) > retention) {
 		if oldest := r.order[0]; r.starts[oldest.Call] == oldest {
 			delete(r.starts, oldest.Call)
--- a/stream_origin.go
+++ b/stream_origin.go
@@ -19,6 +19,8 @@
 	// Deadline is when the caller of the stream stops waiting for it; zero if it did not
 	// say.
 	Deadline time.Time
+	// Ambiguous is set if the call began streams at other software versions too.
+	Ambiguous bool
 }
 
 // StreamOrigin is where a stream that a call goes on with began.
