Keep each start at two instances, and until one could be told

Causes: copies of a start were counted by domains, so an instance that leads two had both; starts were forgotten when no leader answered at that moment, when one's queue was full, or when a redirect found no other, without a log line; one message asked for any number of calls, with IDs of any length.

--- a/coordination/stream_directory.go
+++ b/coordination/stream_directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,16 +80,19 @@
 	signal  chan struct{}
 }
 
-func (t *startTeller) add(start untoldStart) {
+// add adds a start and reports whether there was room for it.
+func (t *startTeller) add(start untoldStart) (added bool) {
 	t.mu.Lock()
-	if len(t.pending) < maxUntoldStarts {
-		t.pending = append(t.pending, start)
+	defer t.mu.Unlock()
+	if len(t.pending) >= maxUntoldStarts {
+		return false
 	}
-	t.mu.Unlock()
+	t.pending = append(t.pending, start)
 	select {
 	case t.signal <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 func (t *startTeller) take() (starts []untoldStart) {
@@ -100,24 +104,36 @@
 }
 
 // Tell implements pomelospring.StreamDirectory.
-func (d *StreamDirectory) Tell(starts []pomelospring.StreamStart) {
+func (d *StreamDirectory) Tell(starts []pomelospring.StreamStart) (untold []pomelospring.StreamStart) {
 	for _, start := range starts {
+		told := false
 		for _, i := range d.keepers(start.Call, startCopies) {
-			d.tellers[i].add(untoldStart{
+			told = d.tellers[i].add(untoldStart{
 				StreamStart: start,
-			})
+			}) || told
+		}
+		if !told {
+			untold = append(untold, start)
 		}
 	}
+	return untold
 }
 
-// keepers lists the other instances' leaders, at most count, that keep the start of a
-// call, by their index.
+// keepers lists the leaders on other instances, at most count, that keep the start of a
+// call, by the index of their domain.
 func (d *StreamDirectory) keepers(call string, count int) (indexes []int) {
+	if len(d.Members) == 0 {
+		return nil
+	}
 	first := int(xxhash.Sum64String(call) % uint64(len(d.Members)))
+	// An instance may lead several domains.
+	var addresses []string
 	for n := range d.Members {
 		i := (first + n) % len(d.Members)
-		if len(indexes) < count && d.Members[i].leaderElsewhere() != "" {
+		address := d.Members[i].leaderElsewhere()
+		if len(indexes) < count && address != "" && !slices.Contains(addresses, address) {
 			indexes = append(indexes, i)
+			addresses = append(addresses, address)
 		}
 	}
 	return indexes
@@ -156,21 +172,27 @@
 	}
 }
 
-// redirect tells another leader of starts that one could not be told of.
+// redirect tells another leader of starts that one could not be told of, once.
 func (d *StreamDirectory) redirect(starts []untoldStart, failed int) {
+	lost := 0
 	for _, start := range starts {
-		if start.redirected {
-			continue
+		keepers := d.keepers(start.Call, startCopies+1)
+		last := len(keepers) - 1
+		if last >= 0 && keepers[last] == failed {
+			last--
 		}
+		redirected := start.redirected
 		start.redirected = true
-		keepers := d.keepers(start.Call, startCopies+1)
-		for n := len(keepers) - 1; n >= 0; n-- {
-			if keepers[n] != failed {
-				d.tellers[keepers[n]].add(start)
-				break
-			}
+		if redirected || last < 0 || !d.tellers[keepers[last]].add(start) {
+			lost++
 		}
 	}
+	if lost > 0 {
+		events.Log(d.Logger, events.StartsNotTold, log.Fields{
+			"starts": lost,
+			"domain": d.Members[failed].Domain,
+		})
+	}
 }
 
 // tellStarts tells the domain's leader of starts.
@@ -246,11 +268,7 @@
 // run asks for what waits until nothing does.
 func (a *startAsker) run(member *Member) {
 	for {
-		a.mu.Lock()
-		waiting := a.waiting
-		a.waiting = map[string][]chan startAnswer{}
-		a.asking = len(waiting) > 0
-		a.mu.Unlock()
+		waiting := a.take()
 		if len(waiting) == 0 {
 			return
 		}
@@ -268,6 +286,23 @@
 	}
 }
 
+// take takes the calls that the next message asks for; none end the asking.
+func (a *startAsker) take() (waiting map[string][]chan startAnswer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	waiting = a.waiting
+	a.waiting = map[string][]chan startAnswer{}
+	for call, replies := range waiting {
+		if len(waiting) <= maxStartsPerCall {
+			break
+		}
+		a.waiting[call] = replies
+		delete(waiting, call)
+	}
+	a.asking = len(waiting) > 0
+	return waiting
+}
+
 // findStarts asks the domain's leader for the starts that calls made.
 func (m *Member) findStarts(calls map[string][]chan startAnswer) (starts map[string]pomelospring.StreamStart, complete bool) {
 	address := m.leaderElsewhere()
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -57,6 +57,8 @@
 
 	OriginSought = define(237, "originSought", log.InfoLevel, "A call goes on with a stream that another call began; the fields say where the start of the stream was found (here, an instance that keeps it, store, onlyVersion, or nowhere), how many starts were read for it, and how long that took.")
 
+	StartsNotTold = define(238, "startsNotTold", log.WarnLevel, "Leaders that keep the starts of streams could not be told of some; these are in the store only.")
+
 	BlockLifted = define(231, "blockLifted", log.WarnLevel, "An operator lifted a block; the fields give its parts. It comes back after further ends of servers.")
 
 	BlocksRead    = define(232, "blocksRead", log.InfoLevel, "The leader of a failure domain read the blocks that the fleet had recorded in the store; the field gives their number. They hold until they expire.")
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -25,6 +25,9 @@
 	// call waits; maxLookupForOthers is the same for the calls of other instances.
 	lookupTimeout      = 500 * time.Millisecond
 	maxLookupForOthers = 250 * time.Millisecond
+	// maxCallBytes bounds the ID of a call whose stream can be taken up, as a key of the
+	// store.
+	maxCallBytes = 255
 	// readTimeout bounds a read of the store's whole history.
 	readTimeout = 10 * time.Second
 	// recordDelay is how long after it was written a start can be read at the latest,
@@ -103,8 +106,8 @@
 	if err := k.readHistory(ctx, now); err != nil {
 		return err
 	}
-	if starts := k.Register.Untold(now); len(starts) > 0 {
-		k.Directory.Tell(starts)
+	if starts := k.Directory.Tell(k.Register.Untold(now)); len(starts) > 0 {
+		k.Register.NotTold(starts, now)
 	}
 	if starts := k.Register.Unwritten(now); len(starts) > 0 {
 		if err := k.Store.AppendStarts(ctx, starts); err != nil {
@@ -156,11 +159,17 @@
 
 // Begin implements pomelospring.StreamOrigins.
 func (k *Keeper) Begin(start pomelospring.StreamStart) {
+	if len(start.Call) > maxCallBytes {
+		return
+	}
 	now := k.Clock()
 	k.Register.SeeVersions(k.Board.SoftwareVersions(), now)
 	k.Register.Begin(start, now)
-	if starts := k.Register.Untold(now); len(starts) > 0 {
-		k.Directory.Tell(starts)
+	// It may be known to be ambiguous.
+	start, _ = k.Register.Find(start.Call)
+	starts := []pomelospring.StreamStart{start}
+	if !k.Register.Several(start.Service, now) || len(k.Directory.Tell(starts)) > 0 {
+		k.Register.NotTold(starts, now)
 	}
 }
 
@@ -217,7 +226,7 @@
 // find finds the start that a call made: here, at the instances that keep starts, or in
 // the store, of which it reads a number of starts.
 func (k *Keeper) find(ctx context.Context, call string) (start pomelospring.StreamStart, source string, read int) {
-	if call == "" {
+	if call == "" || len(call) > maxCallBytes {
 		return start, sourceNowhere, 0
 	}
 	if start, found := k.Register.Find(call); found {
--- a/origin/keeper_test.go
+++ b/origin/keeper_test.go
@@ -58,7 +58,9 @@
 // noDirectory reaches no other instance.
 type noDirectory struct{}
 
-func (noDirectory) Tell([]pomelospring.StreamStart) {}
+func (noDirectory) Tell(starts []pomelospring.StreamStart) (untold []pomelospring.StreamStart) {
+	return starts
+}
 
 func (noDirectory) Ask(context.Context, string) (start pomelospring.StreamStart, found, complete bool) {
 	return start, false, false
--- a/origin/register.go
+++ b/origin/register.go
@@ -79,9 +79,6 @@
 func (r *Register) add(start pomelospring.StreamStart, own bool, now time.Time) {
 	if k := r.starts[start.Call]; k != nil {
 		k.Ambiguous = k.Ambiguous || start.Ambiguous || k.Software != start.Software || k.Service != start.Service
-		if own && k.Ambiguous {
-			r.untold[start.Service] = append(r.untold[start.Service], k)
-		}
 		return
 	}
 	for len(r.order) > 0 && (len(r.order) >= maxStarts || now.Sub(r.order[0].keptAt) > retention) {
@@ -97,9 +94,6 @@
 	}
 	r.starts[start.Call] = k
 	r.order = append(r.order, k)
-	if own {
-		r.untold[start.Service] = append(recentOnes(r.untold[start.Service], now), k)
-	}
 }
 
 // recentOnes drops the starts that are no longer kept from the beginning of a list.
@@ -120,6 +114,17 @@
 	return pomelospring.StreamStart{}, false
 }
 
+// NotTold records that no other instance could be told of own starts.
+func (r *Register) NotTold(starts []pomelospring.StreamStart, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, start := range starts {
+		if k := r.starts[start.Call]; k != nil {
+			r.untold[start.Service] = append(recentOnes(r.untold[start.Service], now), k)
+		}
+	}
+}
+
 // FindAll returns those of the starts that calls made that are known.
 func (r *Register) FindAll(calls []string) (starts []pomelospring.StreamStart) {
 	for _, call := range calls {
--- a/stream_origin.go
+++ b/stream_origin.go
@@ -46,8 +46,9 @@
 
 // StreamDirectory tells other instances of the starts of streams, and asks them.
 type StreamDirectory interface {
-	// Tell hands starts over to the instances that keep them. It does not wait for them.
-	Tell(starts []StreamStart)
+	// Tell hands starts over to the instances that keep them, without waiting for them. It
+	// returns the starts for which there is none now.
+	Tell(starts []StreamStart) (untold []StreamStart)
 	// Ask asks these instances for the start that a call made. complete says that one of
 	// them has all starts that are in the store.
 	Ask(ctx context.Context, call string) (start StreamStart, found, complete bool)
