Take streams up at the service that began them, within the caller's time

Causes: on a route that splits its calls a stream was taken up at a service chosen anew, which may not have its software version (originGone); the question where it began came before the team's rate was checked, and was not bounded by the call's deadline; originGone had no time to retry although this instance's list of servers may be older than the stream. Change: the service of the start goes before the split; the question follows the charge, which a refusal returns, and ends with the time for the first event; a stream that began within two seconds may be asked for again. Evidence: TestStreamTakenUpIsSentToAnotherService failed before in the scenarios of either service and over the rate, and did not end where nobody answers.

--- a/coordination/stream_directory_test.go
+++ b/coordination/stream_directory_test.go
@@ -129,7 +129,7 @@
 			if scenario.before != nil {
 				scenario.before(t, f)
 			}
-			var starts []pomelospring.StreamStart
+			starts := make([]pomelospring.StreamStart, 0, calls)
 			for n := range calls {
 				starts = append(starts, pomelospring.StreamStart{
 					Call:          fmt.Sprint("r", n),
--- a/entry/service.go
+++ b/entry/service.go
@@ -216,26 +216,35 @@
 	if timeoutAt := c.call.Arrived.Add(clientTimeout(c.route)); c.route.Streaming && timeoutAt.Before(c.deadline) {
 		c.firstEventDeadline = timeoutAt
 	}
-	c.targetService = pickSplit(c.route.Splits)
-	service := policy.Services[c.targetService]
-	c.limits = service.Engine
-	if c.limits != nil {
-		c.priority = c.route.Priority
-		if team.HasPriority {
-			c.priority = team.Priority
-		}
-	}
+	c.setService(pickSplit(c.route.Splits), policy, team)
 	c.parts = c.call.SharedParts()
 	c.fingerprint = c.call.Fingerprint()
 	if refusal = c.checkQuarantine(ctx, now); refusal != nil {
 		return refusal
 	}
-	if refusal = c.findOrigin(ctx); refusal != nil {
+	if refusal = c.charge(team, now); refusal != nil {
+		return refusal
+	}
+	if refusal = c.findOrigin(ctx, policy, team); refusal != nil {
 		return refusal
 	}
 	c.retries = s.retryBudget(c.targetService)
 	c.retries.RecordAttempt()
-	return c.charge(team, now)
+	return nil
+}
+
+// setService sets the service that runs the call.
+func (c *session) setService(name string, policy *pomelospring.Policy, team pomelospring.PolicyTeam) {
+	c.targetService = name
+	c.limits = policy.Services[name].Engine
+	c.priority = -1
+	if c.limits == nil {
+		return
+	}
+	c.priority = c.route.Priority
+	if team.HasPriority {
+		c.priority = team.Priority
+	}
 }
 
 // authorize returns the team of the call's key, or a zero team where none is
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pomelospring/pomelospring"
@@ -26,19 +27,24 @@
 	return c.call.ID
 }
 
-// findOrigin finds the software version at which a stream began that the call goes on
-// with, or refuses the call.
-func (c *session) findOrigin(ctx context.Context) *pomelospring.Refusal {
+// findOrigin finds the service and the software version at which a stream began that the
+// call goes on with, or refuses the call.
+func (c *session) findOrigin(ctx context.Context, policy *pomelospring.Policy, team pomelospring.PolicyTeam) *pomelospring.Refusal {
 	if c.service.Origins == nil || !c.route.Streaming || c.call.ResumeAfter == "" {
 		return nil
 	}
+	ctx, cancel := context.WithDeadline(ctx, c.firstEventDeadline)
+	defer cancel()
 	origin := c.service.Origins.Origin(ctx, c.targetService, c.call.Resumes)
 	if !origin.Known {
 		return pomelospring.NewRefusal(pomelospring.CodeOriginUnknown, origin.RetryAt, "it is not known at which software version the stream began")
 	}
+	if slices.ContainsFunc(c.route.Splits, func(split pomelospring.ServiceSplit) bool { return split.Service == origin.Service }) {
+		c.setService(origin.Service, policy, team)
+	}
 	software := origin.Software
 	if _, serves := c.service.Board.OtherSoftware(c.targetService, software); !serves {
-		return pomelospring.NewRefusal(pomelospring.CodeOriginGone, time.Time{}, "the software version %s that began the stream has left", software)
+		return pomelospring.NewRefusal(pomelospring.CodeOriginGone, origin.RetryAt, "the software version %s that began the stream has left", software)
 	}
 	c.software.Store(&software)
 	return nil
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -25,6 +25,8 @@
 	// call waits; maxLookupForOthers is the same for the calls of other instances.
 	lookupTimeout      = 500 * time.Millisecond
 	maxLookupForOthers = 250 * time.Millisecond
+	// listDelay is how long after another instance a server is listed here at the latest.
+	listDelay = 2 * time.Second
 	// maxCallBytes bounds the ID of a call whose stream can be taken up, as a key of the
 	// store.
 	maxCallBytes = 255
@@ -208,7 +210,7 @@
 		}
 	}
 	now := k.Clock()
-	if !origin.Known {
+	if !origin.Known || now.Sub(start.At) < listDelay {
 		origin.RetryAt = now.Add(k.interval() + recordDelay)
 	}
 	events.Log(k.Logger, events.OriginSought, log.Fields{
--- a/stream_origin.go
+++ b/stream_origin.go
@@ -29,7 +29,8 @@
 	Known    bool
 	Service  string
 	Software string
-	// RetryAt is when an origin that is not known may be.
+	// RetryAt is when an origin that is not known, or its servers, may be; zero if no more
+	// will be known.
 	RetryAt time.Time
 }
 
