Keep required versions of an adapter when a newer one is declared

Callers saw answers that began on a version outdated for over five seconds: Board kept one declaration an adapter, and while the newest one was younger than its grace period any version could serve. Each declaration now keeps its own end of grace, and what it replaced stays replaced.

--- a/fleet/board.go
+++ b/fleet/board.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// versionGracePeriod is how long the previous version of an adapter may still
-	// serve after a new one was declared; the requirements allow five seconds.
-	versionGracePeriod = 2 * time.Second
 	// maxPolicyAge is how long after the operators' records were last confirmed an
 	// unknown key or route may be refused permanently.
 	maxPolicyAge = 3 * time.Second
@@ -38,7 +35,8 @@
 	mu sync.Mutex
 	// operators holds the operators' records.
 	operators operatorRecords
-	declared  map[string]declaration
+	// declared has the declared versions of each adapter.
+	declared map[string]*declaredVersions
 
 	servers      map[string]pomelospring.FleetServer
 	serversKnown bool
@@ -87,18 +85,13 @@
 	othersLoad map[string]ServerLoad
 }
 
-type declaration struct {
-	version    int64
-	receivedAt time.Time
-}
-
 // NewBoard returns a board of an instance in the given failure domain, without
 // any state.
 func NewBoard(domain string) *Board {
 	return &Board{
 		Domain:        domain,
 		operators:     newOperatorRecords(),
-		declared:      map[string]declaration{},
+		declared:      map[string]*declaredVersions{},
 		servers:       map[string]pomelospring.FleetServer{},
 		index:         newServerIndex(),
 		leaving:       map[string]*leavingServer{},
@@ -192,32 +185,6 @@
 	return b.operators.retainedDigest()
 }
 
-// DeclareVersion records the version of an adapter that operators declared,
-// unless the known version is at least as new, and reports whether it did.
-func (b *Board) DeclareVersion(adapter string, version int64, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.declared[adapter].version >= version {
-		return false
-	}
-	b.declared[adapter] = declaration{
-		version:    version,
-		receivedAt: now,
-	}
-	return true
-}
-
-// DeclaredVersions returns the newest declared version of each adapter.
-func (b *Board) DeclaredVersions() map[string]int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	versions := make(map[string]int64, len(b.declared))
-	for adapter, declared := range b.declared {
-		versions[adapter] = declared.version
-	}
-	return versions
-}
-
 // SetServers replaces the list of backend servers with one that was read from
 // the store at readAt. It keeps the map, and changes it.
 func (b *Board) SetServers(servers map[string]pomelospring.FleetServer, readAt time.Time) {
--- a/fleet/server_load.go
+++ b/fleet/server_load.go
@@ -264,15 +264,6 @@
 	return 0, false
 }
 
-// minVersion returns the oldest version of an adapter that may serve now.
-func (b *Board) minVersion(adapter string, now time.Time) int64 {
-	declared, found := b.declared[adapter]
-	if !found || now.Sub(declared.receivedAt) < versionGracePeriod {
-		return 0
-	}
-	return declared.version
-}
-
 // cachedTokens counts the leading tokens of a prompt that are assumed to be in
 // the worker's prefix cache.
 func (l *ownLoad) cachedTokens(call *pomelospring.Call, now time.Time) (tokens int64) {
