Test that a version told late gets no whole grace period, failing

The grace period of a declaration begins at its receipt, so at an instance that starts, or is told by a relay after a cut, an adapter version that was replaced long ago serves for two seconds more.

--- a/fleet/adapter_version_test.go
+++ b/fleet/adapter_version_test.go
@@ -198,3 +198,71 @@
 		}
 	})
 }
+
+// TestVersionToldLateGetsWholeGracePeriod guards against a grace period that begins only
+// when an instance that started, or was cut off, is told of a declaration.
+func TestVersionToldLateGetsWholeGracePeriod(t *testing.T) {
+	scenarios := []struct {
+		name string
+		// confirmed is the time since the records were last known complete; 0 for never.
+		confirmed time.Duration
+		tell      []told
+		times     []time.Duration
+		oldest    []int64
+	}{
+		{
+			name:   "at the start, by the store",
+			tell:   []told{{version: 2, offset: 1}},
+			times:  []time.Duration{0, 1 * s},
+			oldest: []int64{2, 2},
+		},
+		{
+			name:   "at the start, by a relay and then by the store",
+			tell:   []told{{version: 2, offset: 1, relayed: true}, {after: 1 * s, version: 2, offset: 1}},
+			times:  []time.Duration{0, 1 * s},
+			oldest: []int64{2, 2},
+		},
+		{
+			name:   "at the start, and a newer one after it",
+			tell:   []told{{version: 2, offset: 1}, {after: 1 * s, version: 3, offset: 2}},
+			times:  []time.Duration{0, 1 * s, 3 * s},
+			oldest: []int64{2, 2, 3},
+		},
+		{
+			name:      "after a long cut",
+			confirmed: 10 * s,
+			tell:      []told{{version: 2, offset: 1, relayed: true}, {version: 3, offset: 2, relayed: true}},
+			times:     []time.Duration{0, 1 * s},
+			oldest:    []int64{3, 3},
+		},
+		{
+			name:      "after a short cut",
+			confirmed: 3 * s,
+			tell:      []told{{version: 2, offset: 1, relayed: true}},
+			times:     []time.Duration{s / 2, 1 * s},
+			oldest:    []int64{1, 2},
+		},
+		{
+			name:      "without a cut",
+			confirmed: 1 * s,
+			tell:      []told{{version: 2, offset: 1, relayed: true}},
+			times:     []time.Duration{s * 3 / 2, 2 * s},
+			oldest:    []int64{1, 2},
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				board := fleet.NewBoard("north")
+				setVersions(board)
+				if scenario.confirmed > 0 {
+					board.ConfirmOperatorPosition(pomelospring.TopicPosition{Offset: 1}, time.Now().Add(-scenario.confirmed))
+				}
+				oldest := oldestOverTime(versionOperators(board), scenario.tell, scenario.times)
+				if diff := gocmp.Diff(scenario.oldest, oldest); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
