Count the grace period of a version told late from when it may have been declared

An instance that starts, or hears from a relay after a cut, gave an adapter version that was replaced long ago two seconds more. The grace period now begins at most two seconds after the operators' records were last known to be complete, and is over for what the first read or relay tells.

--- a/fleet/adapter_version.go
+++ b/fleet/adapter_version.go
@@ -5,9 +5,14 @@
 	"time"
 )
 
-// versionGracePeriod is how long the versions of an adapter that a declaration
-// replaces may still serve; the requirements allow five seconds.
-const versionGracePeriod = 2 * time.Second
+const (
+	// versionGracePeriod is how long the versions of an adapter that a declaration
+	// replaces may still serve; the requirements allow five seconds.
+	versionGracePeriod = 2 * time.Second
+	// maxDeclarationDelay is how long after the operators' records were last known to
+	// be complete the grace period of a declaration that comes later begins.
+	maxDeclarationDelay = 2 * time.Second
+)
 
 // declaredVersions holds the versions of an adapter that operators declared. Each
 // declaration replaces all older versions when its own grace period ends, whether or
@@ -34,8 +39,7 @@
 }
 
 // add records a declaration that is newer than the known ones.
-func (d *declaredVersions) add(version int64, requiredAt, now time.Time) {
-	d.minVersion(now)
+func (d *declaredVersions) add(version int64, requiredAt time.Time) {
 	d.pending = slices.DeleteFunc(d.pending, func(known declaration) bool { return known.requiredAt.After(requiredAt) })
 	d.pending = append(d.pending, declaration{
 		version:    version,
@@ -52,9 +56,10 @@
 	return d.required
 }
 
-// DeclareVersion records the version of an adapter that operators declared,
-// unless the known version is at least as new, and reports whether it did.
-func (b *Board) DeclareVersion(adapter string, version int64, now time.Time) bool {
+// DeclareVersion records the version of an adapter that operators declared, whose grace
+// period begins at a time, unless the known version is at least as new, and reports
+// whether it did.
+func (b *Board) DeclareVersion(adapter string, version int64, graceBeginsAt time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	declared := b.declared[adapter]
@@ -64,11 +69,26 @@
 	if declared.newest() >= version {
 		return false
 	}
-	declared.add(version, now.Add(versionGracePeriod), now)
+	declared.minVersion(graceBeginsAt)
+	declared.add(version, graceBeginsAt.Add(versionGracePeriod))
 	b.declared[adapter] = declared
 	return true
 }
 
+// graceBeginsAt returns when the grace period of a declaration begins that is received
+// now. It may have been made at any time since the operators' records were last known to
+// be complete.
+func (b *Board) graceBeginsAt(now time.Time) time.Time {
+	confirmedAt := b.operatorConfirmedAt.Load()
+	if confirmedAt == nil {
+		return time.Time{}
+	}
+	if latest := confirmedAt.Add(maxDeclarationDelay); latest.Before(now) {
+		return latest
+	}
+	return now
+}
+
 // DeclaredVersions returns the newest declared version of each adapter.
 func (b *Board) DeclaredVersions() map[string]int64 {
 	b.mu.Lock()
--- a/fleet/operator_records.go
+++ b/fleet/operator_records.go
@@ -132,7 +132,7 @@
 	if !o.Board.StoreRecord(record, version) || !declared {
 		return
 	}
-	if !o.Board.DeclareVersion(adapter, version, o.Clock()) {
+	if !o.Board.DeclareVersion(adapter, version, o.Board.graceBeginsAt(o.Clock())) {
 		return
 	}
 	events.Log(o.Logger, events.VersionDeclared, log.Fields{
