Test that a pause outlasts a gap in the server list, failing

A server that asked for a pause gets calls at once if its entry is missing in one read and listed again in the next. The table has pauses inside and after another one, and gaps of one and two reads.

--- a/fleet/pauses_test.go
+++ b/fleet/pauses_test.go
@@ -160,3 +160,83 @@
 		t.Error(diff)
 	}
 }
+
+// TestPauseEndsWithoutItsServersEntry guards against a pause that is forgotten because its
+// server is missing in the list for a moment.
+func TestPauseEndsWithoutItsServersEntry(t *testing.T) {
+	type step struct {
+		after time.Duration
+		// pause is the length of a pause that the server asks for.
+		pause  time.Duration
+		listed bool
+	}
+	scenarios := []struct {
+		name  string
+		steps []step
+		// paused are the times at which the server is still paused, and resumed that at
+		// which it no longer is.
+		paused  []time.Duration
+		resumed time.Duration
+	}{
+		{
+			name:    "listed all the while",
+			steps:   []step{{pause: 5 * time.Second, listed: true}, {after: time.Second, listed: true}},
+			paused:  []time.Duration{4 * time.Second},
+			resumed: 6 * time.Second,
+		},
+		{
+			name:    "gone for one read",
+			steps:   []step{{pause: 5 * time.Second, listed: true}, {after: time.Second}, {after: 2 * time.Second, listed: true}},
+			paused:  []time.Duration{2 * time.Second, 4 * time.Second},
+			resumed: 6 * time.Second,
+		},
+		{
+			name:    "gone for two reads",
+			steps:   []step{{pause: 5 * time.Second, listed: true}, {after: time.Second}, {after: 2 * time.Second}, {after: 3 * time.Second, listed: true}},
+			paused:  []time.Duration{3 * time.Second, 4 * time.Second},
+			resumed: 6 * time.Second,
+		},
+		{
+			name:    "a shorter pause inside the first one",
+			steps:   []step{{pause: 5 * time.Second, listed: true}, {after: time.Second, pause: time.Second, listed: true}},
+			paused:  []time.Duration{3 * time.Second, 4 * time.Second},
+			resumed: 6 * time.Second,
+		},
+		{
+			name:    "a longer pause inside the first one, gone for one read",
+			steps:   []step{{pause: 3 * time.Second, listed: true}, {after: time.Second, pause: 5 * time.Second, listed: true}, {after: 2 * time.Second}, {after: 3 * time.Second, listed: true}},
+			paused:  []time.Duration{4 * time.Second, 5 * time.Second},
+			resumed: 7 * time.Second,
+		},
+		{
+			name:    "a second pause after the first one, gone for one read each",
+			steps:   []step{{pause: time.Second, listed: true}, {after: 500 * time.Millisecond}, {after: 3 * time.Second, pause: 3 * time.Second, listed: true}, {after: 4 * time.Second}, {after: 5 * time.Second, listed: true}},
+			paused:  []time.Duration{5500 * time.Millisecond},
+			resumed: 7 * time.Second,
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			board := fleet.NewBoard("north")
+			for _, step := range scenario.steps {
+				now := start.Add(step.after)
+				servers := map[string]pomelospring.FleetServer{"b": {ID: "b", Service: "llm", Domain: "north"}}
+				if step.listed {
+					servers["a"] = pomelospring.FleetServer{ID: "a", Service: "llm", Domain: "north"}
+				}
+				board.SetServers(servers, now)
+				if step.pause > 0 {
+					board.RecordPause("a", now.Add(step.pause), now)
+				}
+			}
+			for _, after := range scenario.paused {
+				if board.Accepts("a", start.Add(after)) {
+					t.Errorf("the server gets calls after %s", after)
+				}
+			}
+			if !board.Accepts("a", start.Add(scenario.resumed)) {
+				t.Errorf("the server gets no calls after %s", scenario.resumed)
+			}
+		})
+	}
+}
