Keep a server's pause while its entry is missing

Calls reached a server that had asked for a pause: endPauses dropped the pause of a server that one read of the list lacked, and the next read brought the server back without it. Pauses lists those of listed servers only, as before.

--- a/fleet/board.go
+++ b/fleet/board.go
@@ -191,7 +191,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.applyLeaving(servers, readAt)
-	b.endPauses(servers, readAt)
+	b.endPauses(readAt)
 	b.endLimits(servers, readAt)
 	versionBefore := b.serverVersion
 	for id, server := range servers {
--- a/fleet/pauses.go
+++ b/fleet/pauses.go
@@ -47,14 +47,14 @@
 	return resumeAt, changed
 }
 
-// Pauses returns when each server that is paused accepts requests of this instance
+// Pauses returns when each listed server that is paused accepts requests of this instance
 // again.
 func (b *Board) Pauses(now time.Time) map[string]time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	pauses := map[string]time.Time{}
 	for id, p := range b.pauses {
-		if now.Before(p.resumeAt) {
+		if _, listed := b.servers[id]; listed && now.Before(p.resumeAt) {
 			pauses[id] = p.resumeAt
 		}
 	}
@@ -104,11 +104,11 @@
 	return now.Before(b.pauses[server].resumeAt)
 }
 
-// endPauses forgets pauses that are over and those of servers that are not listed.
-// The caller holds the lock.
-func (b *Board) endPauses(servers map[string]pomelospring.FleetServer, now time.Time) {
+// endPauses forgets pauses that are over. The others are kept without their server's
+// entry, which may be missing only for a moment. The caller holds the lock.
+func (b *Board) endPauses(now time.Time) {
 	for id, p := range b.pauses {
-		if _, listed := servers[id]; !listed || !now.Before(p.resumeAt) {
+		if !now.Before(p.resumeAt) {
 			delete(b.pauses, id)
 		}
 	}
