--- a/coordination/restored_fleet_test.go
+++ b/coordination/restored_fleet_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -53,6 +54,8 @@
 	listeners map[string]chan net.Conn
 	workers   map[string]*orderedWorker
 	version   int
+	// frozen has the instances that neither get calls nor give orders.
+	frozen map[string]bool
 	// former holds the highest version in force at instances in contact, by time.
 	former []int64
 }
@@ -93,7 +96,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.workers[order.Server.ID]
-	if w.left {
+	if w.left || f.frozen[order.Holder] {
 		return pomelospring.OrderUnknown, errors.New("refused")
 	}
 	sinceLast := time.Since(w.lastAt)
@@ -162,14 +165,42 @@
 func (p *pipeListener) Close() error   { p.close(); return nil }
 func (p *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// frozenConn carries nothing while the instance at its other end is frozen.
+type frozenConn struct {
+	net.Conn
+	frozen func() bool
+}
+
+func (c *frozenConn) Write(b []byte) (int, error) {
+	if c.frozen() {
+		return 0, errors.New("no answer")
+	}
+	return c.Conn.Write(b)
+}
+
+func (f *restoredFleet) isFrozen(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.frozen[name]
+}
+
+func (f *restoredFleet) freeze(name string, frozen bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.frozen[name] = frozen
+}
+
 func (f *restoredFleet) dial(ctx context.Context, address string) (net.Conn, error) {
 	f.mu.Lock()
-	conns := f.listeners[address]
+	conns, frozen := f.listeners[address], f.frozen[address]
 	f.mu.Unlock()
+	if frozen {
+		return nil, errors.New("no answer")
+	}
 	ours, theirs := net.Pipe()
 	select {
 	case conns <- theirs:
-		return ours, nil
+		return &frozenConn{Conn: ours, frozen: func() bool { return f.isFrozen(address) }}, nil
 	case <-time.After(50 * time.Millisecond):
 		return nil, errors.New("refused")
 	case <-ctx.Done():
@@ -285,8 +316,12 @@
 
 func (f *restoredFleet) heartbeat(id string) {
 	w := f.workers[id]
+	adapters := make([]string, 0, len(w.Resident))
+	for _, resident := range w.Resident {
+		adapters = append(adapters, fmt.Sprintf("%s@%d", strings.TrimPrefix(resident.Adapter, "m/"), resident.Version))
+	}
 	entry, _ := json.Marshal(map[string]any{
-		"service": "llm", "address": id + ":1", "zone": w.domain, "slots": 8, "state": "ready", "born": w.Started.UnixMilli(), "models": []any{map[string]any{"name": "m"}},
+		"service": "llm", "address": id + ":1", "zone": w.domain, "slots": 8, "state": "ready", "born": w.Started.UnixMilli(), "models": []any{map[string]any{"name": "m", "adapters": adapters}},
 	})
 	f.store.Put(platform.ServerTopic, id, entry)
 }
@@ -422,7 +457,7 @@
 func newRestoredFleet(t *testing.T, seed uint64) *restoredFleet {
 	f := &restoredFleet{
 		t: t, seed: seed, began: time.Now(), random: rand.New(rand.NewPCG(seed, 23)), store: standin.NewStore(),
-		listeners: map[string]chan net.Conn{}, workers: map[string]*orderedWorker{}, version: 1,
+		listeners: map[string]chan net.Conn{}, workers: map[string]*orderedWorker{}, version: 1, frozen: map[string]bool{},
 	}
 	f.publish()
 	for i := range 6 {
