--- a/coordination/election_test.go
+++ b/coordination/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -24,11 +25,16 @@
 	mu      sync.Mutex
 	holder  string
 	queries int
+	// away says that the service answers nobody.
+	away bool
 }
 
 func (g *groups) Join(_ context.Context, _, member string, _ int64, _ time.Duration) (pomelospring.Membership, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.away {
+		return pomelospring.Membership{}, errors.New("no answer")
+	}
 	if g.holder == "" {
 		g.holder = member
 	}
@@ -46,6 +52,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queries++
+	if g.away {
+		return pomelospring.Ownership{}, errors.New("no answer")
+	}
 	if g.holder == "" {
 		return pomelospring.Ownership{}, nil
 	}
--- a/coordination/leader_test.go
+++ b/coordination/leader_test.go
@@ -56,6 +56,10 @@
 // startLeader starts the leader of a domain with one worker that has one slot, and
 // waits until it may order.
 func startLeader(ctx context.Context, worker *singleWorker) *coordination.Leader {
+	return startLeaderIn(ctx, worker, &groups{})
+}
+
+func startLeaderIn(ctx context.Context, worker *singleWorker, service *groups) *coordination.Leader {
 	began := time.Now()
 	worker.started = began
 	board := fleet.NewBoard("north")
@@ -87,15 +91,17 @@
 	logger := &log.Logger{Handler: discard.New()}
 	leader := coordination.NewLeader(0, groupParts)
 	leader.Domain, leader.Domains = "north", 1
+	leader.Instance = "instance/1"
 	leader.AnsweringDomains = func() int { return 1 }
 	leader.Board = board
 	leader.Engine = worker
 	leader.Logger = logger
 	leader.Clock = time.Now
+	leader.Servers = &fleet.ServerList{Board: board, Logger: logger, Clock: time.Now}
 	leader.Uptime = func() time.Duration { return time.Since(began) }
 	leader.Eras = &coordination.StoreEras{Logger: logger, Uptime: leader.Uptime}
 	election := &coordination.Election{
-		Groups:       &groups{},
+		Groups:       service,
 		Group:        "orders",
 		LeadersKnown: func() bool { return false },
 		Leader:       leader,
