--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -41,6 +41,9 @@
 	FirstFleetStart bool
 	Logger          log.Interface
 	Clock           pomelospring.Clock
+	// Uptime is a clock that keeps running while the process is suspended; without it,
+	// suspensions are not noticed.
+	Uptime func() time.Duration
 
 	// recorded has the software versions that the store has, by service.
 	recorded map[string][]string
