Take a software version for the only one only while the list of servers is current

Callers of an instance that was cut off during a release got streams that were joined from events of two software versions.

Cause: the only version that an instance knows was taken for the only one that serves, however old its list of servers was, and also after it had been cut off, frozen or suspended while another one came and went.

Change: the guess needs a list that is at most a second old and was read since the process last stood still. Once that has not held, the history of versions in the store is read again before the guess is used. Otherwise the call is refused (originUnknown).

With a version that joined less than a second before its streams break off the guess can still be wrong: a list may be that old.

TestOriginOfAStreamIsGuessed: in its last case two minutes passed without a list of servers, as no instance in step sees it; the list is now given again. What is asked for is the same.

--- a/front/front.go
+++ b/front/front.go
@@ -164,6 +164,7 @@
 		FirstFleetStart: config.FirstStart,
 		Logger:          logger,
 		Clock:           clock,
+		Uptime:          uptime,
 	}
 	f.service = &entry.Service{
 		Board:       f.board,
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -49,6 +49,8 @@
 	recorded map[string][]string
 	failing  bool
 
+	continuity continuity
+
 	// reading protects what follows, and lets one call at a time read the store.
 	reading sync.Mutex
 	next    pomelospring.TopicPosition
@@ -83,8 +85,10 @@
 	now := k.Clock()
 	listed := k.Board.SoftwareVersions()
 	k.Register.SeeVersions(listed, now)
-	if err := k.readHistory(ctx, now); err != nil {
-		return err
+	if k.isListCurrent(now) {
+		if err := k.readHistory(ctx, now); err != nil {
+			return err
+		}
 	}
 	if starts := k.Register.Unwritten(now); len(starts) > 0 {
 		if err := k.Store.AppendStarts(ctx, starts); err != nil {
@@ -99,7 +103,22 @@
 	return k.writeHistory(ctx)
 }
 
-// readHistory reads, once, which software versions served before this instance started.
+// isListCurrent reports whether the list of servers has all software versions that serve.
+// Once it hasn't, others may have come and gone unseen.
+func (k *Keeper) isListCurrent(now time.Time) bool {
+	var uptime time.Duration
+	if k.Uptime != nil {
+		uptime = k.Uptime()
+	}
+	current, lost := k.continuity.look(k.Board.ServersAge(now), now, uptime, k.interval())
+	if lost {
+		k.Register.MissHistory()
+	}
+	return current
+}
+
+// readHistory reads which software versions served before this instance started, or while
+// its list of servers was not current.
 func (k *Keeper) readHistory(ctx context.Context, now time.Time) error {
 	if _, complete := k.Register.Versions(""); complete {
 		return nil
@@ -187,9 +206,11 @@
 
 // onlyVersion returns the software version of a service if there has been only one.
 func (k *Keeper) onlyVersion(service string) (software string, known bool) {
-	k.Register.SeeVersions(k.Board.SoftwareVersions(), k.Clock())
+	now := k.Clock()
+	k.Register.SeeVersions(k.Board.SoftwareVersions(), now)
+	current := k.isListCurrent(now)
 	versions, complete := k.Register.Versions(service)
-	if complete && len(versions) == 1 {
+	if current && complete && len(versions) == 1 {
 		return versions[0], true
 	}
 	return "", false
--- a/origin/keeper_test.go
+++ b/origin/keeper_test.go
@@ -216,6 +216,7 @@
 				i.keep()
 				i.list(time.UnixMilli(1000), "v1")
 				i.now = i.now.Add(2 * time.Minute)
+				i.list(time.UnixMilli(1000), "v1")
 				i.keep()
 				return i
 			},
--- a/origin/register.go
+++ b/origin/register.go
@@ -29,7 +29,8 @@
 	starts map[string]*kept
 	// versions has when a server of each software version was last listed, by service.
 	versions map[string]map[string]time.Time
-	// complete is set once versions has those from before this instance started.
+	// complete is set while versions has those from before this instance started, and
+	// those of times in which its list of servers was not current.
 	complete bool
 	prunedAt time.Time
 }
@@ -152,8 +153,15 @@
 	r.complete = true
 }
 
+// MissHistory records that versions may have come and gone unseen.
+func (r *Register) MissHistory() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.complete = false
+}
+
 // Versions lists the software versions of a service that serve or did so lately. complete
-// is false while others may have served before this instance started.
+// is false while others may have served before this instance started, or unseen since.
 func (r *Register) Versions(service string) (versions []string, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
