Let lookups of streams share a read of the store that failed

Callers that took streams up while the store was silent waited for each other: each one read the store in turn, and each read lasted its whole timeout. Of 40 calls at an instance whose links hung none was answered within 8 s.

Cause: only a read that succeeded counted for the calls that waited for it.

Change: one that failed counts too, unless it failed because its own caller left. A call waits for the read that began before it, and for one more.

--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -54,7 +54,9 @@
 	// reading protects what follows, and lets one call at a time read the store.
 	reading sync.Mutex
 	next    pomelospring.TopicPosition
+	// readAt is when the last read began, and readErr is its error.
 	readAt  time.Time
+	readErr error
 }
 
 var _ pomelospring.StreamOrigins = (*Keeper)(nil)
@@ -230,11 +232,22 @@
 	k.reading.Lock()
 	defer k.reading.Unlock()
 	if k.readAt.After(askedAt) {
-		return 0, nil
+		return 0, k.readErr
 	}
+	k.readAt = k.Clock()
+	read, k.readErr = k.readStarts(ctx)
+	if ctx.Err() != nil {
+		// That this caller has left says nothing to the others.
+		k.readAt = time.Time{}
+	}
+	return read, k.readErr
+}
+
+// readStarts reads the starts that were recorded since the last read, and returns their
+// number. The caller holds the lock.
+func (k *Keeper) readStarts(ctx context.Context) (read int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	readAt := k.Clock()
 	for {
 		starts, next, err := k.Store.Starts(ctx, k.next)
 		if err != nil {
@@ -244,7 +257,6 @@
 		k.next = next
 		k.Register.Merge(starts, k.Clock())
 		if len(starts) == 0 {
-			k.readAt = readAt
 			return read, nil
 		}
 	}
