Take a stream that ends with its connection before an event as broken

Callers found their stream ended as if it were complete: it had broken off, and the next server sent a head without a length or chunks and closed.

Cause: the end of the connection counted as the end of the answer although no event had come, so that nothing distinguishes it from a server that stopped after its head.

Change: such an answer is broken, for a first try, a resumption and a takeover; one that declares its end still ends the stream.

Evidence: TestStreamHoldsAnErrorOfTheServerThatGoesOn, 'success without a body that ends with the connection', failed in all three breaks before and in none of three runs after the calls of the test got paths of their own. They had the same one, so that the calls of one case were blocked as one request that crashes servers.

--- a/entry/answer_beginning.go
+++ b/entry/answer_beginning.go
@@ -42,6 +42,8 @@
 			return beginning, nil
 		case scanner.tooLong():
 			return nil, errEventTooLong
+		case errors.Is(err, io.EOF) && answer.EndsWithConnection:
+			return nil, errNoEvent
 		case errors.Is(err, io.EOF) && scanner.empty():
 			return beginning, nil
 		case err != nil:
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -33,6 +33,9 @@
 // in order.
 var errInsideEvent = errors.New("the stream ended inside an event")
 
+// errNoEvent reports an answer without an event that only ended with its connection.
+var errNoEvent = errors.New("the connection ended before an event")
+
 // attempt is one send of a call to one backend server.
 type attempt struct {
 	session *session
@@ -200,10 +203,12 @@
 	}
 	scanner := &eventScanner{}
 	buffer := make([]byte, readBufferBytes)
+	begun := false
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			complete := scanner.add(buffer[:n])
+			begun = begun || len(complete) > 0
 			if len(complete) > 0 && !a.claim() {
 				return a.handleBrokenAnswer(ctx, errTakenOver)
 			}
@@ -221,10 +226,14 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if scanner.empty() && a.claim() {
+			err = errInsideEvent
+			switch {
+			case !scanner.empty():
+			case answer.EndsWithConnection && !begun:
+				err = errNoEvent
+			case a.claim():
 				return a.finishStream(answer, scanner.pending)
 			}
-			err = errInsideEvent
 		}
 		if err != nil {
 			a.recordBreak(ctx)
--- a/front/broken_stream_test.go
+++ b/front/broken_stream_test.go
@@ -133,7 +133,7 @@
 			var group sync.WaitGroup
 			for n := range resumedScenarios {
 				group.Go(func() {
-					results[n], _ = i.call(&http.Client{Transport: &http.Transport{}}, "/proof/", fmt.Sprintf("s-%d", n))
+					results[n], _ = i.call(&http.Client{Transport: &http.Transport{}}, fmt.Sprintf("/proof/%d", n), fmt.Sprintf("s-%d", n))
 				})
 			}
 			group.Wait()
