--- a/front/front.go
+++ b/front/front.go
@@ -167,6 +167,7 @@
 		FirstFleetStart: config.FirstStart,
 		Logger:          logger,
 		Clock:           clock,
+		Uptime:          uptime,
 	}
 	f.server.Starts = f.origins
 	f.service = &entry.Service{
