Name each term of a leader in its reports of spending

A team got back what other instances had spent for it: an instance whose lease ran out, and that took the lead again, added up spending from zero under its old name, so the ledgers subtracted the fall. The leader's name in replies now counts its terms; the first report of a term is a base only. A new term also sends the whole residency and list once.

--- a/coordination/crashes.go
+++ b/coordination/crashes.go
@@ -48,7 +48,7 @@
 	now := leader.Clock()
 	s.Quarantine.Merge(crashesFromProto(request.Crashes, now), outputsFromProto(request.Outputs, now), now)
 	since := request.CrashVersion
-	if request.Leader != leader.Instance {
+	if request.Leader != reply.Leader {
 		since = 0
 	}
 	crashes, outputs, version := s.Quarantine.Changes(since)
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"time"
 
@@ -66,6 +67,8 @@
 
 	mu    sync.Mutex
 	lease lease.Lease
+	// terms counts the times that this instance took the lead.
+	terms int
 	// membershipEra is the store's era at the last renewal.
 	membershipEra int64
 
@@ -164,6 +167,7 @@
 	event := events.LeadershipLost
 	if leading {
 		event = events.LeadershipTaken
+		l.terms++
 		l.totals = quota.NewTotals()
 		l.loads = fleet.NewLoadTotals()
 		l.members = map[string]*member{}
@@ -179,6 +183,10 @@
 	})
 }
 
+// term names this instance's current term in replies. What a term reports of spending
+// starts at zero. The lock is held.
+func (l *Leader) term() string { return l.Instance + "/" + strconv.Itoa(l.terms) }
+
 // ordersAllowed reports whether the lease allows an order now. The lock is held.
 func (l *Leader) ordersAllowed() bool {
 	l.lease.ShortenEraWait(l.Eras.ordersFrom(l.lease.HandoverTime))
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -97,7 +97,7 @@
 	failedAddress string
 	failedUntil   time.Time
 	// leader identifies the leader that issued the residency and server versions
-	// known here; it is unique to one start.
+	// known here; it is unique to one term.
 	leader        string
 	serverVersion int64
 	// lastReplyAt is the time of the last reply, operatorAge and serverAge the
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -106,11 +106,11 @@
 // instances reported and what changed since the instance's versions.
 func (l *Leader) serveExchange(request *coordinationpb.ExchangeRequest) *coordinationpb.ExchangeReply {
 	residencySince, serversSince := request.ResidencyVersion, request.ServerVersion
-	if request.Leader != l.Instance {
-		residencySince, serversSince = 0, 0
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if request.Leader != l.term() {
+		residencySince, serversSince = 0, 0
+	}
 	if !l.lease.Holds(l.Uptime()) {
 		return &coordinationpb.ExchangeReply{}
 	}
@@ -136,7 +136,7 @@
 	l.readyMarkedAt = now
 	reply := &coordinationpb.ExchangeReply{
 		Leading:          true,
-		Leader:           l.Instance,
+		Leader:           l.term(),
 		Uses:             serverLoadsToProto(l.noticeableLoads(request.Instance)),
 		ResidencyVersion: l.table.Revision,
 		Residency:        residencyToProto(l.table.Residency(residencySince)),
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -52,7 +52,7 @@
 
 // leaderState is the last report of one leader.
 type leaderState struct {
-	// leaderID is unique to one start of the leader; a new leader's totals start
+	// leaderID is unique to one term of the leader, whose totals start
 	// at zero.
 	leaderID string
 	// others is the reported spending of the other instances by team.
@@ -70,7 +70,7 @@
 // LeaderReport is a leader's report to one instance about the spending of all
 // others.
 type LeaderReport struct {
-	// Leader is unique to one start of the leader.
+	// Leader is unique to one term of the leader.
 	Leader string
 	Others map[string]Spending
 	// Instances is the number of instances that reported their spending recently,
