--- a/coordination/leader_test.go
+++ b/coordination/leader_test.go
@@ -60,6 +60,10 @@
 }
 
 func startLeaderIn(ctx context.Context, worker *singleWorker, service *groups) *coordination.Leader {
+	return startLeaderOf(ctx, worker, worker, service)
+}
+
+func startLeaderOf(ctx context.Context, engine pomelospring.Engine, worker *singleWorker, service *groups) *coordination.Leader {
 	began := time.Now()
 	worker.started = began
 	board := fleet.NewBoard("north")
@@ -94,7 +98,7 @@
 	leader.Instance = "instance/1"
 	leader.AnsweringDomains = func() int { return 1 }
 	leader.Board = board
-	leader.Engine = worker
+	leader.Engine = engine
 	leader.Logger = logger
 	leader.Clock = time.Now
 	leader.Servers = &fleet.ServerList{Board: board, Logger: logger, Clock: time.Now}
