Guard servers against a restore inside the one before

It rules out that a second or third restore of the store brings back a server that left, within the time for which the first one withholds it, and it shows that servers which the copy lacks get the return window anew.

--- a/fleet/restored_store_test.go
+++ b/fleet/restored_store_test.go
@@ -219,3 +219,51 @@
 		t.Error(diff)
 	}
 }
+
+// TestSecondRestoreBringsServersBack guards against a restore inside the time that the one
+// before left for servers to return.
+func TestSecondRestoreBringsServersBack(t *testing.T) {
+	board := fleet.NewBoard("north")
+	now := start
+	list := &fleet.ServerList{
+		Board:  board,
+		Logger: quiet(),
+		Clock:  func() time.Time { return now },
+		Decode: decode,
+	}
+	list.ApplyRead([]pomelospring.KeyedRecord{put("a", "ready"), put("b", "ready"), put("c", "ready")}, true, at(50), 0)
+	list.ApplyRead([]pomelospring.KeyedRecord{put("c", "")}, false, at(51), 0)
+	scenarios := []struct {
+		name  string
+		after time.Duration
+		// era is that of a restore from a copy that lacks a and lists c, which left.
+		era  int64
+		want []string
+	}{
+		{name: "first restore", after: 0, era: 1, want: []string{"a", "b"}},
+		{name: "second restore", after: 2 * time.Second, era: 2, want: []string{"a", "b"}},
+		{name: "the first one's return window is over", after: 4 * time.Second, want: []string{"a", "b"}},
+		{name: "the second one's is over", after: 5 * time.Second, want: []string{"b"}},
+		{name: "third restore", after: 7 * time.Second, era: 3, want: []string{"b"}},
+		{name: "the second one's withhold time is over", after: 9 * time.Second, want: []string{"b"}},
+		{name: "the third one's is over, and the entry still there", after: 14 * time.Second, want: []string{"b", "c"}},
+	}
+	era := int64(0)
+	for _, scenario := range scenarios {
+		now = start.Add(scenario.after)
+		var records []pomelospring.KeyedRecord
+		if scenario.era > 0 {
+			era = scenario.era
+			records = []pomelospring.KeyedRecord{inEra(era, 1, put("b", "ready")), inEra(era, 2, put("c", "ready"))}
+		}
+		list.ApplyRead(records, scenario.era > 0, pomelospring.TopicPosition{Era: era, Offset: 3}, 0)
+		listed := make([]string, 0, 3)
+		for _, server := range board.Servers() {
+			listed = append(listed, server.ID)
+		}
+		slices.Sort(listed)
+		if diff := cmp.Diff(scenario.want, listed); diff != "" {
+			t.Errorf("%s: %s", scenario.name, diff)
+		}
+	}
+}
