Begin a plan's orders together with the plan

A worker could be ordered to load more than its slots hold: Leader.Place decided on a plan, and began its orders in another goroutine. An order that ended in between took the slot, and the old plan was carried out with the new sequence number. In the test 19 to 30 adapters came on a worker with one slot. Both steps are now one under the lock, in Place and in the maintenance orders, which had the same two steps.

Green: TestOldPlanIsCarriedOut three times with -race, go test -race ./coordination.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -239,14 +239,21 @@
 	if l.ordersAllowed() {
 		orders = l.dueOrders(now)
 	}
+	sequences := make([]int64, len(orders))
+	begun := make([]bool, len(orders))
+	for i, order := range orders {
+		sequences[i], begun[i] = l.table.BeginOrder(order.Server.ID)
+	}
 	l.mu.Unlock()
 	// The placement table allows one report request and one order per worker at
 	// a time, so a slow worker delays no other.
 	for _, server := range reports {
 		go l.report(ctx, server)
 	}
-	for _, order := range orders {
-		go l.executeMaintenance(ctx, order)
+	for i, order := range orders {
+		if begun[i] {
+			go l.executeMaintenance(ctx, order, sequences[i])
+		}
 	}
 }
 
@@ -356,15 +363,9 @@
 	l.table.ApplyReport(server.ID, report, l.Clock())
 }
 
-// executeMaintenance sends an order that no request waits for and applies its
-// result.
-func (l *Leader) executeMaintenance(ctx context.Context, order loading.Maintenance) {
-	l.mu.Lock()
-	sequence, ok := l.table.BeginOrder(order.Server.ID)
-	l.mu.Unlock()
-	if !ok {
-		return
-	}
+// executeMaintenance sends an order that no request waits for, which has begun at a
+// sequence, and applies its result.
+func (l *Leader) executeMaintenance(ctx context.Context, order loading.Maintenance, sequence int64) {
 	defer l.endOrder(order.Server.ID)
 	result := l.order(ctx, pomelospring.Order{
 		Kind:     order.Kind,
--- a/coordination/place.go
+++ b/coordination/place.go
@@ -20,12 +20,12 @@
 	}
 	for {
 		now := l.Clock()
-		plan, ok := l.plan(request, now)
+		plan, sequence, ok := l.plan(request, now)
 		if !ok {
 			return pomelospring.PlacementOutcome{}, errNotLeading
 		}
 		if plan.Kind == loading.PlanLoad {
-			if plan, err = l.awaitLoad(ctx, plan); err != nil {
+			if plan, err = l.awaitLoad(ctx, plan, sequence); err != nil {
 				return pomelospring.PlacementOutcome{}, err
 			}
 		}
@@ -85,32 +85,50 @@
 }
 
 // plan decides how to serve a placement request; ok is false if this instance
-// does not lead.
-func (l *Leader) plan(request pomelospring.PlacementRequest, now time.Time) (plan loading.Plan, ok bool) {
+// does not lead. A plan to load begins the orders to its worker, so that no other order
+// changes what it rests on.
+func (l *Leader) plan(request pomelospring.PlacementRequest, now time.Time) (plan loading.Plan, sequence int64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.lease.Holds(l.Uptime()) {
-		return loading.Plan{}, false
+		return loading.Plan{}, 0, false
 	}
 	plan = l.table.Plan(request, now)
-	if plan.Kind == loading.PlanLoad && !l.ordersAllowed() {
+	if plan.Kind != loading.PlanLoad {
+		return plan, 0, true
+	}
+	if !l.ordersAllowed() {
 		return loading.Plan{
 			Kind:   loading.PlanNone,
 			Reason: "the former leader's orders may still be under way",
-		}, true
+		}, 0, true
+	}
+	sequence, begun := l.table.BeginOrder(plan.Server.ID)
+	if !begun {
+		return retryPlan(now), 0, true
+	}
+	return plan, sequence, true
+}
+
+// retryPlan is the plan to plan again, as the orders were not carried out.
+func retryPlan(now time.Time) loading.Plan {
+	return loading.Plan{
+		Kind:   loading.PlanRetry,
+		At:     now,
+		Reason: "the order to the worker was not carried out",
 	}
-	return plan, true
 }
 
 // awaitLoad sends the orders of a plan and waits for them or for the end of the
 // context. The orders outlive the context, as a worker of which an order was canceled
 // has to be asked for its state.
-func (l *Leader) awaitLoad(ctx context.Context, plan loading.Plan) (result loading.Plan, err error) {
+func (l *Leader) awaitLoad(ctx context.Context, plan loading.Plan, sequence int64) (result loading.Plan, err error) {
 	if err = ctx.Err(); err != nil {
+		l.endOrder(plan.Server.ID)
 		return plan, err
 	}
 	loaded := make(chan loading.Plan, 1)
-	go func() { loaded <- l.load(context.WithoutCancel(ctx), plan) }()
+	go func() { loaded <- l.load(context.WithoutCancel(ctx), plan, sequence) }()
 	select {
 	case <-ctx.Done():
 		return plan, ctx.Err()
@@ -119,20 +137,10 @@
 	}
 }
 
-// load sends the orders of a plan. It returns a plan that says when the adapter
-// is ready, or to plan again if the orders were not carried out.
-func (l *Leader) load(ctx context.Context, plan loading.Plan) loading.Plan {
-	retry := loading.Plan{
-		Kind:   loading.PlanRetry,
-		At:     l.Clock(),
-		Reason: "the order to the worker was not carried out",
-	}
-	l.mu.Lock()
-	sequence, ok := l.table.BeginOrder(plan.Server.ID)
-	l.mu.Unlock()
-	if !ok {
-		return retry
-	}
+// load sends the orders of a plan, which have begun at a sequence. It returns a plan that
+// says when the adapter is ready, or to plan again if the orders were not carried out.
+func (l *Leader) load(ctx context.Context, plan loading.Plan, sequence int64) loading.Plan {
+	retry := retryPlan(l.Clock())
 	defer l.endOrder(plan.Server.ID)
 	if plan.Evict != "" {
 		result := l.order(ctx, pomelospring.Order{
