--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"time"
 
@@ -66,6 +67,8 @@
 
 	mu    sync.Mutex
 	lease lease.Lease
+	// terms counts the times that this instance took the lead.
+	terms int
 	// membershipEra is the store's era at the last renewal.
 	membershipEra int64
 
@@ -164,6 +167,7 @@
 	event := events.LeadershipLost
 	if leading {
 		event = events.LeadershipTaken
+		l.terms++
 		l.totals = quota.NewTotals()
 		l.loads = fleet.NewLoadTotals()
 		l.members = map[string]*member{}
@@ -179,6 +183,10 @@
 	})
 }
 
+// term names this instance's current term in replies. What a term reports of spending
+// starts at zero. The lock is held.
+func (l *Leader) term() string { return l.Instance + "/" + strconv.Itoa(l.terms) }
+
 // ordersAllowed reports whether the lease allows an order now. The lock is held.
 func (l *Leader) ordersAllowed() bool {
 	l.lease.ShortenEraWait(l.Eras.ordersFrom(l.lease.HandoverTime))
@@ -231,14 +239,21 @@
 	if l.ordersAllowed() {
 		orders = l.dueOrders(now)
 	}
+	sequences := make([]int64, len(orders))
+	begun := make([]bool, len(orders))
+	for i, order := range orders {
+		sequences[i], begun[i] = l.table.BeginOrder(order.Server.ID)
+	}
 	l.mu.Unlock()
 	// The placement table allows one report request and one order per worker at
 	// a time, so a slow worker delays no other.
 	for _, server := range reports {
 		go l.report(ctx, server)
 	}
-	for _, order := range orders {
-		go l.executeMaintenance(ctx, order)
+	for i, order := range orders {
+		if begun[i] {
+			go l.executeMaintenance(ctx, order, sequences[i])
+		}
 	}
 }
 
@@ -348,15 +363,9 @@
 	l.table.ApplyReport(server.ID, report, l.Clock())
 }
 
-// executeMaintenance sends an order that no request waits for and applies its
-// result.
-func (l *Leader) executeMaintenance(ctx context.Context, order loading.Maintenance) {
-	l.mu.Lock()
-	sequence, ok := l.table.BeginOrder(order.Server.ID)
-	l.mu.Unlock()
-	if !ok {
-		return
-	}
+// executeMaintenance sends an order that no request waits for, which has begun at a
+// sequence, and applies its result.
+func (l *Leader) executeMaintenance(ctx context.Context, order loading.Maintenance, sequence int64) {
 	defer l.endOrder(order.Server.ID)
 	result := l.order(ctx, pomelospring.Order{
 		Kind:     order.Kind,
