Join a stream only with answers of its own format

Callers found an error's text in the middle of their stream, as a page or compressed, where the server that was to go on answered 200.

Cause: any signed success counted as the rest of the stream.

Change: the content type, without parameters, and the encoding have to be those of the answer that began the stream; an answer without a content type is taken to have the same.

Evidence: 'success with an error as a page' and 'success, compressed' of TestStreamHoldsAnErrorOfTheServerThatGoesOn failed in all three breaks and pass.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -36,6 +36,9 @@
 // errNoEvent reports an answer without an event that only ended with its connection.
 var errNoEvent = errors.New("the connection ended before an event")
 
+// errOtherFormat reports an answer that can't be joined to the stream that began.
+var errOtherFormat = errors.New("the answer has another format than the stream that it goes on with")
+
 // attempt is one send of a call to one backend server.
 type attempt struct {
 	session *session
@@ -198,8 +201,8 @@
 // forwardStream forwards complete events as they arrive.
 func (a *attempt) forwardStream(ctx context.Context, answer *pomelospring.BackendAnswer) (done bool) {
 	c := a.session
-	if !answer.Signed {
-		return a.handleBrokenAnswer(ctx, errors.New("the answer has no signature"))
+	if err := c.checkStreamHead(answer); err != nil {
+		return a.handleBrokenAnswer(ctx, err)
 	}
 	scanner := &eventScanner{}
 	buffer := make([]byte, readBufferBytes)
@@ -208,10 +211,10 @@
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			complete := scanner.add(buffer[:n])
-			begun = begun || len(complete) > 0
-			if len(complete) > 0 && !a.claim() {
-				return a.handleBrokenAnswer(ctx, errTakenOver)
+			if err := a.acceptEvents(complete); err != nil {
+				return a.handleBrokenAnswer(ctx, err)
 			}
+			begun = begun || len(complete) > 0
 			if len(complete) > 0 && !a.forwardEvents(answer, complete) {
 				a.end(false)
 				c.giveUp(ctx, c.unansweredRefusal())
@@ -226,12 +229,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			err = errInsideEvent
-			switch {
-			case !scanner.empty():
-			case answer.EndsWithConnection && !begun:
-				err = errNoEvent
-			case a.claim():
+			if err = a.endOfStream(answer, scanner, begun); err == nil {
 				return a.finishStream(answer, scanner.pending)
 			}
 		}
@@ -242,6 +240,42 @@
 	}
 }
 
+// checkStreamHead checks that an answer is a stream that the caller can get.
+func (c *session) checkStreamHead(answer *pomelospring.BackendAnswer) error {
+	if !answer.Signed {
+		return errors.New("the answer has no signature")
+	}
+	if c.forwarded && !sameFormat(c.streamHeader, answer.Header) {
+		return errOtherFormat
+	}
+	return nil
+}
+
+// endOfStream returns why a stream whose body has ended is broken, or nil if it is whole
+// and its attempt may finish it. begun says that an event has come.
+func (a *attempt) endOfStream(answer *pomelospring.BackendAnswer, scanner *eventScanner, begun bool) error {
+	switch {
+	case !scanner.empty():
+		return errInsideEvent
+	case answer.EndsWithConnection && !begun:
+		return errNoEvent
+	case !a.claim():
+		return errTakenOver
+	}
+	return nil
+}
+
+// acceptEvents checks that complete events may be forwarded.
+func (a *attempt) acceptEvents(complete []byte) error {
+	switch {
+	case len(complete) == 0:
+		return nil
+	case !a.claim():
+		return errTakenOver
+	}
+	return nil
+}
+
 // forwardEvents forwards complete events, preceded by the head if they are the
 // first ones, and reports whether they could be written.
 func (a *attempt) forwardEvents(answer *pomelospring.BackendAnswer, complete []byte) bool {
@@ -280,6 +314,7 @@
 // beginStream sends the head of a stream.
 func (c *session) beginStream(answer *pomelospring.BackendAnswer) {
 	c.forwarded = true
+	c.streamHeader = answer.Header
 	c.out.Head(answer, unknownLength)
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -160,6 +161,8 @@
 	// software is the version at which alone the stream may go on; nil before its first
 	// event.
 	software atomic.Pointer[string]
+	// streamHeader is the header of the answer that began the stream.
+	streamHeader http.Header
 	// resumedServer is the server of the last resumption that was logged.
 	resumedServer string
 	// successor is the attempt that has taken the call over from the last one.
