Go on with a stream only after its last event

Callers got events twice where the server that was to go on with their stream began it anew, or sent the last event once more.

Cause: nobody compared the first event of a resumed answer with the last one forwarded.

Change: an answer whose first ID does not come after the last event is broken.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -36,6 +36,9 @@
 // errNoEvent reports an answer without an event that only ended with its connection.
 var errNoEvent = errors.New("the connection ended before an event")
 
+// errRepeated reports an answer that doesn't go on after the last event.
+var errRepeated = errors.New("the answer repeats events that the caller has got")
+
 // errOtherFormat reports an answer that can't be joined to the stream that began.
 var errOtherFormat = errors.New("the answer has another format than the stream that it goes on with")
 
@@ -52,6 +55,8 @@
 	sentAt time.Time
 	queued bool
 	ended  bool
+	// resumes is set if the server was asked to go on after the last event.
+	resumes bool
 	// firstOutputAt is when the first part of the answer arrived, and isProven is set
 	// once the answer has gone on for so long that the server won't end under it.
 	firstOutputAt time.Time
@@ -211,7 +216,7 @@
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			complete := scanner.add(buffer[:n])
-			if err := a.acceptEvents(complete); err != nil {
+			if err := a.acceptEvents(complete, begun); err != nil {
 				return a.handleBrokenAnswer(ctx, err)
 			}
 			begun = begun || len(complete) > 0
@@ -265,11 +270,14 @@
 	return nil
 }
 
-// acceptEvents checks that complete events may be forwarded.
-func (a *attempt) acceptEvents(complete []byte) error {
+// acceptEvents checks that complete events may be forwarded. begun says that others of
+// the answer came before.
+func (a *attempt) acceptEvents(complete []byte, begun bool) error {
 	switch {
 	case len(complete) == 0:
 		return nil
+	case a.resumes && !begun && repeats(complete, a.session.lastEventID):
+		return errRepeated
 	case !a.claim():
 		return errTakenOver
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -334,6 +334,7 @@
 	c.service.Board.BeginCall(a.server.ID, c.call.Adapter, a.prefillTokens)
 	c.service.Board.RecordProbe(a.server.ID, c.service.Clock())
 	dispatched := c.dispatch(a.choice, resumeAfter)
+	a.resumes = resumeAfter != ""
 	c.sent.Store(a.server.ID, true)
 	answer, err = c.service.Backend.Send(ctx, c.call, dispatched)
 	if err != nil {
