Guess the only software version only where others have answered

Causes: an instance that reached neither the leaders nor the store took the version that it listed for the only one; starts were known by the call's ID alone, which another team's caller may choose. Change: the guess needs an answer of a leader, or of the store, that no start is known; starts are kept by team and call.

--- a/coordination/stream_directory.go
+++ b/coordination/stream_directory.go
@@ -212,44 +212,38 @@
 }
 
 // Ask implements pomelospring.StreamDirectory.
-func (d *StreamDirectory) Ask(ctx context.Context, call string) (start pomelospring.StreamStart, found, complete bool) {
+func (d *StreamDirectory) Ask(ctx context.Context, call string) (answer pomelospring.StartAnswer) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	keepers := d.keepers(call, maxAskedLeaders)
-	answers := make(chan startAnswer, len(keepers))
+	answers := make(chan pomelospring.StartAnswer, len(keepers))
 	for _, i := range keepers {
 		go func() { answers <- d.askers[i].ask(ctx, d.Members[i], call) }()
 	}
 	for range keepers {
-		answer := <-answers
-		if answer.found {
-			return answer.start, true, true
+		next := <-answers
+		if next.Found {
+			return next
 		}
-		complete = complete || answer.complete
+		answer.Answered = answer.Answered || next.Answered
+		answer.Complete = answer.Complete || next.Complete
 	}
-	return pomelospring.StreamStart{}, false, complete
-}
-
-// startAnswer is what a leader knows of the start that a call made.
-type startAnswer struct {
-	start    pomelospring.StreamStart
-	found    bool
-	complete bool
+	return answer
 }
 
 // startAsker asks one leader, for all calls that wait in one message.
 type startAsker struct {
 	mu      sync.Mutex
-	waiting map[string][]chan startAnswer
+	waiting map[string][]chan pomelospring.StartAnswer
 	asking  bool
 }
 
 // ask asks for one start, with those that others ask for meanwhile.
-func (a *startAsker) ask(ctx context.Context, member *Member, call string) (answer startAnswer) {
-	reply := make(chan startAnswer, 1)
+func (a *startAsker) ask(ctx context.Context, member *Member, call string) (answer pomelospring.StartAnswer) {
+	reply := make(chan pomelospring.StartAnswer, 1)
 	a.mu.Lock()
 	if a.waiting == nil {
-		a.waiting = map[string][]chan startAnswer{}
+		a.waiting = map[string][]chan pomelospring.StartAnswer{}
 	}
 	a.waiting[call] = append(a.waiting[call], reply)
 	begin := !a.asking
@@ -272,14 +266,15 @@
 		if len(waiting) == 0 {
 			return
 		}
-		starts, complete := member.findStarts(waiting)
+		starts, answered, complete := member.findStarts(waiting)
 		for call, replies := range waiting {
 			start, found := starts[call]
 			for _, reply := range replies {
-				reply <- startAnswer{
-					start:    start,
-					found:    found,
-					complete: complete,
+				reply <- pomelospring.StartAnswer{
+					Start:    start,
+					Found:    found,
+					Answered: answered,
+					Complete: complete,
 				}
 			}
 		}
@@ -287,11 +282,11 @@
 }
 
 // take takes the calls that the next message asks for; none end the asking.
-func (a *startAsker) take() (waiting map[string][]chan startAnswer) {
+func (a *startAsker) take() (waiting map[string][]chan pomelospring.StartAnswer) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	waiting = a.waiting
-	a.waiting = map[string][]chan startAnswer{}
+	a.waiting = map[string][]chan pomelospring.StartAnswer{}
 	for call, replies := range waiting {
 		if len(waiting) <= maxStartsPerCall {
 			break
@@ -304,10 +299,10 @@
 }
 
 // findStarts asks the domain's leader for the starts that calls made.
-func (m *Member) findStarts(calls map[string][]chan startAnswer) (starts map[string]pomelospring.StreamStart, complete bool) {
+func (m *Member) findStarts(calls map[string][]chan pomelospring.StartAnswer) (starts map[string]pomelospring.StreamStart, answered, complete bool) {
 	address := m.leaderElsewhere()
 	if address == "" {
-		return nil, false
+		return nil, false, false
 	}
 	request := &coordinationpb.FindStartsRequest{}
 	for call := range calls {
@@ -323,13 +318,13 @@
 			"calls":   len(calls),
 			"error":   err.Error(),
 		})
-		return nil, false
+		return nil, false, false
 	}
 	starts = make(map[string]pomelospring.StreamStart, len(reply.Starts))
 	for _, start := range startsFromProto(reply.Starts) {
 		starts[start.Call] = start
 	}
-	return starts, reply.Complete
+	return starts, true, reply.Complete
 }
 
 // TellStarts implements the RPC TellStarts.
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -19,12 +19,14 @@
 // written, perhaps with another software version.
 var errStartedAnew = errors.New("the backend server was started anew, or does not say when it was")
 
-// streamID is the ID of the call that brought the caller the first event of the stream.
+// streamID identifies the call that brought the caller the first event of the stream. No
+// other team's call has the same, whatever IDs its callers choose.
 func (c *session) streamID() string {
+	call := c.call.ID
 	if c.call.Resumes != "" {
-		return c.call.Resumes
+		call = c.call.Resumes
 	}
-	return c.call.ID
+	return c.team + "/" + call
 }
 
 // findOrigin finds the service and the software version at which a stream began that the
@@ -35,7 +37,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.firstEventDeadline)
 	defer cancel()
-	origin := c.service.Origins.Origin(ctx, c.targetService, c.call.Resumes)
+	stream := ""
+	if c.call.Resumes != "" {
+		stream = c.streamID()
+	}
+	origin := c.service.Origins.Origin(ctx, c.targetService, stream)
 	if !origin.Known {
 		return pomelospring.NewRefusal(pomelospring.CodeOriginUnknown, origin.RetryAt, "it is not known at which software version the stream began")
 	}
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -55,7 +55,7 @@
 	OriginsNotKept   = define(235, "originsNotKept", log.WarnLevel, "At which software version streams began could not be read or written; this is tried again, and logged once until it succeeds, or with the call that asked.")
 	SoftwareVersions = define(236, "softwareVersions", log.InfoLevel, "The leader of a failure domain recorded the software versions of a service's servers, those that left lately included; while there are several, the starts of streams are recorded.")
 
-	OriginSought = define(237, "originSought", log.InfoLevel, "A call goes on with a stream that another call began; the fields say where the start of the stream was found (here, an instance that keeps it, store, onlyVersion, or nowhere), how many starts were read for it, and how long that took.")
+	OriginSought = define(237, "originSought", log.InfoLevel, "A call goes on with a stream that another call began; the fields say where the start of the stream was found (here, an instance that keeps it, store, onlyVersion, nowhere, or that nobody answered), how many starts were read for it, and how long that took.")
 
 	StartsNotTold = define(238, "startsNotTold", log.WarnLevel, "Leaders that keep the starts of streams could not be told of some; these are in the store only.")
 
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -218,19 +218,23 @@
 func (k *Keeper) Origin(ctx context.Context, service, call string) (origin pomelospring.StreamOrigin) {
 	askedAt := k.Clock()
 	start, source, read := k.find(ctx, call)
-	if source != sourceNowhere {
+	switch source {
+	case sourceUnanswered:
+	case sourceNowhere:
+		if software, known := k.onlyVersion(service); known {
+			source = sourceOnlyVersion
+			origin = pomelospring.StreamOrigin{
+				Known:    true,
+				Service:  service,
+				Software: software,
+			}
+		}
+	default:
 		origin = pomelospring.StreamOrigin{
 			Known:    !start.Ambiguous && !k.startedAnew(&start),
 			Service:  start.Service,
 			Software: start.Software,
 		}
-	} else if software, known := k.onlyVersion(service); known {
-		source = sourceOnlyVersion
-		origin = pomelospring.StreamOrigin{
-			Known:    true,
-			Service:  service,
-			Software: software,
-		}
 	}
 	now := k.Clock()
 	if !origin.Known || now.Sub(start.At) < listDelay {
@@ -257,12 +261,12 @@
 	if start, found := k.Register.Find(call); found {
 		return start, sourceHere, 0
 	}
-	start, found, complete := k.ask(ctx, call)
-	if found {
-		k.Told([]pomelospring.StreamStart{start})
-		return start, sourceInstance, 0
+	answer := k.ask(ctx, call)
+	if answer.Found {
+		k.Told([]pomelospring.StreamStart{answer.Start})
+		return answer.Start, sourceInstance, 0
 	}
-	if complete {
+	if answer.Complete {
 		return start, sourceNowhere, 0
 	}
 	read, err := k.refresh(ctx, lookupTimeout)
@@ -272,19 +276,23 @@
 			"error": err.Error(),
 		})
 	}
-	if start, found = k.Register.Find(call); found {
+	start, found := k.Register.Find(call)
+	switch {
+	case found:
 		return start, sourceStore, read
+	case err != nil && !answer.Answered:
+		return start, sourceUnanswered, read
 	}
 	return start, sourceNowhere, read
 }
 
-// ask asks the instances that keep starts, and once more while they may be about to be
-// told of this one.
-func (k *Keeper) ask(ctx context.Context, call string) (start pomelospring.StreamStart, found, complete bool) {
+// ask asks the instances that keep starts, and again while they may be about to be told of
+// this one.
+func (k *Keeper) ask(ctx context.Context, call string) (answer pomelospring.StartAnswer) {
 	for _, wait := range askAgainAfter {
-		start, found, complete = k.Directory.Ask(ctx, call)
-		if found || !complete || pomelospring.Sleep(ctx, wait) != nil {
-			return start, found, complete
+		answer = k.Directory.Ask(ctx, call)
+		if answer.Found || !answer.Answered || pomelospring.Sleep(ctx, wait) != nil {
+			return answer
 		}
 	}
 	return k.Directory.Ask(ctx, call)
@@ -297,6 +305,7 @@
 	sourceStore       = "store"
 	sourceOnlyVersion = "onlyVersion"
 	sourceNowhere     = "nowhere"
+	sourceUnanswered  = "unanswered"
 )
 
 // onlyVersion returns the software version of a service if there has been only one.
--- a/stream_origin.go
+++ b/stream_origin.go
@@ -50,9 +50,18 @@
 	// Tell hands starts over to the instances that keep them, without waiting for them. It
 	// returns the starts for which there is none now.
 	Tell(starts []StreamStart) (untold []StreamStart)
-	// Ask asks these instances for the start that a call made. complete says that one of
-	// them has all starts that are in the store.
-	Ask(ctx context.Context, call string) (start StreamStart, found, complete bool)
+	// Ask asks these instances for the start that a call made.
+	Ask(ctx context.Context, call string) (answer StartAnswer)
+}
+
+// StartAnswer is what the instances that keep starts know of one.
+type StartAnswer struct {
+	Start StreamStart
+	Found bool
+	// Answered is set if one of them answered, and Complete if it has all starts that are
+	// in the store.
+	Answered bool
+	Complete bool
 }
 
 // StreamStartKeeper keeps the starts that other instances tell of.
