Record, log and probe the state of each path to a backend server

The logs named each failed connection (222), but not whether a path was broken, since when, and when it was whole again; nor did the board know it, so that a server which is gone and one that only this instance can't reach looked the same.

A path counts as broken once no connection can be made for a call, an order or a report, and as whole once connections without any request have succeeded for some time, at a bounded rate and only while it is broken. Events 342 and 343, and GET /paths on the metrics address. No decision reads it yet. BackendClient and EngineClient take a Dial, so that a test can cut one instance off.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -81,6 +81,8 @@
 	ServersListed     = define(324, "serversListed", log.InfoLevel, "The list of backend servers changed: one was added, removed or set to drain.")
 	ServerQuiet       = define(340, "serverQuiet", log.InfoLevel, "A backend server left a call unanswered for too long and answered no other meanwhile; it gets single calls until it answers.")
 	ServerAnswered    = define(341, "serverAnswered", log.InfoLevel, "A backend server that counted as silent answers again.")
+	PathBroken        = define(342, "pathBroken", log.WarnLevel, "This instance can't connect to a backend server; the path counts as broken until probes have succeeded for some time.")
+	PathWhole         = define(343, "pathWhole", log.InfoLevel, "This instance connects to a backend server again; brokenMs tells for how long it could not.")
 	ServerMalformed   = define(325, "serverSpoiled", log.WarnLevel, "An entry of the list of backend servers is malformed and is not used.")
 
 	ServerLeaving = define(330, "serverLeaving", log.InfoLevel, "A backend server announced that it leaves, while the server list has it as ready; it gets no new work until it is started anew.")
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -64,6 +64,10 @@
 	demands       map[string]demand
 	// evidence is kept by failure domain.
 	evidence map[string]*cutOffEvidence
+	// paths has the servers whose path is broken, or was so before, by ID, and
+	// brokenPaths counts the broken ones.
+	paths       map[string]*path
+	brokenPaths atomic.Int32
 	// prefill has the learned speed of model workers, and plainCalls the learned
 	// duration of a call by service.
 	prefill    dispatch.Speeds
@@ -109,6 +113,7 @@
 		ownLoads:      map[string]*ownLoad{},
 		demands:       map[string]demand{},
 		evidence:      map[string]*cutOffEvidence{},
+		paths:         map[string]*path{},
 		plainCalls:    map[string]time.Duration{},
 	}
 }
@@ -226,6 +231,7 @@
 	b.applyLeaving(servers, readAt)
 	b.endPauses(servers, readAt)
 	b.endLimits(servers, readAt)
+	b.endPaths(servers)
 	versionBefore := b.serverVersion
 	for id, server := range servers {
 		if before, known := b.servers[id]; !known || !before.Equivalent(&server) {
--- a/front/front.go
+++ b/front/front.go
@@ -30,6 +30,7 @@
 	"github.com/pomelospring/pomelospring/platform"
 	"github.com/pomelospring/pomelospring/quarantine"
 	"github.com/pomelospring/pomelospring/quota"
+	"github.com/pomelospring/pomelospring/relay"
 	"github.com/pomelospring/pomelospring/settings"
 )
 
@@ -66,6 +67,9 @@
 
 // Front is one instance: its listeners, its state and its background loops.
 type Front struct {
+	// Dial connects to backend servers; over TCP unless set before Run.
+	Dial platform.Dial
+
 	settings *settings.Front
 	// path is the path of the settings file.
 	path      string
@@ -77,6 +81,7 @@
 	ledger   *quota.Ledger
 	store    *platform.Store
 	backends *platform.BackendClient
+	paths    *relay.Paths
 	engines  *platform.EngineClient
 	eras     *coordination.StoreEras
 	peers    *peer.Client
@@ -154,6 +159,7 @@
 		Logger: logger,
 		Clock:  clock,
 	}.Record
+	f.wirePaths()
 	f.wireCoordination()
 	f.origins = &origin.Keeper{
 		Store:           f.store,
@@ -166,8 +172,11 @@
 		Clock:           clock,
 	}
 	f.service = &entry.Service{
-		Board:       f.board,
-		Backend:     f.backends,
+		Board: f.board,
+		Backend: &relay.Backend{
+			Direct: f.backends,
+			Paths:  f.paths,
+		},
 		Coordinator: f.coordinator,
 		Ledger:      f.ledger,
 		Logger:      logger,
@@ -188,6 +197,16 @@
 	return f
 }
 
+// wirePaths has the clients of backend servers report over which paths they can't connect.
+func (f *Front) wirePaths() {
+	f.paths = &relay.Paths{
+		Board:  f.board,
+		Logger: f.logger,
+		Clock:  f.clock,
+	}
+	f.engines.OnUnreachable = f.paths.RecordFailure
+}
+
 // assumedInstances is the number of instances that share the fleet's retry burst
 // until a leader reports the actual number.
 const assumedInstances = 12
@@ -355,7 +374,9 @@
 		"peers":    f.settings.Listen.Peers,
 	})
 	var group run.Group
+	f.backends.Dial, f.engines.Dial = f.Dial, f.Dial
 	addLoop(&group, f.logWriter.Run)
+	addLoop(&group, f.prober().Run)
 	addLoop(&group, f.blockKeeper().Run)
 	addLoop(&group, f.origins.Run)
 	addLoop(&group, f.operatorFollower().Run)
@@ -377,6 +398,13 @@
 	return errors.Join(err, f.peers.Close(), f.metrics.Close())
 }
 
+func (f *Front) prober() *relay.Prober {
+	return &relay.Prober{
+		Paths: f.paths,
+		Probe: f.backends.Probe,
+	}
+}
+
 func (f *Front) blockKeeper() *coordination.BlockKeeper {
 	return &coordination.BlockKeeper{
 		Store:       f.store,
--- a/front/inspection.go
+++ b/front/inspection.go
@@ -32,11 +32,20 @@
 	NextTurnAt time.Time `json:"nextTurnAt,omitzero"`
 }
 
+// pathView is a broken path to a backend server as operators see it.
+type pathView struct {
+	Server      string    `json:"server"`
+	BrokenSince time.Time `json:"brokenSince"`
+	// UnreachableElsewhereAt is when other instances did not reach the server either.
+	UnreachableElsewhereAt time.Time `json:"unreachableElsewhereAt,omitzero"`
+}
+
 // addInspection adds what operators may look at and change on this instance.
 func (f *Front) addInspection(router *mux.Router) {
 	router.HandleFunc("/blocks", f.showBlocks).Methods(http.MethodGet)
 	router.HandleFunc("/blocks/{part}", f.liftBlock).Methods(http.MethodDelete)
 	router.HandleFunc("/limits", f.showLimits).Methods(http.MethodGet)
+	router.HandleFunc("/paths", f.showPaths).Methods(http.MethodGet)
 }
 
 func (f *Front) showBlocks(w http.ResponseWriter, _ *http.Request) {
@@ -87,6 +96,19 @@
 	writeJSON(w, views)
 }
 
+func (f *Front) showPaths(w http.ResponseWriter, _ *http.Request) {
+	paths := f.board.BrokenPaths()
+	views := make([]pathView, 0, len(paths))
+	for _, path := range paths {
+		views = append(views, pathView{
+			Server:                 path.Server,
+			BrokenSince:            path.Since,
+			UnreachableElsewhereAt: path.UnreachableElsewhereAt,
+		})
+	}
+	writeJSON(w, views)
+}
+
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	// A failed write means that the operator disconnected.
