--- a/front/front_test.go
+++ b/front/front_test.go
@@ -245,6 +245,11 @@
 }
 
 func start(t *testing.T, config *settings.Front) *instance {
+	return startPrepared(t, config, func(*front.Front) {})
+}
+
+// startPrepared starts an instance after prepare has changed it.
+func startPrepared(t *testing.T, config *settings.Front, prepare func(f *front.Front)) *instance {
 	logWriter := events.NewBoundedWriter(io.Discard)
 	ctx, stop := context.WithCancel(context.Background())
 	i := &instance{
@@ -255,7 +260,9 @@
 	logger := &log.Logger{
 		Handler: discard.New(),
 	}
-	go func() { i.done <- front.New(config, "front_test.go", logger, logWriter).Run(ctx) }()
+	f := front.New(config, "front_test.go", logger, logWriter)
+	prepare(f)
+	go func() { i.done <- f.Run(ctx) }()
 	t.Cleanup(stop)
 	return i
 }
