Send calls through other instances where the own path to a server is broken

Cause: an instance took its reach for granted. It had no way to a server but links of its own; when none could be made, it refused, although instances that reach the servers were in touch.

Change: package relay. One attempt is handed over, below entry: tokens, retries, pauses, limits, quarantine, software version and the choice of a server stay where the call came in. When no connection to a server can be made, or its path counts as broken, the attempt goes through another instance over drpc. It is offered first, accepted, and sent only then, so that an instance that is gone, stands still or is full costs nothing but the offer, and 'not sent' is certain until the last part of the call has left. An instance that stood still between its acceptance and the call sends nothing. The answer ends as whole only with a message that says so. Cancel and deadline pass through both ways. A relayed attempt goes over the relaying instance's own path only, to a server on its own list, by id and start; servers that leave, paused it, or name a limit of which the caller does not know are refused. 512 attempts at once, divided among the instances that ask; a stop lets them end. The leaders name four sound instances at random to one that asks, with the exchange that exists; until then leaders are asked. A server that nobody reaches is not asked for again within a second.

Nothing is added to a call while no path is broken, and no byte to an exchange but a count.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -94,6 +94,10 @@
 	name string
 	// expiresAt is when the member's report expires.
 	expiresAt time.Time
+	// brokenPaths is the number of servers that it can't connect to.
+	brokenPaths int
+	// notRelaying says that it sends no calls for others.
+	notRelaying bool
 }
 
 // NewLeader returns a Leader that does not hold the lease yet. handoverTime is the
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -84,10 +84,13 @@
 	// Servers applies the list of backend servers that the leader relays.
 	Servers *fleet.ServerList
 	Eras    *StoreEras
+	// Relays are the instances through which this one sends calls to servers that it
+	// can't connect to; it may be nil.
+	Relays Relays
 
 	mu sync.Mutex
 	// leaderFound is signalled when a leader is found, so that the first exchange
-	// starts at once.
+	// starts at once, and when an exchange is due for another reason.
 	leaderFound     chan struct{}
 	address         string
 	failedExchanges int
@@ -122,6 +125,24 @@
 	pacing pacing.Schedule
 }
 
+// Relays lists the instances through which another one sends calls to servers that it
+// can't connect to.
+type Relays interface {
+	// Wanted reports whether instances are to be listed.
+	Wanted() bool
+	// SetRelays replaces the addresses of the instances, unless there are none.
+	SetRelays(addresses []string)
+	// Relaying reports whether this instance sends calls for others.
+	Relaying() bool
+}
+
+// ExchangeNow lets the next exchange begin at once.
+func (m *Member) ExchangeNow() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.signalLeaderFound()
+}
+
 // SetLeader sets the leader's address; an empty one means that none is known.
 func (m *Member) SetLeader(address string) {
 	m.mu.Lock()
@@ -280,6 +301,7 @@
 	}
 	reported := m.addCrashes(request)
 	m.addStoreState(request)
+	m.addPaths(request)
 	reply, err := m.sendExchange(ctx, address, request)
 	if err == nil && !reply.Leading {
 		err = errNotLeading
@@ -292,9 +314,21 @@
 	if request.WithSpending {
 		m.applySpending(reply)
 	}
+	if m.Relays != nil {
+		m.Relays.SetRelays(reply.Relays)
+	}
 	m.applyReply(reply, relayRequested && address != m.Address, serverVersion == 0)
 }
 
+// addPaths adds which servers this instance can't connect to, and whether it needs others
+// to send through.
+func (m *Member) addPaths(request *coordinationpb.ExchangeRequest) {
+	request.BrokenPaths = int32(len(m.Board.BrokenPaths()))
+	if m.Relays != nil {
+		request.RelaysWanted, request.NotRelaying = m.Relays.Wanted(), !m.Relays.Relaying()
+	}
+}
+
 // addStoreState adds the store's era, the records that the leader lacks if the request
 // is for a relay, and those that the store lost if the leader has others.
 func (m *Member) addStoreState(request *coordinationpb.ExchangeRequest) {
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/pomelospring/pomelospring"
@@ -28,6 +30,8 @@
 	// Quarantine has the crashes that this instance and others have seen.
 	Quarantine *quarantine.Register
 	Eras       *StoreEras
+	// Relay sends calls to backend servers for other instances.
+	Relay coordinationpb.DRPCRelayServer
 }
 
 var _ coordinationpb.DRPCCoordinationServer = (*Server)(nil)
@@ -39,6 +43,11 @@
 	if err = coordinationpb.DRPCRegisterCoordination(mux, s); err != nil {
 		return err
 	}
+	if s.Relay != nil {
+		if err = coordinationpb.DRPCRegisterRelay(mux, s.Relay); err != nil {
+			return err
+		}
+	}
 	return drpcserver.New(mux).Serve(ctx, listener)
 }
 
@@ -121,6 +130,9 @@
 	l.members[request.Instance] = &member{
 		name:      request.Name,
 		expiresAt: now.Add(instanceTimeout),
+
+		brokenPaths: int(request.BrokenPaths),
+		notRelaying: request.NotRelaying,
 	}
 	loads := serverLoadsFromProto(request.Uses)
 	l.loads.Report(request.Instance, loads, now.Add(instanceTimeout))
@@ -153,10 +165,34 @@
 			Offset: request.OperatorOffset,
 		}, serversSince, reply, now)
 	}
+	if request.RelaysWanted {
+		reply.Relays = l.relays(request.Name, now)
+	}
 	l.addStoreState(request, reply)
 	return reply
 }
 
+// maxRelaysListed is the number of instances that an instance which can't connect to
+// servers is told to send through.
+const maxRelaysListed = 4
+
+// relays returns random live instances for another one to send through, those with the
+// fewest broken paths. The lock is held.
+func (l *Leader) relays(name string, now time.Time) (addresses []string) {
+	var sound []*member
+	for _, m := range l.members {
+		if m.name != name && !m.notRelaying && now.Before(m.expiresAt) {
+			sound = append(sound, m)
+		}
+	}
+	rand.Shuffle(len(sound), func(i, j int) { sound[i], sound[j] = sound[j], sound[i] })
+	slices.SortStableFunc(sound, func(x, y *member) int { return x.brokenPaths - y.brokenPaths })
+	for _, m := range sound[:min(len(sound), maxRelaysListed)] {
+		addresses = append(addresses, m.name)
+	}
+	return addresses
+}
+
 // noticeableFraction is the fraction of a server's slots from which the calls of
 // the other instances are worth telling, where no prompt waits.
 const noticeableFraction = 0.25
--- a/front/cut_off_instance_test.go
+++ b/front/cut_off_instance_test.go
@@ -96,6 +96,7 @@
 
 func (l *links) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	switch l.stateOf(address) {
+	case cutNone:
 	case cutReset, cutRefuse:
 		return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	case cutHang, cutOneWay:
--- a/front/front.go
+++ b/front/front.go
@@ -82,6 +82,8 @@
 	store    *platform.Store
 	backends *platform.BackendClient
 	paths    *relay.Paths
+	relays   *relay.Client
+	relaying *relay.Server
 	engines  *platform.EngineClient
 	eras     *coordination.StoreEras
 	peers    *peer.Client
@@ -176,6 +178,7 @@
 		Backend: &relay.Backend{
 			Direct: f.backends,
 			Paths:  f.paths,
+			Relays: f.relays,
 		},
 		Coordinator: f.coordinator,
 		Ledger:      f.ledger,
@@ -197,14 +200,48 @@
 	return f
 }
 
-// wirePaths has the clients of backend servers report over which paths they can't connect.
+// wirePaths creates what sends calls over broken paths, and has the clients of backend
+// servers report these.
 func (f *Front) wirePaths() {
 	f.paths = &relay.Paths{
 		Board:  f.board,
 		Logger: f.logger,
 		Clock:  f.clock,
+		OnBroken: func() {
+			if f.relays.Wanted() {
+				f.home.ExchangeNow()
+			}
+		},
 	}
 	f.engines.OnUnreachable = f.paths.RecordFailure
+	notices := fleet.Notices{
+		Board:  f.board,
+		Logger: f.logger,
+		Clock:  f.clock,
+	}
+	f.relaying = &relay.Server{
+		Board: f.board,
+		Direct: &relay.Backend{
+			Direct: f.backends,
+			Paths:  f.paths,
+		},
+		Engine:   f.engines,
+		Notices:  notices,
+		Stopping: func() bool { return f.stopping.Err() != nil },
+		Logger:   f.logger,
+		Clock:    f.clock,
+	}
+	f.relays = &relay.Client{
+		Instance: f.settings.Name,
+		Address:  f.settings.Listen.Peers,
+		Peers:    f.peers,
+		Board:    f.board,
+		Notices:  notices,
+		Leaders:  func() []string { return slices.Collect(maps.Values(f.coordinator.Leaders())) },
+		Server:   f.relaying,
+		Logger:   f.logger,
+		Clock:    f.clock,
+	}
 }
 
 // assumedInstances is the number of instances that share the fleet's retry burst
@@ -225,6 +262,7 @@
 		AddRecords: f.operators.AddRecords,
 		Quarantine: f.quarantine,
 		Eras:       f.eras,
+		Relay:      f.relaying,
 	}
 	domains := slices.Clone(config.Domains)
 	slices.Sort(domains)
@@ -272,6 +310,7 @@
 		Servers:     f.servers,
 		Quarantine:  f.quarantine,
 		Eras:        f.eras,
+		Relays:      f.relays,
 		Leader:      leader,
 		Local:       f.server,
 		Peers:       f.peers,
@@ -535,6 +574,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := server.Shutdown(ctx)
+	if err == nil {
+		err = f.awaitRelayed(ctx)
+	}
 	events.Log(f.logger, events.Stopped, log.Fields{
 		"cut": err != nil,
 	})
@@ -544,6 +586,19 @@
 	return err
 }
 
+// relayedPoll is the time between looks whether the attempts of other instances have ended.
+const relayedPoll = 20 * time.Millisecond
+
+// awaitRelayed waits until the attempts that were sent for other instances have ended.
+func (f *Front) awaitRelayed(ctx context.Context) error {
+	for f.relaying.Running() > 0 {
+		if err := pomelospring.Sleep(ctx, relayedPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // readinessServer serves the readiness check. The check fails until the instance
 // has the state that it needs to serve, and again once it stops.
 func (f *Front) readinessServer() *http.Server {
