Read reports of model workers through other instances where the path is broken

What callers saw: with four of six instances cut off, the leader among them, 10 to 21 of 100 streams were served at all instances, those that reach the servers included. The leader's reports failed, and it told all instances that no adapter was resident anywhere. An instance that was cut off also took a refused connection as the end of a worker, and refused to go on with a stream whose worker it could not ask for its start.

Change: reports, which change nothing, are asked of other instances where no connection can be made. A worker has ended if all that answer say so. A leader that is cut off from a worker which lives keeps what it knows of its adapters, and gives it no orders: the worker stays unsynced. Orders are not relayed.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -58,8 +58,11 @@
 	Board            *fleet.Board
 	Servers          *fleet.ServerList
 	Engine           pomelospring.Engine
-	Logger           log.Interface
-	Clock            pomelospring.Clock
+	// LivesElsewhere reports whether another instance reaches a model worker to which this
+	// one can't connect; it may be nil.
+	LivesElsewhere func(ctx context.Context, server pomelospring.FleetServer) bool
+	Logger         log.Interface
+	Clock          pomelospring.Clock
 	// Uptime is a clock that keeps running while the process is suspended.
 	Uptime func() time.Duration
 	Eras   *StoreEras
@@ -338,6 +341,9 @@
 			"server": server.ID,
 			"error":  err.Error(),
 		})
+		if l.isCutOffFrom(ctx, server) {
+			return
+		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if errors.Is(err, pomelospring.ErrSilent) {
@@ -352,6 +358,12 @@
 	l.table.ApplyReport(server.ID, report, l.Clock())
 }
 
+// isCutOffFrom reports whether a worker that this instance can't connect to is reached by
+// another one, which sends calls there.
+func (l *Leader) isCutOffFrom(ctx context.Context, server pomelospring.FleetServer) bool {
+	return l.LivesElsewhere != nil && !l.Board.PathBrokenSince(server.ID).IsZero() && l.LivesElsewhere(ctx, server)
+}
+
 // executeMaintenance sends an order that no request waits for and applies its
 // result.
 func (l *Leader) executeMaintenance(ctx context.Context, order loading.Maintenance) {
--- a/front/front.go
+++ b/front/front.go
@@ -185,10 +185,13 @@
 		Logger:      logger,
 		Clock:       clock,
 		Counters:    f.metrics,
-		Engine:      f.engines,
-		Quarantine:  f.quarantine,
-		Origins:     f.origins,
-		RetrySlack:  config.Bounds.RetrySlack / assumedInstances,
+		Engine: &relay.Engine{
+			Engine: f.engines,
+			Relays: f.relays,
+		},
+		Quarantine: f.quarantine,
+		Origins:    f.origins,
+		RetrySlack: config.Bounds.RetrySlack / assumedInstances,
 	}
 	f.retrySlack.Store(&config.Bounds.RetrySlack)
 	f.ingress = &platform.Ingress{
@@ -295,6 +298,7 @@
 	leader.Board = f.board
 	leader.Servers = f.servers
 	leader.Engine = f.engines
+	leader.LivesElsewhere = f.relays.Lives
 	leader.Logger = f.logger
 	leader.Clock = f.clock
 	leader.Uptime = uptime
