--- a/front/front.go
+++ b/front/front.go
@@ -30,6 +30,7 @@
 	"github.com/pomelospring/pomelospring/platform"
 	"github.com/pomelospring/pomelospring/quarantine"
 	"github.com/pomelospring/pomelospring/quota"
+	"github.com/pomelospring/pomelospring/relay"
 	"github.com/pomelospring/pomelospring/settings"
 )
 
@@ -66,6 +67,9 @@
 
 // Front is one instance: its listeners, its state and its background loops.
 type Front struct {
+	// Dial connects to backend servers; over TCP unless set before Run.
+	Dial platform.Dial
+
 	settings *settings.Front
 	// path is the path of the settings file.
 	path      string
@@ -77,6 +81,9 @@
 	ledger   *quota.Ledger
 	store    *platform.Store
 	backends *platform.BackendClient
+	paths    *relay.Paths
+	relays   *relay.Client
+	relaying *relay.Server
 	engines  *platform.EngineClient
 	eras     *coordination.StoreEras
 	peers    *peer.Client
@@ -155,6 +162,7 @@
 		Logger: logger,
 		Clock:  clock,
 	}.Record
+	f.wirePaths()
 	f.wireCoordination()
 	f.directory = coordination.NewStreamDirectory(f.members, logger)
 	f.origins = &origin.Keeper{
@@ -171,17 +179,24 @@
 	}
 	f.server.Starts = f.origins
 	f.service = &entry.Service{
-		Board:       f.board,
-		Backend:     f.backends,
+		Board: f.board,
+		Backend: &relay.Backend{
+			Direct: f.backends,
+			Paths:  f.paths,
+			Relays: f.relays,
+		},
 		Coordinator: f.coordinator,
 		Ledger:      f.ledger,
 		Logger:      logger,
 		Clock:       clock,
 		Counters:    f.metrics,
-		Engine:      f.engines,
-		Quarantine:  f.quarantine,
-		Origins:     f.origins,
-		RetrySlack:  config.Bounds.RetrySlack / assumedInstances,
+		Engine: &relay.Engine{
+			Engine: f.engines,
+			Relays: f.relays,
+		},
+		Quarantine: f.quarantine,
+		Origins:    f.origins,
+		RetrySlack: config.Bounds.RetrySlack / assumedInstances,
 	}
 	f.retrySlack.Store(&config.Bounds.RetrySlack)
 	f.ingress = &platform.Ingress{
@@ -193,6 +208,50 @@
 	return f
 }
 
+// wirePaths creates what sends calls over broken paths, and has the clients of backend
+// servers report these.
+func (f *Front) wirePaths() {
+	f.paths = &relay.Paths{
+		Board:  f.board,
+		Logger: f.logger,
+		Clock:  f.clock,
+		OnBroken: func() {
+			if f.relays.Wanted() {
+				f.home.ExchangeNow()
+			}
+		},
+	}
+	f.engines.OnUnreachable = f.paths.RecordFailure
+	notices := fleet.Notices{
+		Board:  f.board,
+		Logger: f.logger,
+		Clock:  f.clock,
+	}
+	f.relaying = &relay.Server{
+		Board: f.board,
+		Direct: &relay.Backend{
+			Direct: f.backends,
+			Paths:  f.paths,
+		},
+		Engine:   f.engines,
+		Notices:  notices,
+		Stopping: func() bool { return f.stopping.Err() != nil },
+		Logger:   f.logger,
+		Clock:    f.clock,
+	}
+	f.relays = &relay.Client{
+		Instance: f.settings.Name,
+		Address:  f.settings.Listen.Peers,
+		Peers:    f.peers,
+		Board:    f.board,
+		Notices:  notices,
+		Leaders:  func() []string { return slices.Collect(maps.Values(f.coordinator.Leaders())) },
+		Server:   f.relaying,
+		Logger:   f.logger,
+		Clock:    f.clock,
+	}
+}
+
 // assumedInstances is the number of instances that share the fleet's retry burst
 // until a leader reports the actual number.
 const assumedInstances = 12
@@ -211,6 +270,7 @@
 		AddRecords: f.operators.AddRecords,
 		Quarantine: f.quarantine,
 		Eras:       f.eras,
+		Relay:      f.relaying,
 	}
 	domains := slices.Clone(config.Domains)
 	slices.Sort(domains)
@@ -243,6 +303,7 @@
 	leader.Board = f.board
 	leader.Servers = f.servers
 	leader.Engine = f.engines
+	leader.LivesElsewhere = f.relays.Lives
 	leader.Logger = f.logger
 	leader.Clock = f.clock
 	leader.Uptime = uptime
@@ -258,6 +319,7 @@
 		Servers:     f.servers,
 		Quarantine:  f.quarantine,
 		Eras:        f.eras,
+		Relays:      f.relays,
 		Leader:      leader,
 		Local:       f.server,
 		Peers:       f.peers,
@@ -360,7 +422,9 @@
 		"peers":    f.settings.Listen.Peers,
 	})
 	var group run.Group
+	f.backends.Dial, f.engines.Dial = f.Dial, f.Dial
 	addLoop(&group, f.logWriter.Run)
+	addLoop(&group, f.prober().Run)
 	addLoop(&group, f.blockKeeper().Run)
 	addLoop(&group, f.origins.Run)
 	addLoop(&group, f.directory.Run)
@@ -383,6 +447,13 @@
 	return errors.Join(err, f.peers.Close(), f.metrics.Close())
 }
 
+func (f *Front) prober() *relay.Prober {
+	return &relay.Prober{
+		Paths: f.paths,
+		Probe: f.backends.Probe,
+	}
+}
+
 func (f *Front) blockKeeper() *coordination.BlockKeeper {
 	return &coordination.BlockKeeper{
 		Store:       f.store,
@@ -513,6 +584,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := server.Shutdown(ctx)
+	if err == nil {
+		err = f.awaitRelayed(ctx)
+	}
 	events.Log(f.logger, events.Stopped, log.Fields{
 		"cut": err != nil,
 	})
@@ -522,6 +596,19 @@
 	return err
 }
 
+// relayedPoll is the time between looks whether the attempts of other instances have ended.
+const relayedPoll = 20 * time.Millisecond
+
+// awaitRelayed waits until the attempts that were sent for other instances have ended.
+func (f *Front) awaitRelayed(ctx context.Context) error {
+	for f.relaying.Running() > 0 {
+		if err := pomelospring.Sleep(ctx, relayedPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // readinessServer serves the readiness check. The check fails until the instance
 // has the state that it needs to serve, and again once it stops.
 func (f *Front) readinessServer() *http.Server {
