--- a/standin/wire.go
+++ b/standin/wire.go
@@ -14,6 +14,7 @@
 	HeaderTokenCount    = "X-Pomelospring-Token-Count"
 	HeaderDeadline      = "X-Pomelospring-Deadline-Ms"
 	HeaderLimit         = "Server-Limit"
+	HeaderBrittle       = "Server-Brittle"
 	HeaderLeaving       = "Server-Leaving"
 	HeaderStoreEra      = "Store-Era"
 )
