Keep the calls under way at brittle servers within their room

Cause: nobody read the header. Each instance found out alone that a server was full, by sending.

Change: what a server says is kept on the board and relayed through the exchange like a limit; it holds for servers of the service of which nothing is known yet too, such as those that just started. The leader of the server's failure domain gives out permits (package room): a call under way holds one till its end. Room begins with the slots, falls to a quarter of what was under way when a call is turned away that there was room for before, grows in steps to below that, and then by one call after some seconds. Calls that may still be turned away and rejections of the last second stay within 0.7 N together, at least one. Requests wait up to 250 ms, that of the team with the fewest permits lately goes first; what won't get one in time is rejected at once with the time at which one is likely to be free. Calls try other failure domains first. Takeovers need a permit too. Without a leader an instance keeps to its part of the room. A server of which the connections of two instances break, or of the only one that has calls there, begins with room for one call.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -82,6 +82,10 @@
 	waiting map[string]int
 	// pacing gives out when the domain's servers that name a limit get calls.
 	pacing pacing.Schedule
+	// permits gives out the permits of the domain's brittle servers.
+	permits permitDesk
+	// rooms has the calls that may be under way at these servers, as logged last.
+	rooms map[string]int
 	// nextModelLoadAt is when the next base model load may start.
 	nextModelLoadAt time.Time
 	// readyMarkedAt is the time up to which loaded adapters were marked ready.
@@ -171,6 +175,7 @@
 		l.pacing = pacing.Schedule{
 			KeepsCredit: true,
 		}
+		l.permits.reset()
 		l.table.Invalidate(l.Clock())
 	}
 	events.Log(l.Logger, event, log.Fields{
@@ -232,6 +237,7 @@
 		orders = l.dueOrders(now)
 	}
 	l.mu.Unlock()
+	l.maintainPermits()
 	// The placement table allows one report request and one order per worker at
 	// a time, so a slow worker delays no other.
 	for _, server := range reports {
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -120,6 +120,10 @@
 	// pacing gives out this instance's part of the limits of the domain's servers while
 	// the leader does not answer.
 	pacing pacing.Schedule
+	// permits are those for the domain's brittle servers that this instance has, and
+	// ownPermits gives out its part of their room while the leader does not answer.
+	permits    heldPermits
+	ownPermits permitDesk
 }
 
 // SetLeader sets the leader's address; an empty one means that none is known.
@@ -132,6 +136,7 @@
 	m.address = address
 	m.failedExchanges = 0
 	m.leaderOperators = pomelospring.TopicPosition{}
+	m.permits.leaderChanged()
 	if address != "" {
 		m.signalLeaderFound()
 	}
@@ -269,7 +274,9 @@
 		WithSpending:     m.spendingIsDue(),
 		Leaving:          leavingToProto(m.Board.LeavingServers(m.Domain)),
 		Limits:           limitsToProto(m.Board.Limits(m.Domain), m.Clock()),
+		Brittle:          brittlenessToProto(m.Board.Brittlenesses(m.Domain), m.Clock()),
 	}
+	m.addUnpermitted(request.Uses)
 	if request.WithSpending {
 		request.Spending = spendingToProto(m.Ledger.Spending())
 	}
@@ -438,6 +445,7 @@
 	}
 	m.notices().RecordLeaving(leavingFromProto(reply.Leaving), reply.Leader)
 	m.notices().RecordLimits(limitsFromProto(reply.Limits, now), reply.Leader)
+	m.notices().RecordBrittleness(brittlenessFromProto(reply.Brittle, now), reply.Leader)
 	leaders := map[string]string{}
 	for _, leader := range reply.Leaders {
 		leaders[leader.Domain] = leader.Address
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -132,6 +132,8 @@
 	}
 	l.notices().RecordLeaving(leavingFromProto(request.Leaving), request.Name)
 	l.notices().RecordLimits(limitsFromProto(request.Limits, now), request.Name)
+	l.notices().RecordBrittleness(brittlenessFromProto(request.Brittle, now), request.Name)
+	l.permits.setUnpermitted(request.Instance, unpermittedFromProto(request.Uses))
 	l.table.MarkReady(l.readyMarkedAt, now)
 	l.readyMarkedAt = now
 	reply := &coordinationpb.ExchangeReply{
@@ -142,6 +144,7 @@
 		Residency:        residencyToProto(l.table.Residency(residencySince)),
 		Leaving:          leavingToProto(l.Board.LeavingServers(l.Domain)),
 		Limits:           limitsToProto(l.Board.Limits(l.Domain), now),
+		Brittle:          brittlenessToProto(l.Board.Brittlenesses(l.Domain), now),
 	}
 	if request.WithSpending {
 		reply.Spending = spendingToProto(l.totals.Others(request.Instance))
--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -49,6 +49,9 @@
 	// reservation, and TurnWait is how long a call would wait for its time.
 	Limited  bool
 	TurnWait time.Duration
+	// Brittle is set if the server falls over under rejections, so that each call needs a
+	// permit.
+	Brittle bool
 }
 
 // Requirements describes a call and the instance that sends it.
@@ -75,6 +78,8 @@
 	Candidate Candidate
 	Wait      time.Duration
 	Found     bool
+	// Permit is that to send a call to the candidate if it is brittle.
+	Permit pomelospring.Permit
 }
 
 // Choose picks the candidate with the lowest estimated wait.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -46,6 +46,8 @@
 	sentAt time.Time
 	queued bool
 	ended  bool
+	// outcome is how the call ended for the server's permit.
+	outcome pomelospring.PermitOutcome
 	// firstOutputAt is when the first part of the answer arrived, and isProven is set
 	// once the answer has gone on for so long that the server won't end under it.
 	firstOutputAt time.Time
@@ -72,6 +74,7 @@
 	}
 	a.ended = true
 	a.session.service.Board.EndCall(a.server.ID, a.session.call.Adapter, a.prefillTokens, failed, a.session.service.Clock())
+	a.session.returnPermit(a.choice, a.outcome)
 }
 
 // forward sends an answer to the caller and reports whether it is final.
--- a/entry/run.go
+++ b/entry/run.go
@@ -74,7 +74,7 @@
 	if refusal = c.checkQuarantine(ctx, now); refusal != nil {
 		return dispatch.Choice{}, refusal
 	}
-	choice, candidates, refusal := c.pickWithTurn(ctx)
+	choice, candidates, refusal := c.pickWithPermit(ctx)
 	if refusal != nil {
 		return dispatch.Choice{}, refusal
 	}
@@ -336,6 +336,7 @@
 	dispatched := c.dispatch(a.choice, resumeAfter)
 	c.sent.Store(a.server.ID, true)
 	answer, err = c.service.Backend.Send(ctx, c.call, dispatched)
+	a.outcome = permitOutcome(answer, err, errors.Is(ctx.Err(), context.Canceled))
 	if err != nil {
 		return nil, err
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -70,6 +70,8 @@
 	Quarantine *quarantine.Register
 	// Origins says at which software version streams began; it may be nil.
 	Origins pomelospring.StreamOrigins
+	// Permits gives out the permits of brittle servers; it may be nil.
+	Permits pomelospring.PermitIssuer
 
 	mu      sync.Mutex
 	retries map[string]*retry.Budget
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -220,6 +220,10 @@
 		a.logFailedTakeover("", "the backend server's limit")
 		return choice, false
 	}
+	if choice, _, found = a.session.permit(ctx, choice, avoid, a.session.service.Clock()); !found {
+		a.logFailedTakeover("", "no room at brittle backend servers")
+		return choice, false
+	}
 	a.session.logRouted(choice, candidates, resumeAfter, a.session.service.Clock())
 	return choice, true
 }
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -88,6 +88,10 @@
 	ServerLimited = define(332, "serverLimited", log.InfoLevel, "A backend server named how many requests a second it takes from all instances together, or another number than before; perSecond 0: it names none any longer.")
 	LimitDivided  = define(333, "limitDivided", log.InfoLevel, "The leader that shares out a backend server's limit did not answer a reservation; this instance keeps to its part of the limit.")
 
+	ServerBrittle  = define(380, "serverBrittle", log.InfoLevel, "A backend server said that it falls over when it turns more than perSecond requests away within a second, or another number than before; brittle false: it says so no longer. Calls to it need permits of the leader.")
+	RoomChanged    = define(381, "roomChanged", log.InfoLevel, "The leader lets another number of calls be under way at a brittle backend server.")
+	PermitsDivided = define(382, "permitsDivided", log.InfoLevel, "The leader that gives out the permits of brittle backend servers did not answer; this instance keeps to its part of their room.")
+
 	DomainCutOff  = define(427, "domainCutOff", log.WarnLevel, "Connections to two backend servers of a failure domain timed out, or to one and its leader did not answer either; calls go to other failure domains.")
 	DomainReached = define(428, "domainReached", log.InfoLevel, "A failure domain that seemed to be cut off is reachable again.")
 
--- a/fleet.go
+++ b/fleet.go
@@ -191,6 +191,12 @@
 	// no longer holds.
 	RequestsPerSecond float64
 	LimitEnded        bool
+	// Brittle is set if the server falls over when it has to turn more than
+	// RejectionsPerSecond requests away within a second. BrittleEnded is set if the answer
+	// shows that it isn't brittle any longer.
+	Brittle             bool
+	RejectionsPerSecond float64
+	BrittleEnded        bool
 }
 
 // BackendAnswer is a backend server's answer whose body is not read yet.
@@ -402,6 +408,51 @@
 	Reserve(ctx context.Context, server FleetServer, team string, latest time.Time) (reservation Reservation)
 }
 
+// PermitIssuer gives out permits for calls to brittle backend servers, so that all
+// instances together send no more than these have room for.
+type PermitIssuer interface {
+	// AskPermit asks for a permit, and waits for one until request.Until if it is likely
+	// to get one.
+	AskPermit(ctx context.Context, request PermitRequest) (permit Permit)
+	// ReturnPermit ends a permit, with how its call ended.
+	ReturnPermit(permit Permit, outcome PermitOutcome)
+}
+
+// PermitRequest asks for a permit to send a call of a team to one of several brittle
+// servers of one failure domain, in order of preference.
+type PermitRequest struct {
+	Team    string
+	Servers []FleetServer
+	// Until is when the request stops waiting, and ExpiresAt when its permit ends if it
+	// is not returned before.
+	Until     time.Time
+	ExpiresAt time.Time
+}
+
+// Permit allows one call to be under way at a brittle server.
+type Permit struct {
+	// Granted is set if the call may be sent to Server.
+	Granted bool
+	Server  string
+	// RetryAt is when a permit is likely to be free if none was granted.
+	RetryAt time.Time
+	// Domain and Number identify the permit.
+	Domain string
+	Number int64
+}
+
+// PermitOutcome says how a call with a permit ended.
+type PermitOutcome int
+
+// The outcomes of calls with permits: the server took it, turned it away, could not be
+// reached or broke off, or the call was not sent.
+const (
+	PermitServed PermitOutcome = iota
+	PermitRejected
+	PermitBroken
+	PermitUnsent
+)
+
 // Reservation is when a call may be sent to a backend server that names a limit.
 type Reservation struct {
 	// Granted is set if the call may be sent at At.
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -49,6 +49,8 @@
 	pauses map[string]pause
 	// limits has the servers that name a limit or have named one, by ID.
 	limits map[string]*serverLimit
+	// brittle has the servers that say that they are brittle or have said so.
+	brittle brittleServers
 	// serverVersion increases with each change of the server list; changed maps
 	// a server to the version at which it last changed or was removed.
 	serverVersion int64
@@ -104,6 +106,7 @@
 		leaving:       map[string]*leavingServer{},
 		pauses:        map[string]pause{},
 		limits:        map[string]*serverLimit{},
+		brittle:       newBrittleServers(),
 		changed:       map[string]int64{},
 		domainReports: map[string]*leaderReport{},
 		ownLoads:      map[string]*ownLoad{},
@@ -226,6 +229,7 @@
 	b.applyLeaving(servers, readAt)
 	b.endPauses(servers, readAt)
 	b.endLimits(servers, readAt)
+	b.endBrittleness(servers, readAt)
 	versionBefore := b.serverVersion
 	for id, server := range servers {
 		if before, known := b.servers[id]; !known || !before.Equivalent(&server) {
--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -35,6 +35,33 @@
 			At:        n.Clock(),
 		}}, "its own answer")
 	}
+	if notice.Brittle || notice.BrittleEnded {
+		n.RecordBrittleness([]Brittleness{{
+			Server:              server.ID,
+			Started:             server.Started,
+			Brittle:             notice.Brittle,
+			RejectionsPerSecond: notice.RejectionsPerSecond,
+			At:                  n.Clock(),
+		}}, "its own answer")
+	}
+}
+
+// RecordBrittleness applies which servers said that they are brittle, or are no longer;
+// source says who reports it.
+func (n Notices) RecordBrittleness(list []Brittleness, source string) {
+	for _, brittleness := range list {
+		if !n.Board.RecordBrittleness(brittleness, n.Clock()) {
+			continue
+		}
+		events.Log(n.Logger, events.ServerBrittle, log.Fields{
+			"server":    brittleness.Server,
+			"brittle":   brittleness.Brittle,
+			"perSecond": brittleness.RejectionsPerSecond,
+			"room":      brittleness.Room,
+			"ageMs":     n.Clock().Sub(brittleness.At).Milliseconds(),
+			"source":    source,
+		})
+	}
 }
 
 // RecordLimits applies the limits that servers named; source says who reports them.
--- a/fleet/server_load.go
+++ b/fleet/server_load.go
@@ -231,6 +231,7 @@
 		Running:       othersLoad.Running,
 	}
 	candidate.TurnWait, candidate.Limited = b.turnWait(id, now)
+	candidate.Brittle = b.isBrittle(&server)
 	if l := b.ownLoads[id]; l != nil {
 		candidate.WaitingTokens += l.waitingTokens
 		candidate.Running += l.running
--- a/front/front.go
+++ b/front/front.go
@@ -176,6 +176,7 @@
 		Engine:      f.engines,
 		Quarantine:  f.quarantine,
 		Origins:     f.origins,
+		Permits:     f.coordinator,
 		RetrySlack:  config.Bounds.RetrySlack / assumedInstances,
 	}
 	f.retrySlack.Store(&config.Bounds.RetrySlack)
