--- a/front/front.go
+++ b/front/front.go
@@ -196,6 +196,7 @@
 		},
 		Quarantine: f.quarantine,
 		Origins:    f.origins,
+		Permits:    f.coordinator,
 		RetrySlack: config.Bounds.RetrySlack / assumedInstances,
 	}
 	f.retrySlack.Store(&config.Bounds.RetrySlack)
