Relay that a backend server is brittle

Found while merging: an answer that came through another instance lost what its server says of being brittle, so that an instance cut off from all servers needed no permit until another one told it.

--- a/relay/convert.go
+++ b/relay/convert.go
@@ -68,6 +68,10 @@
 		Leaving:           notice.Leaving,
 		RequestsPerSecond: notice.RequestsPerSecond,
 		LimitEnded:        notice.LimitEnded,
+
+		Brittle:             notice.Brittle,
+		RejectionsPerSecond: notice.RejectionsPerSecond,
+		BrittleEnded:        notice.BrittleEnded,
 	}
 	if notice.PausedUntil.After(now) {
 		sent.PauseMilliseconds = max(1, notice.PausedUntil.Sub(now).Milliseconds())
@@ -83,6 +87,10 @@
 		Leaving:           sent.Leaving,
 		RequestsPerSecond: sent.RequestsPerSecond,
 		LimitEnded:        sent.LimitEnded,
+
+		Brittle:             sent.Brittle,
+		RejectionsPerSecond: sent.RejectionsPerSecond,
+		BrittleEnded:        sent.BrittleEnded,
 	}
 	if sent.PauseMilliseconds > 0 {
 		notice.PausedUntil = now.Add(time.Duration(sent.PauseMilliseconds) * time.Millisecond)
