Ask the leaders outside the member's lock

An instance could stop at a change of leadership: Member.relayIsFresh asked the leaders while it held its lock, and Leader.updateTable asks the members while it holds its own. The question now comes before the lock. TestRelayWaitsForALeaderThatWaitsForIt passes; the tests of coordination with -race are green, but for TestRestoresBringNothingOlderIntoForce, which was not run again.

--- a/coordination/member.go
+++ b/coordination/member.go
@@ -233,10 +233,12 @@
 // relayIsFresh reports whether the leader's last read of the store is recent
 // enough to replace a read here. age points to a field that the lock protects.
 func (m *Member) relayIsFresh(age *time.Duration) bool {
+	// Leaders ask their members while they hold their own lock.
+	leadsAny := m.LeadsAny()
 	interval := m.interval()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.address == "" || m.LeadsAny() {
+	if m.address == "" || leadsAny {
 		// An instance that leads a domain reads the store for the others.
 		return false
 	}
