--- a/coordination/permits_test.go
+++ b/coordination/permits_test.go
@@ -46,7 +46,7 @@
 				t.Fatal("a gets no permit although there is room")
 			}
 		}
-		var got []bool
+		got := make([]bool, 0, 5)
 		got = append(got, asks("a", 0), asks("b", 0))
 		returns("a", number-1)
 		got = append(got, asks("b", 0), asks("a", 200*time.Millisecond))
