--- a/relay/server.go
+++ b/relay/server.go
@@ -81,7 +81,7 @@
 	}); err != nil {
 		return err
 	}
-	received, content, err := receiveInTime(stream)
+	received, err := s.receiveInTime(stream)
 	if err == nil && s.Clock().Sub(acceptedAt) > callTimeout {
 		err = errLateCall
 	}
@@ -90,7 +90,7 @@
 			Failure: notSent(err.Error()),
 		})
 	}
-	return s.relay(stream, server, received, content)
+	return s.relay(stream, server, received)
 }
 
 // errLateCall is why a call that was received long after its attempt was accepted is not
@@ -175,58 +175,64 @@
 }
 
 // receiveInTime receives the rest of a call within callTimeout.
-func receiveInTime(stream coordinationpb.DRPCRelay_SendStream) (call *coordinationpb.RelayCall, content []byte, err error) {
+func (s *Server) receiveInTime(stream coordinationpb.DRPCRelay_SendStream) (call receivedCall, err error) {
 	type result struct {
-		call    *coordinationpb.RelayCall
-		content []byte
-		err     error
+		call receivedCall
+		err  error
 	}
 	received := make(chan result, 1)
 	go func() {
-		call, content, err := receive(stream)
+		call, err := s.receive(stream)
 		received <- result{
-			call:    call,
-			content: content,
-			err:     err,
+			call: call,
+			err:  err,
 		}
 	}()
 	timer := time.NewTimer(callTimeout)
 	defer timer.Stop()
 	select {
 	case r := <-received:
-		return r.call, r.content, r.err
+		return r.call, r.err
 	case <-timer.C:
-		return nil, nil, errLateCall
+		return receivedCall{}, errLateCall
 	}
 }
 
+// receivedCall is a call that was received whole.
+type receivedCall struct {
+	*coordinationpb.RelayCall
+	body []byte
+	// beganAt is when its first part was received, from which its remaining time counts.
+	beganAt time.Time
+}
+
 // receive receives a call and its body.
-func receive(stream coordinationpb.DRPCRelay_SendStream) (call *coordinationpb.RelayCall, content []byte, err error) {
+func (s *Server) receive(stream coordinationpb.DRPCRelay_SendStream) (call receivedCall, err error) {
 	for {
 		part, err := stream.Recv()
 		if err != nil {
-			return nil, nil, err
+			return receivedCall{}, err
 		}
 		if part.Call != nil {
-			call = part.Call
+			call.RelayCall, call.beganAt = part.Call, s.Clock()
 		}
-		if call == nil || len(content)+len(part.Body) > maxCallBytes {
-			return nil, nil, errors.New("the call is malformed")
+		if call.RelayCall == nil || len(call.body)+len(part.Body) > maxCallBytes {
+			return receivedCall{}, errors.New("the call is malformed")
 		}
-		content = append(content, part.Body...)
+		call.body = append(call.body, part.Body...)
 		if !part.Last {
 			continue
 		}
-		if int64(len(content)) != call.Length {
-			return nil, nil, fmt.Errorf("the body has %d bytes of %d", len(content), call.Length)
+		if int64(len(call.body)) != call.Length {
+			return receivedCall{}, fmt.Errorf("the body has %d bytes of %d", len(call.body), call.Length)
 		}
-		return call, content, nil
+		return call, nil
 	}
 }
 
 // relay sends a call to a server and its answer to the calling instance.
-func (s *Server) relay(stream coordinationpb.DRPCRelay_SendStream, server pomelospring.FleetServer, received *coordinationpb.RelayCall, content []byte) error {
-	call, dispatch := callFromProto(received, content, server, s.Clock())
+func (s *Server) relay(stream coordinationpb.DRPCRelay_SendStream, server pomelospring.FleetServer, received receivedCall) error {
+	call, dispatch := callFromProto(received.RelayCall, received.body, server, received.beganAt)
 	ctx, cancel := context.WithDeadline(stream.Context(), dispatch.Deadline.Add(deadlineMargin))
 	defer cancel()
 	answer, err := s.Direct.Send(ctx, call, dispatch)
