Count reads of the starts of streams, not their times

Cause: a call waited for a read that began after its own time; with the tests' clock, which stands still, none ever did, so that each lookup ended as unanswered after half a second. In real time reads do end. Change: a lookup waits for a read with a higher number than the last one that had begun. TestInstanceOutOfStepTakesItsVersionForTheOnlyOne, 'the store away for others' starts': an instance that reaches neither leader nor store now refuses (TestCutOffInstanceNamesTheOnlyVersionItLists), so the row has a leader that answers, and a new row says what holds without one: unknown. Evidence: go test -race ./origin, green.

--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -73,10 +73,9 @@
 	next pomelospring.TopicPosition
 	// mu protects what follows.
 	mu sync.Mutex
-	// running is the read in progress, and readAt when the last one to reach the end of
-	// the history asked for it.
+	// running is the read in progress, and reads counts those that began.
 	running *historyRead
-	readAt  time.Time
+	reads   int
 }
 
 var (
@@ -329,47 +328,52 @@
 
 // historyRead is a read of the starts in the store, which several calls wait for.
 type historyRead struct {
-	done chan struct{}
+	// number counts the reads.
+	number int
+	done   chan struct{}
 	// starts is how many were read, and err why it ended early; set when done is closed.
 	starts int
 	err    error
 }
 
-// refresh reads the starts that were recorded until now, unless that was done since, and
-// returns their number. After some time it does not wait any longer, but the read goes on
-// for the calls that come later.
+// refresh reads the starts that were recorded until now, with the other calls that ask for
+// them, and returns their number. After some time it does not wait any longer, but the read
+// goes on for the calls that come later.
 func (k *Keeper) refresh(ctx context.Context, timeout time.Duration) (read int, err error) {
-	askedAt := k.Clock()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	before := k.lastRead()
 	for {
-		running := k.beginRead(askedAt)
-		if running == nil {
-			return read, nil
-		}
+		running := k.beginRead()
 		select {
 		case <-ctx.Done():
 			return read, fmt.Errorf("the starts of streams were not read in time: %w", ctx.Err())
 		case <-running.done:
 		}
 		read += running.starts
-		if running.err != nil {
+		// One that had begun before may have missed what was recorded since.
+		if running.err != nil || running.number > before {
 			return read, running.err
 		}
 	}
 }
 
-// beginRead returns the read in progress, and begins one if there is none; nil if one has
-// reached the end of the store's history since a time.
-func (k *Keeper) beginRead(since time.Time) *historyRead {
+// lastRead returns the number of the last read that began.
+func (k *Keeper) lastRead() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.reads
+}
+
+// beginRead returns the read in progress, and begins one if there is none.
+func (k *Keeper) beginRead() *historyRead {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.readAt.After(since) {
-		return nil
-	}
 	if k.running == nil {
+		k.reads++
 		k.running = &historyRead{
-			done: make(chan struct{}),
+			number: k.reads,
+			done:   make(chan struct{}),
 		}
 		go k.read(k.running)
 	}
@@ -381,7 +385,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
 	for {
-		readAt := k.Clock()
 		starts, next, err := k.Store.Starts(ctx, k.next)
 		running.starts += len(starts)
 		atEnd := next == k.next
@@ -392,9 +395,6 @@
 		if err != nil || atEnd {
 			running.err = err
 			k.mu.Lock()
-			if err == nil {
-				k.readAt = readAt
-			}
 			k.running = nil
 			k.mu.Unlock()
 			close(running.done)
--- a/origin/keeper_test.go
+++ b/origin/keeper_test.go
@@ -64,6 +64,13 @@
 
 func (noDirectory) Ask(context.Context, string) (answer pomelospring.StartAnswer) { return answer }
 
+// emptyDirectory reaches instances that know no start.
+type emptyDirectory struct{ noDirectory }
+
+func (emptyDirectory) Ask(context.Context, string) (answer pomelospring.StartAnswer) {
+	return pomelospring.StartAnswer{Answered: true}
+}
+
 // instance is one instance's keeper, at a time that the test sets.
 type instance struct {
 	*origin.Keeper
--- a/origin/out_of_step_test.go
+++ b/origin/out_of_step_test.go
@@ -63,6 +63,11 @@
 	}{
 		{name: "in step", want: v1, play: func(o *outOfStep) { o.pass(3*time.Second, true) }},
 		{name: "in step, the store away for others' starts", want: v1, play: func(o *outOfStep) {
+			o.at.Directory = emptyDirectory{}
+			o.store.away = true
+			o.pass(3*time.Second, true)
+		}},
+		{name: "in step, and nobody answers whether others recorded a start", play: func(o *outOfStep) {
 			o.store.away = true
 			o.pass(3*time.Second, true)
 		}},
