Play the build before beside this one in the soak

Cause: instances are replaced one by one while two builds serve side by side. That was tried by hand only.

Change: the soak takes the program of another build with -previous. All instances begin with it, switch to this one under load and drawn faults, and switch back.

--- a/cmd/soak/arena/arena.go
+++ b/cmd/soak/arena/arena.go
@@ -50,10 +50,17 @@
 	taken   map[*server]bool
 }
 
-// Run plays a plan with a program and returns what was seen. Settings and logs of
+// Programs are the builds of the program that a fleet runs.
+type Programs struct {
+	Current string
+	// Previous is the build that a release replaces; empty without one.
+	Previous string
+}
+
+// Run plays a plan with programs and returns what was seen. Settings and logs of
 // the processes go into a directory. No process outlives it, also when the context
 // ends first.
-func Run(ctx context.Context, program, directory string, p plan.Plan) (h *history.History, err error) {
+func Run(ctx context.Context, programs Programs, directory string, p plan.Plan) (h *history.History, err error) {
 	store := standin.NewStore()
 	a := &arena{
 		store:     store,
@@ -77,7 +84,7 @@
 		return nil, err
 	}
 	defer a.killInstances()
-	if err = a.startInstances(program, directory, listener.Addr().String(), p); err != nil {
+	if err = a.startInstances(programs, directory, listener.Addr().String(), p); err != nil {
 		return nil, err
 	}
 	played := make(chan error, 1)
@@ -169,13 +176,13 @@
 	}
 }
 
-func (a *arena) startInstances(program, directory, store string, p plan.Plan) (err error) {
+func (a *arena) startInstances(programs Programs, directory, store string, p plan.Plan) (err error) {
 	domains := make([]string, 0, p.Domains)
 	for n := range p.Domains {
 		domains = append(domains, domainName(n))
 	}
 	for n := range p.Instances {
-		i, err := newInstance(fmt.Sprint("front-", n), domains[n%p.Domains], domains, store, directory, program, &a.recorder)
+		i, err := newInstance(fmt.Sprint("front-", n), domains[n%p.Domains], domains, store, directory, programs, &a.recorder)
 		if err != nil {
 			return err
 		}
--- a/cmd/soak/arena/faults.go
+++ b/cmd/soak/arena/faults.go
@@ -32,7 +32,7 @@
 	length := step.End - step.Begin
 	i := a.instances[step.Target%len(a.instances)]
 	switch step.Kind {
-	case plan.KillInstance, plan.StopInstance, plan.FreezeInstance:
+	case plan.KillInstance, plan.StopInstance, plan.FreezeInstance, plan.SwitchBuild:
 		a.disturbProcess(i, step.Kind, length)
 	case plan.CutStore:
 		i.faults.Lock()
@@ -111,6 +111,9 @@
 		i.signal(syscall.SIGTERM)
 	}
 	i.waitEnd(history.StopBound + killMargin)
+	if kind == plan.SwitchBuild && i.otherProgram != "" {
+		i.program, i.otherProgram = i.otherProgram, i.program
+	}
 	a.startAgain(i)
 }
 
--- a/cmd/soak/arena/instance.go
+++ b/cmd/soak/arena/instance.go
@@ -35,12 +35,14 @@
 	name      string
 	directory string
 	program   string
-	callers   string
-	readiness string
-	peers     string
-	metrics   string
-	store     *proxy
-	recorder  *history.Recorder
+	// otherProgram is the build to which a release switches; empty without one.
+	otherProgram string
+	callers      string
+	readiness    string
+	peers        string
+	metrics      string
+	store        *proxy
+	recorder     *history.Recorder
 	// faults is held while a fault of the process lasts.
 	faults sync.Mutex
 	// inRotation says that the load balancer sends new connections here.
@@ -53,13 +55,16 @@
 	ended   chan struct{}
 }
 
-func newInstance(name, domain string, domains []string, store, directory, program string, recorder *history.Recorder) (i *instance, err error) {
+func newInstance(name, domain string, domains []string, store, directory string, programs Programs, recorder *history.Recorder) (i *instance, err error) {
 	i = &instance{
 		name:      name,
 		directory: directory,
-		program:   program,
+		program:   programs.Current,
 		recorder:  recorder,
 	}
+	if programs.Previous != "" {
+		i.program, i.otherProgram = programs.Previous, programs.Current
+	}
 	if i.store, err = newProxy(store); err != nil {
 		return nil, err
 	}
--- a/cmd/soak/commands.go
+++ b/cmd/soak/commands.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/pomelospring/pomelospring/cmd/soak/arena"
 	"github.com/pomelospring/pomelospring/cmd/soak/plan"
 	"github.com/pomelospring/pomelospring/cmd/soak/session"
 )
@@ -19,19 +20,20 @@
 
 // options are those of all commands.
 type options struct {
-	program   string
+	programs  arena.Programs
 	directory string
 }
 
 func (o *options) setFlags(flags *flag.FlagSet) {
-	flags.StringVar(&o.program, "program", "bin/pomelospringd", "program to run")
+	flags.StringVar(&o.programs.Current, "program", "bin/pomelospringd", "program to run")
+	flags.StringVar(&o.programs.Previous, "previous", "", "build from which the instances are switched to the program one by one, and back")
 	flags.StringVar(&o.directory, "out", "run/soak", "directory of the runs")
 }
 
 // play plays a plan in a new directory below the directory of the runs.
 func (o *options) play(ctx context.Context, p plan.Plan) (kept bool) {
 	directory := filepath.Join(o.directory, fmt.Sprintf("%d-%s", p.Seed, time.Now().Format("20060102T150405")))
-	report, err := session.Play(ctx, o.program, directory, p)
+	report, err := session.Play(ctx, o.programs, directory, p)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "seed %d: %v\n", p.Seed, err)
 		return false
@@ -67,7 +69,7 @@
 
 // Usage implements subcommands.Command.
 func (*runCommand) Usage() string {
-	return "run [-program FILE] [-out DIR] [-length TIME] [-instances N] SEED\n  Exit codes: 0 all promises kept, 1 broken or failed, 2 bad usage.\n"
+	return "run [-program FILE] [-previous FILE] [-out DIR] [-length TIME] [-instances N] SEED\n  Exit codes: 0 all promises kept, 1 broken or failed, 2 bad usage.\n"
 }
 
 // SetFlags implements subcommands.Command.
@@ -83,6 +85,9 @@
 	if c.instances > p.Instances {
 		p.Resize(c.instances)
 	}
+	if c.programs.Previous != "" {
+		p.AddRelease(c.length)
+	}
 	return p
 }
 
@@ -110,7 +115,7 @@
 
 // Usage implements subcommands.Command.
 func (*manyCommand) Usage() string {
-	return "many [-seeds N] [-first SEED] [-program FILE] [-out DIR] [-length TIME] [-instances N]\n"
+	return "many [-seeds N] [-first SEED] [-program FILE] [-previous FILE] [-out DIR] [-length TIME] [-instances N]\n"
 }
 
 // SetFlags implements subcommands.Command.
@@ -146,7 +151,7 @@
 
 // Usage implements subcommands.Command.
 func (*replayCommand) Usage() string {
-	return "replay [-judge] [-program FILE] [-out DIR] DIR\n  DIR is the directory of the earlier run.\n"
+	return "replay [-judge] [-program FILE] [-previous FILE] [-out DIR] DIR\n  DIR is the directory of the earlier run.\n"
 }
 
 // SetFlags implements subcommands.Command.
--- a/cmd/soak/plan/plan.go
+++ b/cmd/soak/plan/plan.go
@@ -2,7 +2,9 @@
 package plan
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -33,9 +35,12 @@
 	ChangeConfiguration = "changeConfiguration"
 	WithdrawKey         = "withdrawKey"
 	DeclareVersion      = "declareVersion"
+	// SwitchBuild stops an instance and starts it with the other one of two builds. It is
+	// part of a release only.
+	SwitchBuild = "switchBuild"
 )
 
-// Kinds returns all kinds of faults.
+// Kinds returns all kinds of faults that are drawn.
 func Kinds() []string {
 	return []string{
 		KillInstance, StopInstance, FreezeInstance, CutStore, StoreDown, StoreSilent, RestoreStore, ResetServer, CutServer,
@@ -124,6 +129,22 @@
 	p.Instances = instances
 }
 
+// AddRelease replaces the build of all instances one after the other, and then back again.
+// The faults stay.
+func (p *Plan) AddRelease(length time.Duration) {
+	gap := length / time.Duration(2*p.Instances)
+	for n := range 2 * p.Instances {
+		begin := time.Duration(n) * gap
+		p.Steps = append(p.Steps, Step{
+			Kind:   SwitchBuild,
+			Target: n % p.Instances,
+			Begin:  begin,
+			End:    begin,
+		})
+	}
+	slices.SortStableFunc(p.Steps, func(a, b Step) int { return cmp.Compare(a.Begin, b.Begin) })
+}
+
 func drawLength(random *rand.Rand, kind string) time.Duration {
 	length := minLength + time.Duration(random.Int64N(int64(maxLength-minLength)))
 	switch kind {
--- a/cmd/soak/plan/plan_test.go
+++ b/cmd/soak/plan/plan_test.go
@@ -38,3 +38,24 @@
 		t.Error(diff)
 	}
 }
+
+func TestReleaseSwitchesEachInstanceForthAndBack(t *testing.T) {
+	p := plan.Draw(3, time.Minute)
+	faults := len(p.Steps)
+	p.AddRelease(time.Minute)
+	switches := map[int]int{}
+	for n, step := range p.Steps {
+		if n > 0 && step.Begin < p.Steps[n-1].Begin {
+			t.Errorf("step %d begins before the one before", n)
+		}
+		if step.Kind == plan.SwitchBuild {
+			switches[step.Target]++
+		}
+	}
+	if diff := cmp.Diff(map[int]int{0: 2, 1: 2, 2: 2, 3: 2}, switches); diff != "" {
+		t.Errorf("switches by instance: %s", diff)
+	}
+	if len(p.Steps) != faults+2*p.Instances {
+		t.Errorf("%d steps, wanted %d", len(p.Steps), faults+2*p.Instances)
+	}
+}
--- a/cmd/soak/session/session.go
+++ b/cmd/soak/session/session.go
@@ -26,7 +26,7 @@
 )
 
 // Play plays a plan and keeps everything in a new directory.
-func Play(ctx context.Context, program, directory string, p plan.Plan) (report history.Report, err error) {
+func Play(ctx context.Context, programs arena.Programs, directory string, p plan.Plan) (report history.Report, err error) {
 	defer pomelospring.Annotate(&err, "soak in %s", directory)
 	if err = os.MkdirAll(directory, 0o700); err != nil {
 		return report, err
@@ -34,7 +34,7 @@
 	if err = write(directory, planFile, p); err != nil {
 		return report, err
 	}
-	h, err := arena.Run(ctx, program, directory, p)
+	h, err := arena.Run(ctx, programs, directory, p)
 	if err != nil {
 		return report, err
 	}
