Keep calls from evacuated failure domains

Change: each instance believes the newest record of each key, and sends nothing to an evacuated domain's servers: not as attempt, retry, takeover or for another instance, looked at again right before the send; its leader gives no orders and asks for no reports, the others share the weight store's rate. Removals that were seen only as a key missing from a full read travel on as records. OperatorRecords.OnReturned tells of a domain taken back.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -289,6 +289,7 @@
 		l.slots[servers[i].ID] = servers[i].Slots
 	}
 	l.table.SetServers(servers, limits, l.Domains)
+	l.table.Evacuated = l.Board.Evacuated(l.Domain)
 	l.table.Pauses = l.Board.Pauses(now)
 	l.table.ActiveLeaders = l.AnsweringDomains()
 	l.table.Speeds = l.Board.Speeds("")
@@ -416,10 +417,11 @@
 	l.table.EndOrder(server)
 }
 
-// order sends one order if the lease still allows it, and logs the result.
+// order sends one order if the lease still allows it and the failure domain is not
+// evacuated, and logs the result.
 func (l *Leader) order(ctx context.Context, order pomelospring.Order, reason string) pomelospring.OrderResult {
 	fence, ok := l.mayOrder()
-	if !ok {
+	if !ok || l.Board.Evacuated(l.Domain) {
 		return pomelospring.OrderRefused
 	}
 	order.Holder = l.Holder
--- a/coordination/place.go
+++ b/coordination/place.go
@@ -93,6 +93,7 @@
 	if !l.lease.Holds(l.Uptime()) {
 		return loading.Plan{}, 0, false
 	}
+	l.table.Evacuated = l.Board.Evacuated(l.Domain)
 	plan = l.table.Plan(request, now)
 	if plan.Kind != loading.PlanLoad {
 		return plan, 0, true
--- a/coordination/placement_coordinator.go
+++ b/coordination/placement_coordinator.go
@@ -27,9 +27,13 @@
 // placement without waiting for a free slot. If none has one, it waits for the
 // first domain that answered.
 func (c *PlacementCoordinator) Place(ctx context.Context, request pomelospring.PlacementRequest) (outcome pomelospring.PlacementOutcome, err error) {
+	members := c.membersByPreference(request)
+	if len(members) == 0 {
+		return pomelospring.PlacementOutcome{}, errEvacuated
+	}
 	err = errNoLeader
 	var fallback *Member
-	for _, member := range c.membersByPreference(request) {
+	for _, member := range members {
 		if request.OwnDomain && member.Domain != request.Domain {
 			break
 		}
@@ -61,6 +65,9 @@
 	return c.recordPlacement(request, outcome), nil
 }
 
+// errEvacuated is why no leader is asked.
+var errEvacuated = errors.New("all failure domains are evacuated")
+
 // noWaitTimeout limits a placement request that doesn't wait for a free slot, the
 // load included.
 const noWaitTimeout = time.Second
@@ -83,13 +90,15 @@
 }
 
 // membersByPreference lists the domains' members, the adapter's home domain
-// first. For a further copy it starts with the domain of the request.
+// first, without those that are evacuated. For a further copy it starts with the domain of
+// the request.
 func (c *PlacementCoordinator) membersByPreference(request pomelospring.PlacementRequest) []*Member {
 	first := int(xxhash.Sum64String(request.Adapter) % uint64(len(c.Members)))
 	if request.Replica || request.OwnDomain {
 		first = max(0, slices.IndexFunc(c.Members, func(m *Member) bool { return m.Domain == request.Domain }))
 	}
-	return append(slices.Clone(c.Members[first:]), c.Members[:first]...)
+	members := append(slices.Clone(c.Members[first:]), c.Members[:first]...)
+	return slices.DeleteFunc(members, func(m *Member) bool { return c.Board.Evacuated(m.Domain) })
 }
 
 // Leaders returns the addresses of the known leaders by domain.
@@ -103,11 +112,11 @@
 	return leaders
 }
 
-// AnsweringDomains counts the domains whose leader answers, and returns at least
-// 1.
+// AnsweringDomains counts the domains whose leader answers and that are not evacuated,
+// and returns at least 1.
 func (c *PlacementCoordinator) AnsweringDomains() (count int) {
 	for _, member := range c.Members {
-		if member.LeaderAnswers() {
+		if member.LeaderAnswers() && !c.Board.Evacuated(member.Domain) {
 			count++
 		}
 	}
--- a/entry/crash_check.go
+++ b/entry/crash_check.go
@@ -134,8 +134,12 @@
 	whole bool
 }
 
-// checkForCrash finds out whether a server has ended.
+// checkForCrash finds out whether a server has ended. Operators may stop the servers of an
+// evacuated failure domain, which shows nothing of the calls that were under way there.
 func (s *Service) checkForCrash(server pomelospring.FleetServer, call brokenCall) {
+	if s.Board.Evacuated(server.Domain) {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.crashChecks == nil {
--- a/entry/run.go
+++ b/entry/run.go
@@ -248,7 +248,7 @@
 	switch {
 	case s.Board.Speeds("").PrefillTime(choice.Candidate.WaitingTokens) > replicaQueueThreshold:
 		request.Replica = true
-	case choice.Candidate.Server.Domain != s.Board.Domain && s.Board.DomainDemand(adapter, now) > localCopyDemand:
+	case choice.Candidate.Server.Domain != s.Board.Domain && !s.Board.Evacuated(s.Board.Domain) && s.Board.DomainDemand(adapter, now) > localCopyDemand:
 		request.Optional, request.OwnDomain, request.AtOnce = true, true, true
 	default:
 		return
@@ -395,8 +395,9 @@
 func (a *attempt) handleSendError(ctx context.Context, err error) (done bool) {
 	c, server := a.session, a.server
 	notSent := errors.Is(err, pomelospring.ErrNotSent)
-	// That no connection was made before the caller left shows nothing of the server.
-	abandoned := notSent && errors.Is(ctx.Err(), context.Canceled)
+	// That no connection was made before the caller left, or that the server's failure domain
+	// is evacuated, shows nothing of the server.
+	abandoned := notSent && (errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, pomelospring.ErrEvacuated))
 	a.end(!abandoned && !a.isSilent())
 	err = a.cause(err)
 	c.avoid[server.ID] = true
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -310,7 +310,7 @@
 	c := a.session
 	server := b.server
 	notSent := errors.Is(err, pomelospring.ErrNotSent)
-	canceled := ctx.Err() != nil && !isSilent(ctx)
+	canceled := ctx.Err() != nil && !isSilent(ctx) || errors.Is(err, pomelospring.ErrEvacuated)
 	b.end(!canceled && (answer == nil || !answer.Misdirected))
 	if notSent && !canceled {
 		c.service.Board.RecordUnreachable(server.ID, c.service.Clock())
--- a/fleet.go
+++ b/fleet.go
@@ -223,6 +223,10 @@
 // server.
 var ErrNotSent = errors.New("the call was not sent")
 
+// ErrEvacuated marks a dispatch that was not sent because its server's failure domain is
+// evacuated. It wraps ErrNotSent.
+var ErrEvacuated = fmt.Errorf("%w: the failure domain is evacuated", ErrNotSent)
+
 // Backend sends calls to backend servers.
 type Backend interface {
 	// Send returns once the head of the answer has arrived. An error that wraps
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -40,7 +40,9 @@
 
 	servers      map[string]pomelospring.FleetServer
 	serversKnown bool
-	index        serverIndex
+	// evacuated has the failure domains whose servers are to get nothing.
+	evacuated map[string]bool
+	index     serverIndex
 	// leaving has the servers that announced that they leave, by ID.
 	leaving map[string]*leavingServer
 	// pauses has the servers that asked this instance for a pause, by ID.
@@ -99,6 +101,7 @@
 		operators:     newOperatorRecords(),
 		declared:      map[string]*declaredVersions{},
 		servers:       map[string]pomelospring.FleetServer{},
+		evacuated:     map[string]bool{},
 		index:         newServerIndex(),
 		leaving:       map[string]*leavingServer{},
 		pauses:        map[string]pause{},
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -137,7 +137,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	listed, found := b.servers[server]
-	return found && !listed.Draining && !b.paused(server, now)
+	return found && !listed.Draining && !b.evacuated[listed.Domain] && !b.paused(server, now)
 }
 
 // Draining reports whether a server is listed, and as draining.
--- a/fleet/operator_records.go
+++ b/fleet/operator_records.go
@@ -25,6 +25,14 @@
 	// DecodeVersion decodes a declared adapter version; declared is false for
 	// records of other kinds.
 	DecodeVersion func(record pomelospring.KeyedRecord) (adapter string, version int64, declared bool, err error)
+	// DecodeEvacuation decodes whether a failure domain is evacuated; declared is false for
+	// records of other kinds. Without it no record is taken as an evacuation.
+	DecodeEvacuation func(record pomelospring.KeyedRecord) (domain string, evacuated, declared bool, err error)
+	// Domains lists the failure domains of the fleet; evacuations of others are ignored.
+	Domains []string
+	// OnReturned is called once each time that an evacuated failure domain is taken back,
+	// at the time when this instance learned of it; it may be nil.
+	OnReturned func(domain string, at time.Time)
 
 	// mu keeps the active configuration consistent with its teams' rates when
 	// records arrive from the store and from other instances concurrently.
@@ -33,8 +41,11 @@
 
 // ApplyRead applies records read from the store; next is the position up to which
 // the store was read.
-func (o *OperatorRecords) ApplyRead(records []pomelospring.KeyedRecord, _ bool, next pomelospring.TopicPosition, _ time.Duration) {
+func (o *OperatorRecords) ApplyRead(records []pomelospring.KeyedRecord, full bool, next pomelospring.TopicPosition, _ time.Duration) {
 	before := o.Board.OperatorPosition()
+	if full {
+		records = append(records, o.missedReturns(records, next)...)
+	}
 	o.AddRecords(records)
 	o.Board.ConfirmOperatorPosition(next, o.Clock())
 	if before.Offset > 0 && before.Era < next.Era {
@@ -72,12 +83,18 @@
 func (o *OperatorRecords) AddRecords(records []pomelospring.KeyedRecord) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	var policies []pomelospring.KeyedRecord
 	for _, record := range records {
-		if record.Key == o.PolicyKey {
-			o.policy(record)
-			continue
+		switch {
+		case record.Key == o.PolicyKey:
+			policies = append(policies, record)
+		case !o.evacuation(record):
+			o.version(record)
 		}
-		o.version(record)
+	}
+	// An instance serves from its first configuration on, and then knows what is evacuated.
+	for _, record := range policies {
+		o.policy(record)
 	}
 }
 
--- a/fleet/server_index.go
+++ b/fleet/server_index.go
@@ -33,8 +33,8 @@
 	model   string
 }
 
-// pool lists interchangeable servers that the server list has as ready, those of the
-// own failure domain apart.
+// pool lists interchangeable servers that the server list has as ready and that are not
+// evacuated, those of the own failure domain apart.
 type pool struct {
 	own    []string
 	others []string
@@ -85,8 +85,9 @@
 	}
 }
 
-// rebuildPools lists the servers by service and base model.
-func (i *serverIndex) rebuildPools(servers map[string]pomelospring.FleetServer, ownDomain string) {
+// rebuildPools lists the servers by service and base model, without those in evacuated
+// failure domains.
+func (i *serverIndex) rebuildPools(servers map[string]pomelospring.FleetServer, ownDomain string, evacuated map[string]bool) {
 	i.pools = map[poolKey]*pool{}
 	domains := map[string]bool{}
 	i.software = map[string]map[string]int{}
@@ -96,7 +97,7 @@
 			i.software[server.Service] = map[string]int{}
 		}
 		i.software[server.Service][server.Software]++
-		if server.Draining {
+		if server.Draining || evacuated[server.Domain] {
 			continue
 		}
 		i.addToPool(poolKey{service: server.Service}, &server, ownDomain)
@@ -217,6 +218,6 @@
 		}
 	}
 	if changed {
-		b.index.rebuildPools(servers, b.Domain)
+		b.index.rebuildPools(servers, b.Domain, b.evacuated)
 	}
 }
--- a/fleet/software.go
+++ b/fleet/software.go
@@ -32,7 +32,7 @@
 		case server.Service != service:
 		case server.Software != software:
 			others = append(others, id)
-		case !server.Draining:
+		case !server.Draining && !b.evacuated[server.Domain]:
 			serves = true
 		}
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -150,6 +150,9 @@
 		PolicyKey:     platform.PolicyKey,
 		DecodePolicy:  platform.DecodePolicy,
 		DecodeVersion: platform.DecodeVersion,
+		Domains:       config.Domains,
+
+		DecodeEvacuation: platform.DecodeEvacuation,
 	}
 	f.servers = &fleet.ServerList{
 		Board:  f.board,
--- a/loading/maintenance.go
+++ b/loading/maintenance.go
@@ -41,6 +41,9 @@
 // models load from the weight store a few at a time, so that the first workers
 // can serve while others wait.
 func (t *PlacementTable) Maintenance(now time.Time) (orders []Maintenance) {
+	if t.Evacuated {
+		return nil
+	}
 	storeLoads := t.modelLoadsInFlight(now)
 	for _, w := range t.sorted {
 		if !w.synced || w.orderInFlight || w.server.Draining || !w.modelLoadSeenAt.IsZero() || t.paused(w, now) {
--- a/loading/placement_table.go
+++ b/loading/placement_table.go
@@ -103,6 +103,8 @@
 	// Pauses has when each worker that wants nothing from the leader's instance
 	// accepts orders and requests for its report again.
 	Pauses map[string]time.Time
+	// Evacuated is set while nothing is to be sent to the workers.
+	Evacuated bool
 	// Speeds are the learned speeds of the workers.
 	Speeds dispatch.Speeds
 	// Revision increases with each change of the workers' residency.
@@ -259,6 +261,9 @@
 
 // DueReports lists the workers whose report is to be requested now.
 func (t *PlacementTable) DueReports(now time.Time) (servers []pomelospring.FleetServer) {
+	if t.Evacuated {
+		return nil
+	}
 	for _, w := range t.workers {
 		if w.synced && !w.orderInFlight && w.hasReplaced(now) {
 			// Only a report shows that the older version is gone.
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -44,6 +44,12 @@
 // where it is resident, or else on the worker with the lowest cost that can
 // load it.
 func (t *PlacementTable) Plan(request pomelospring.PlacementRequest, now time.Time) Plan {
+	if t.Evacuated {
+		return Plan{
+			Kind:   PlanNone,
+			Reason: "the failure domain is evacuated",
+		}
+	}
 	version := max(firstVersion, request.Version, t.newestVersion[request.Adapter])
 	avoid := map[string]bool{}
 	for _, id := range request.Avoid {
--- a/relay/backend.go
+++ b/relay/backend.go
@@ -33,8 +33,8 @@
 			return answer, relayErr
 		}
 	}
-	answer, err = b.Direct.Send(ctx, call, dispatch)
-	if err == nil || !errors.Is(err, pomelospring.ErrNotSent) || ctx.Err() != nil {
+	answer, err = b.sendDirect(ctx, call, dispatch)
+	if err == nil || !errors.Is(err, pomelospring.ErrNotSent) || errors.Is(err, pomelospring.ErrEvacuated) || ctx.Err() != nil {
 		return answer, err
 	}
 	b.Paths.RecordFailure(dispatch.Server, err)
@@ -47,12 +47,23 @@
 	return nil, fmt.Errorf("%w; %w", err, relayErr)
 }
 
+// sendDirect sends a call over the instance's own path.
+func (b *Backend) sendDirect(ctx context.Context, call *pomelospring.Call, dispatch pomelospring.Dispatch) (answer *pomelospring.BackendAnswer, err error) {
+	if b.Paths.Board.Evacuated(dispatch.Server.Domain) {
+		return nil, pomelospring.ErrEvacuated
+	}
+	return b.Direct.Send(ctx, call, dispatch)
+}
+
 // sendThrough sends a call through another instance, unless none reached the server
 // shortly before.
 func (b *Backend) sendThrough(ctx context.Context, call *pomelospring.Call, dispatch pomelospring.Dispatch) (answer *pomelospring.BackendAnswer, err error) {
 	if b.Relays == nil {
 		return nil, errNoRelay
 	}
+	if b.Paths.Board.Evacuated(dispatch.Server.Domain) {
+		return nil, pomelospring.ErrEvacuated
+	}
 	if b.Paths.Board.UnreachableElsewhere(dispatch.Server.ID, b.Paths.Clock()) {
 		return nil, errUnreachable
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -125,6 +125,9 @@
 	if server.Draining {
 		return server, notSent("the server leaves")
 	}
+	if s.Board.Evacuated(server.Domain) {
+		return server, notSent("the failure domain is evacuated")
+	}
 	if end, paused := s.Board.Pauses(now)[server.ID]; paused {
 		failure = notSent("the server asked for a pause")
 		failure.Notice = noticeToProto(pomelospring.ServerNotice{
@@ -241,7 +244,7 @@
 		return stream.Send(&coordinationpb.RelayReply{
 			Failure: &coordinationpb.RelayFailure{
 				NotSent:     isNotSent,
-				Unreachable: isNotSent && ctx.Err() == nil,
+				Unreachable: isNotSent && !errors.Is(err, pomelospring.ErrEvacuated) && ctx.Err() == nil,
 				Reason:      err.Error(),
 			},
 		})
@@ -286,7 +289,7 @@
 // Report implements the RPC Report.
 func (s *Server) Report(ctx context.Context, request *coordinationpb.RelayReportRequest) (reply *coordinationpb.RelayReportReply, err error) {
 	server, listed := s.Board.Server(request.Server)
-	if !listed || server.Started.UnixMilli() != request.Started {
+	if !listed || server.Started.UnixMilli() != request.Started || s.Board.Evacuated(server.Domain) {
 		return &coordinationpb.RelayReportReply{}, nil
 	}
 	report, err := s.Engine.Report(ctx, server)
