--- a/front/cut_off_instance_test.go
+++ b/front/cut_off_instance_test.go
@@ -162,6 +162,8 @@
 	links     []*links
 	models    []*worker
 	plain     []*worker
+	// prefix begins the IDs of the load's calls.
+	prefix string
 }
 
 func newCutFleet(t *testing.T, instances int) *cutFleet {
@@ -270,7 +272,7 @@
 			group.Go(func() {
 				for n := 0; time.Since(start) < duration; n++ {
 					group.Go(func() {
-						call := f.send(instance, path, fmt.Sprintf("c-%d-%d-%d", instance, kind, n), n%4)
+						call := f.send(instance, path, fmt.Sprintf("%sc-%d-%d-%d", f.prefix, instance, kind, n), n%4)
 						mu.Lock()
 						defer mu.Unlock()
 						calls = append(calls, call)
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -35,6 +35,7 @@
 type worker struct {
 	id         string
 	service    string
+	domain     string
 	mu         sync.Mutex
 	adapters   map[string]bool
 	sequence   int64
@@ -58,6 +59,7 @@
 	w := &worker{
 		id:         id,
 		service:    "llm",
+		domain:     "north",
 		adapters:   map[string]bool{},
 		holders:    map[string]bool{},
 		executions: map[string]int{},
@@ -70,8 +72,8 @@
 
 // entry returns the worker's record in the server list.
 func (w *worker) entry(state string) []byte {
-	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"north","slots":8,"state":%q,"born":1000,"models":[{"name":"m","version":1,"adapters":[]}],"seq":0}`,
-		w.service, strings.TrimPrefix(w.server.URL, "http://"), state)
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"slots":8,"state":%q,"born":1000,"models":[{"name":"m","version":1,"adapters":[]}],"seq":0}`,
+		w.service, strings.TrimPrefix(w.server.URL, "http://"), w.domain, state)
 }
 
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
@@ -489,6 +491,8 @@
 type storeProxy struct {
 	store    *standin.Store
 	refusing atomic.Bool
+	// noGroups refuses the group service, so that the instance finds no leader.
+	noGroups atomic.Bool
 	reads    atomic.Int64
 }
 
@@ -496,7 +500,8 @@
 	if r.URL.Path == "/api/log-read" || r.URL.Path == "/api/log-newest" {
 		p.reads.Add(1)
 	}
-	if p.refusing.Load() {
+	isGroup := r.URL.Path == "/api/log-owners" || r.URL.Path == "/api/log-join"
+	if p.refusing.Load() || p.noGroups.Load() && isGroup {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
