--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -86,10 +86,10 @@
 	PathBroken        = define(342, "pathBroken", log.WarnLevel, "This instance can't connect to a backend server; the path counts as broken until probes have succeeded for some time.")
 	PathWhole         = define(343, "pathWhole", log.InfoLevel, "This instance connects to a backend server again; brokenMs tells for how long it could not.")
 	CallSentThrough   = define(344, "callSentThrough", log.InfoLevel, "A call was sent to a backend server through another instance, as this one can't connect to the server; with an error, sent says whether the call may have reached the server.")
+	RelayRefused      = define(345, "relayRefused", log.InfoLevel, "This instance did not send a call for another one; nothing reached the backend server.")
 	DomainEvacuated   = define(350, "domainEvacuated", log.WarnLevel, "Operators evacuated a failure domain: its backend servers get nothing until it is taken back.")
 	DomainReturned    = define(351, "domainReturned", log.InfoLevel, "Operators took an evacuated failure domain back.")
 	EvacuationIgnored = define(352, "evacuationIgnored", log.WarnLevel, "An operators' record evacuates a failure domain that the settings don't list.")
-	RelayRefused      = define(345, "relayRefused", log.InfoLevel, "This instance did not send a call for another one; nothing reached the backend server.")
 	ServerMalformed   = define(325, "serverSpoiled", log.WarnLevel, "An entry of the list of backend servers is malformed and is not used.")
 
 	ServerLeaving = define(330, "serverLeaving", log.InfoLevel, "A backend server announced that it leaves, while the server list has it as ready; it gets no new work until it is started anew.")
--- a/fleet/evacuations.go
+++ b/fleet/evacuations.go
@@ -52,6 +52,11 @@
 	return records
 }
 
+// EvacuationGauges shows which failure domains are evacuated.
+type EvacuationGauges interface {
+	SetEvacuated(domain string, evacuated bool)
+}
+
 // evacuation evacuates the failure domain that a record names or takes it back, and
 // reports whether the record is of this kind.
 func (o *OperatorRecords) evacuation(record pomelospring.KeyedRecord) (declared bool) {
@@ -74,6 +79,9 @@
 	if !o.Board.SetEvacuated(domain, evacuated) {
 		return true
 	}
+	if o.Gauges != nil {
+		o.Gauges.SetEvacuated(domain, evacuated)
+	}
 	if evacuated {
 		events.Log(o.Logger, events.DomainEvacuated, fields)
 		return true
--- a/fleet/evacuations_test.go
+++ b/fleet/evacuations_test.go
@@ -5,8 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/google/go-cmp/cmp"
 	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/events"
 	"github.com/pomelospring/pomelospring/fleet"
 	"github.com/pomelospring/pomelospring/platform"
 	"github.com/pomelospring/pomelospring/quota"
@@ -288,3 +291,19 @@
 		}
 	}
 }
+
+func TestUnknownDomainIsLoggedOnce(t *testing.T) {
+	lines := memory.New()
+	e := newEvacuee()
+	e.Logger = &log.Logger{Handler: lines}
+	for range 2 {
+		e.AddRecords([]pomelospring.KeyedRecord{inEra(0, 3, put("evacuate/west", "{}"))})
+	}
+	var got []any
+	for _, line := range lines.Entries {
+		got = append(got, line.Message, line.Fields["domain"])
+	}
+	if diff := cmp.Diff([]any{events.EvacuationIgnored.Name, "west"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/fleet/operator_records.go
+++ b/fleet/operator_records.go
@@ -30,6 +30,8 @@
 	DecodeEvacuation func(record pomelospring.KeyedRecord) (domain string, evacuated, declared bool, err error)
 	// Domains lists the failure domains of the fleet; evacuations of others are ignored.
 	Domains []string
+	// Gauges shows operators which domains are evacuated; it may be nil.
+	Gauges EvacuationGauges
 	// OnReturned is called once each time that an evacuated failure domain is taken back,
 	// at the time when this instance learned of it; it may be nil.
 	OnReturned func(domain string, at time.Time)
--- a/front/front.go
+++ b/front/front.go
@@ -151,6 +151,7 @@
 		DecodePolicy:  platform.DecodePolicy,
 		DecodeVersion: platform.DecodeVersion,
 		Domains:       config.Domains,
+		Gauges:        f.metrics,
 
 		DecodeEvacuation: platform.DecodeEvacuation,
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -78,6 +78,17 @@
 	}).Counter("store_calls").Inc(1)
 }
 
+// SetEvacuated shows whether a failure domain is evacuated.
+func (m *Metrics) SetEvacuated(domain string, evacuated bool) {
+	value := 0.0
+	if evacuated {
+		value = 1
+	}
+	m.scope.Tagged(map[string]string{
+		"domain": domain,
+	}).Gauge("domain_evacuated").Update(value)
+}
+
 // Run updates the gauges from the state of the blackboard until the context ends,
 // and then closes the metrics.
 func (m *Metrics) Run(ctx context.Context, board *blackboard.Blackboard, clock pomelospring.Clock) error {
