--- a/fleet/evacuations_test.go
+++ b/fleet/evacuations_test.go
@@ -299,7 +299,7 @@
 	for range 2 {
 		e.AddRecords([]pomelospring.KeyedRecord{inEra(0, 3, put("evacuate/west", "{}"))})
 	}
-	var got []any
+	got := make([]any, 0, 2*len(lines.Entries))
 	for _, line := range lines.Entries {
 		got = append(got, line.Message, line.Fields["domain"])
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -262,6 +262,9 @@
 		{name: "the server leaves", prepare: func(i *instance, target pomelospring.FleetServer) {
 			i.board.RecordLeaving(fleet.LeavingServer{ID: target.ID, Started: target.Started}, time.Now())
 		}},
+		{name: "the server's failure domain is evacuated", prepare: func(i *instance, _ pomelospring.FleetServer) {
+			i.board.SetEvacuated("north", true)
+		}, noted: func(e *entry) bool { return !e.board.UnreachableElsewhere("i-1", time.Now()) }},
 		{name: "the server paused it", prepare: func(i *instance, target pomelospring.FleetServer) {
 			i.board.RecordPause(target.ID, time.Now().Add(time.Minute), time.Now())
 		}, noted: func(e *entry) bool { return len(e.board.Pauses(time.Now())) == 1 }},
