Cold servers take a bounded rate from all instances together

Cause: nothing read cold-left-ms, X-Pomelospring-Cold-Ms or cold-per-s, so that a server which had just started got as many calls as a warm one and crashed.

Change: a server's bound has a further reason, cold, kept by the same reservations. Its leader gives out 0.9 of the rate, at most a second ahead; instances without the leader's answer divide 0.6 of it by ranks that the leader told them. Turns that passed more than 500 ms ago are void. Configurations with malformed terms are in effect without them (357).

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -88,6 +88,11 @@
 	waiting map[string]int
 	// pacing gives out when the domain's servers that name a limit get calls.
 	pacing pacing.Schedule
+	// coldPacing does so for servers that are cold, from coldFrom on.
+	coldPacing pacing.Schedule
+	coldFrom   time.Time
+	// ranks has the rank of each live member, counted at countedAt.
+	ranks map[string]int
 	// permits gives out the permits of the domain's brittle servers.
 	permits permitDesk
 	// rooms has the calls that may be under way at these servers, as logged last.
@@ -186,6 +191,11 @@
 		l.pacing = pacing.Schedule{
 			KeepsCredit: true,
 		}
+		l.coldPacing = pacing.Schedule{
+			KeepsCredit: true,
+			CreditCalls: coldCreditCalls,
+		}
+		l.coldFrom = l.Clock().Add(coldHorizon)
 		l.permits.reset()
 		l.table.Invalidate(l.Clock())
 	}
--- a/coordination/limits.go
+++ b/coordination/limits.go
@@ -28,7 +28,11 @@
 		return pomelospring.Reservation{}, false
 	}
 	now := l.Clock()
-	return reserve(&l.pacing, server, team, l.Board.LimitOf(server), now.Add(patience), now), true
+	bound := l.Board.BoundOf(server, now)
+	if bound.ColdPerSecond > 0 {
+		return l.reserveCold(server, team, bound, patience, now), true
+	}
+	return reserve(&l.pacing, server, team, bound.Limit.PerSecond, now.Add(patience), now), true
 }
 
 // reserve reserves a turn of a server that takes perSecond calls; 0 for any number.
@@ -51,6 +55,9 @@
 	}
 	now := leader.Clock()
 	leader.notices().RecordLimits(limitsFromProto([]*coordinationpb.ServerLimit{request.Limit}, now), "a reservation")
+	if request.ColdMilliseconds > 0 {
+		leader.Board.RecordCold(request.Limit.Server, time.UnixMilli(request.Limit.Started), now.Add(time.Duration(request.ColdMilliseconds)*time.Millisecond), now)
+	}
 	reservation, ok := leader.Reserve(request.Limit.Server, request.Team, time.Duration(request.PatienceMilliseconds)*time.Millisecond)
 	if !ok {
 		return nil, errNotLeading
@@ -59,18 +66,23 @@
 		Granted:          reservation.Granted,
 		WaitMilliseconds: reservation.At.Sub(now).Milliseconds(),
 		NextMilliseconds: reservation.NextAt.Sub(now).Milliseconds(),
+		KnowsCold:        true,
 	}, nil
 }
 
 // Reserve asks the domain's leader for a turn of a server. Without an answer it keeps to
-// this instance's part of the limit.
+// this instance's part of the bound.
 func (m *Member) Reserve(ctx context.Context, server pomelospring.FleetServer, team string, latest time.Time) pomelospring.Reservation {
-	limit, limited := m.Board.ServerLimitOf(server.ID)
-	if !limited {
-		now := m.Clock()
+	now := m.Clock()
+	bound := m.Board.BoundOf(server.ID, now)
+	if !bound.Limited() {
 		return reserve(nil, server.ID, team, 0, latest, now)
 	}
-	reservation, err := m.reserveAtLeader(ctx, limit, team, latest)
+	bound.Limit.Server = server.ID
+	if bound.Limit.Started.IsZero() {
+		bound.Limit.Started = server.Started
+	}
+	reservation, err := m.reserveAtLeader(ctx, bound, team, latest)
 	if err == nil {
 		m.mu.Lock()
 		defer m.mu.Unlock()
@@ -79,28 +91,32 @@
 	}
 	events.Log(m.Logger, events.LimitDivided, log.Fields{
 		"server":    server.ID,
-		"perSecond": limit.PerSecond,
+		"perSecond": bound.PerSecond(1),
+		"cold":      bound.ColdPerSecond > 0,
 		"instances": m.InstanceCount(),
 		"error":     err.Error(),
 	})
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if bound.ColdPerSecond > 0 {
+		return m.reserveColdPart(bound, latest, m.Clock())
+	}
 	instances := m.instances
 	if instances == 0 {
 		instances = assumedInstances
 	}
-	return reserve(&m.pacing, server.ID, team, limit.PerSecond/float64(instances), latest, m.Clock())
+	return reserve(&m.pacing, server.ID, team, bound.Limit.PerSecond/float64(instances), latest, m.Clock())
 }
 
 // reserveAtLeader asks the domain's leader for a turn.
-func (m *Member) reserveAtLeader(ctx context.Context, limit fleet.ServerLimit, team string, latest time.Time) (reservation pomelospring.Reservation, err error) {
+func (m *Member) reserveAtLeader(ctx context.Context, bound fleet.Bound, team string, latest time.Time) (reservation pomelospring.Reservation, err error) {
 	address, now := m.Known(), m.Clock()
 	patience := latest.Sub(now)
 	switch {
 	case address == "" || !m.LeaderAnswers():
 		return pomelospring.Reservation{}, errNoLeader
 	case address == m.Address:
-		reservation, ok := m.Leader.Reserve(limit.Server, team, patience)
+		reservation, ok := m.Leader.Reserve(bound.Limit.Server, team, patience)
 		if !ok {
 			return pomelospring.Reservation{}, errNotLeading
 		}
@@ -110,13 +126,17 @@
 	defer cancel()
 	reply, err := m.client(ctx, address).Reserve(ctx, &coordinationpb.ReserveRequest{
 		Domain:               m.Domain,
-		Limit:                limitsToProto([]fleet.ServerLimit{limit}, now)[0],
+		Limit:                limitsToProto([]fleet.ServerLimit{bound.Limit}, now)[0],
+		ColdMilliseconds:     max(0, bound.ColdUntil.Sub(now).Milliseconds()),
 		PatienceMilliseconds: patience.Milliseconds(),
 		Team:                 team,
 	})
 	if err != nil {
 		return pomelospring.Reservation{}, err
 	}
+	if bound.ColdPerSecond > 0 && !reply.KnowsCold {
+		return pomelospring.Reservation{}, errColdUnknown
+	}
 	now = m.Clock()
 	return pomelospring.Reservation{
 		Granted: reply.Granted,
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -123,6 +123,11 @@
 	// pacing gives out this instance's part of the limits of the domain's servers while
 	// the leader does not answer.
 	pacing pacing.Schedule
+	// coldPart gives out this instance's turns of cold servers meanwhile, and division is
+	// its place among the instances. randomPhase is that of one that has none.
+	coldPart    pacing.Part
+	division    division
+	randomPhase float64
 	// permits are those for the domain's brittle servers that this instance has, and
 	// ownPermits gives out its part of their room while the leader does not answer.
 	permits    heldPermits
@@ -463,6 +468,7 @@
 		m.serverVersion = reply.ServerVersion
 	}
 	m.instances = int(reply.Instances)
+	m.setDivision(int(reply.Instances), int(reply.Rank), now)
 	m.lastReplyAt = now
 	m.operatorAge = operatorAge
 	m.serverAge = serverAge
@@ -512,7 +518,7 @@
 	}, now.Add(-operatorAge))
 	if serverAge < maxRelayAge {
 		defer m.compareLists(reply.ServerDigest, now)
-		m.Servers.Relay(serversFromProto(reply.Servers), reply.ServersGone, full, pomelospring.TopicPosition{
+		m.Servers.Relay(serversFromProto(reply.Servers, now), reply.ServersGone, full, pomelospring.TopicPosition{
 			Era:    reply.ServerEra,
 			Offset: reply.ServerOffset,
 		}, now.Add(-serverAge))
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -164,6 +165,7 @@
 		reply.Spending = spendingToProto(l.totals.Others(request.Instance))
 	}
 	reply.Instances, reply.Known = l.countInstances(now)
+	reply.Rank = int32(l.ranks[request.Instance])
 	if request.Relay {
 		l.addRelay(pomelospring.TopicPosition{
 			Era:    request.OperatorEra,
@@ -234,7 +236,7 @@
 	reply.Records = recordsToProto(l.Board.RecordsFrom(operators))
 	reply.ServerVersion = version
 	reply.ServerOffset, reply.ServerEra = readTo.Offset, readTo.Era
-	reply.Servers = serversToProto(changed)
+	reply.Servers = serversToProto(changed, now)
 	reply.ServersGone = removed
 	reply.ServerDigest = l.Board.ServerDigest()
 	reply.OperatorAgeMilliseconds = l.Board.PolicyAge(now).Milliseconds()
@@ -251,6 +253,7 @@
 		return l.live, l.known
 	}
 	names := map[string]bool{}
+	var live []string
 	for id, m := range l.members {
 		if now.Sub(m.expiresAt) > memberRetention {
 			delete(l.members, id)
@@ -258,9 +261,17 @@
 		}
 		names[m.name] = true
 		if now.Before(m.expiresAt) {
-			instances++
+			live = append(live, id)
 		}
 	}
+	instances = int32(len(live))
+	slices.SortFunc(live, func(x, y string) int {
+		return cmp.Or(cmp.Compare(l.members[x].name, l.members[y].name), cmp.Compare(x, y))
+	})
+	l.ranks = make(map[string]int, len(live))
+	for i, id := range live {
+		l.ranks[id] = i + 1
+	}
 	l.live, l.known, l.countedAt = instances, int32(len(names)), now
 	return l.live, l.known
 }
@@ -316,7 +327,7 @@
 	return list
 }
 
-func serversToProto(servers []pomelospring.FleetServer) (list []*coordinationpb.ServerEntry) {
+func serversToProto(servers []pomelospring.FleetServer, now time.Time) (list []*coordinationpb.ServerEntry) {
 	for _, server := range servers {
 		list = append(list, &coordinationpb.ServerEntry{
 			Id:       server.ID,
@@ -329,12 +340,14 @@
 			Models:   server.Models,
 			Awaited:  server.Awaited,
 			Software: server.Software,
+
+			ColdMilliseconds: coldToProto(server, now),
 		})
 	}
 	return list
 }
 
-func serversFromProto(list []*coordinationpb.ServerEntry) (servers []pomelospring.FleetServer) {
+func serversFromProto(list []*coordinationpb.ServerEntry, now time.Time) (servers []pomelospring.FleetServer) {
 	for _, entry := range list {
 		servers = append(servers, pomelospring.FleetServer{
 			ID:       entry.Id,
@@ -347,6 +360,8 @@
 			Models:   entry.Models,
 			Awaited:  entry.Awaited,
 			Software: entry.Software,
+
+			ColdUntil: coldFromProto(entry, now),
 		})
 	}
 	return servers
--- a/entry/limited_server.go
+++ b/entry/limited_server.go
@@ -20,6 +20,9 @@
 	// refused call may come back later, at random, from retryAfterSpread to
 	// maxPauseRetrySpread.
 	limitRetryFraction = 0.5
+	// turnLapse is how late a call may be sent after its turn, as after the process was
+	// suspended.
+	turnLapse = 500 * time.Millisecond
 )
 
 // pickWithTurn picks a backend server among a number of candidates, and has waited for a
@@ -87,7 +90,8 @@
 	if !reservation.Granted || pomelospring.Sleep(ctx, reservation.At.Sub(s.Clock())) != nil {
 		return false
 	}
-	return s.Board.Accepts(server.ID, s.Clock())
+	now = s.Clock()
+	return now.Sub(reservation.At) <= turnLapse && s.Board.Accepts(server.ID, now)
 }
 
 // limitRefusal returns the refusal of a call whose servers have no turn before turnAt.
--- a/entry/run.go
+++ b/entry/run.go
@@ -146,7 +146,7 @@
 		"prompt":     c.call.PromptTokens,
 		"tokens":     c.call.PromptTokens + c.call.OutputTokens,
 		"candidates": candidates,
-		"limit":      c.service.Board.LimitOf(choice.Candidate.Server.ID),
+		"limit":      c.service.Board.BoundOf(choice.Candidate.Server.ID, now).PerSecond(1),
 		"policyMs":   c.service.Board.PolicyAge(now).Milliseconds(),
 		"heldMs":     now.Sub(c.call.Arrived).Milliseconds(),
 	})
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -94,6 +94,10 @@
 	ServerLimited = define(332, "serverLimited", log.InfoLevel, "A backend server named how many requests a second it takes from all instances together, or another number than before; perSecond 0: it names none any longer.")
 	LimitDivided  = define(333, "limitDivided", log.InfoLevel, "The leader that shares out a backend server's limit did not answer a reservation; this instance keeps to its part of the limit.")
 
+	ServerCold         = define(355, "serverCold", log.InfoLevel, "A backend server is cold until the time given: all instances together send it at most perSecond requests a second.")
+	ServerWarm         = define(356, "serverWarm", log.InfoLevel, "A backend server is no longer cold.")
+	PolicyPartsIgnored = define(357, "policyPartsIgnored", log.WarnLevel, "Parts of the operators' configuration are malformed and count as not said; the rest is in effect.")
+
 	ServerBrittle  = define(380, "serverBrittle", log.InfoLevel, "A backend server said that it falls over when it turns more than perSecond requests away within a second, or another number than before; brittle false: it says so no longer. Calls to it need permits of the leader.")
 	RoomChanged    = define(381, "roomChanged", log.InfoLevel, "The leader lets another number of calls be under way at a brittle backend server.")
 	PermitsDivided = define(382, "permitsDivided", log.InfoLevel, "The leader that gives out the permits of brittle backend servers did not answer; this instance keeps to its part of their room.")
--- a/fleet.go
+++ b/fleet.go
@@ -43,6 +43,9 @@
 	Started time.Time
 	// Software is the version of the server's software; empty if its entry names none.
 	Software string
+	// ColdUntil is when the server stops being cold, as far as its entry says; zero if it
+	// says nothing, and not after Started if it says that it isn't cold.
+	ColdUntil time.Time
 	// Draining servers get no new requests.
 	Draining bool
 	// Awaited is set while the server's entry is gone but may have expired, so that the
@@ -73,6 +76,7 @@
 		f.Started.Equal(other.Started) &&
 		f.Software == other.Software &&
 		f.Draining == other.Draining &&
+		f.ColdUntil.Equal(other.ColdUntil) &&
 		f.Awaited == other.Awaited &&
 		slices.Equal(f.Models, other.Models)
 }
@@ -197,6 +201,8 @@
 	Brittle             bool
 	RejectionsPerSecond float64
 	BrittleEnded        bool
+	// ColdUntil is when the server stops being cold; zero if the answer names no time.
+	ColdUntil time.Time
 }
 
 // BackendAnswer is a backend server's answer whose body is not read yet.
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -47,6 +47,13 @@
 	pauses map[string]pause
 	// limits has the servers that name a limit or have named one, by ID.
 	limits map[string]*serverLimit
+	// nextTurns has, by server with a bound, the earliest time for which this instance may
+	// get a reservation, as far as it knows.
+	nextTurns map[string]time.Time
+	// coldNotices has what is known of cold servers beside their entries, and coldUntil is
+	// a time from which no server is known to be cold.
+	coldNotices map[string]*coldNotice
+	coldUntil   time.Time
 	// brittle has the servers that say that they are brittle or have said so.
 	brittle brittleServers
 	// serverVersion increases with each change of the server list; changed maps
@@ -103,6 +110,8 @@
 		leaving:       map[string]*leavingServer{},
 		pauses:        map[string]pause{},
 		limits:        map[string]*serverLimit{},
+		nextTurns:     map[string]time.Time{},
+		coldNotices:   map[string]*coldNotice{},
 		brittle:       newBrittleServers(),
 		changed:       map[string]int64{},
 		domainReports: map[string]*leaderReport{},
@@ -201,6 +210,7 @@
 	b.applyLeaving(servers, readAt)
 	b.endPauses(readAt)
 	b.endLimits(servers, readAt)
+	b.endColdNotices(servers, readAt)
 	b.endPaths(servers)
 	b.endBrittleness(servers, readAt)
 	versionBefore := b.serverVersion
--- a/fleet/leaving.go
+++ b/fleet/leaving.go
@@ -79,16 +79,16 @@
 
 // UnusableServers lists the IDs of servers of a service that this instance sends
 // nothing to although a leader may still place adapters on them, at most
-// maxSharedServers. Servers with a limit are among them if they have no turn until
+// maxSharedServers. Servers with a bound are among them if they have no turn until
 // turnBy.
 func (b *Board) UnusableServers(service string, turnBy, now time.Time) (ids []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, limit := range b.limits {
+	for id, at := range b.nextTurns {
 		if len(ids) == maxSharedServers {
 			return ids
 		}
-		if limit.PerSecond > 0 && limit.nextTurnAt.After(turnBy) && b.servers[id].Service == service {
+		if at.After(turnBy) && b.servers[id].Service == service && b.bound(id, now).Limited() {
 			ids = append(ids, id)
 		}
 	}
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -31,9 +31,6 @@
 // serverLimit is the latest that is known of a server's limit.
 type serverLimit struct {
 	ServerLimit
-	// nextTurnAt is the earliest time for which this instance may get a reservation, as
-	// far as it knows.
-	nextTurnAt time.Time
 	// retainedUntil is when it is forgotten if it has ended or the server is not listed.
 	retainedUntil time.Time
 }
@@ -98,30 +95,58 @@
 	for _, id := range slices.Sorted(maps.Keys(b.limits)) {
 		if limit := b.limits[id]; limit.PerSecond > 0 {
 			limits = append(limits, limit.ServerLimit)
-			nextTurns = append(nextTurns, limit.nextTurnAt)
+			nextTurns = append(nextTurns, b.nextTurns[id])
 		}
 	}
 	return limits, nextTurns
 }
 
-// ServerLimitOf returns a server's limit; limited is false if it names none.
-func (b *Board) ServerLimitOf(server string) (limit ServerLimit, limited bool) {
+// Bound is how many requests a second a server takes from all instances together, now.
+type Bound struct {
+	// Limit is the limit that the server named, without PerSecond if it names none.
+	Limit ServerLimit
+	// ColdPerSecond is what it takes while it is cold, until ColdUntil; 0 if it isn't.
+	ColdPerSecond float64
+	ColdUntil     time.Time
+}
+
+// Limited reports whether there is a bound.
+func (b Bound) Limited() bool { return b.Limit.PerSecond > 0 || b.ColdPerSecond > 0 }
+
+// PerSecond returns the lower one of what the server named and coldFraction of what it
+// takes while it is cold; 0 for any number.
+func (b Bound) PerSecond(coldFraction float64) float64 {
+	cold := coldFraction * b.ColdPerSecond
+	if b.Limit.PerSecond > 0 && (cold == 0 || b.Limit.PerSecond < cold) {
+		return b.Limit.PerSecond
+	}
+	return cold
+}
+
+// BoundOf returns the bound of a server.
+func (b *Board) BoundOf(server string, now time.Time) Bound {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.bound(server, now)
+}
+
+// bound returns the bound of a server. The caller holds the lock.
+func (b *Board) bound(server string, now time.Time) (bound Bound) {
 	if known := b.limits[server]; known != nil {
-		return known.ServerLimit, known.PerSecond > 0
+		bound.Limit = known.ServerLimit
+	}
+	if until, perSecond := b.cold(server, now); perSecond > 0 {
+		bound.ColdUntil, bound.ColdPerSecond = until, perSecond
 	}
-	return ServerLimit{}, false
+	return bound
 }
 
-// RecordNextTurn records the earliest time for which a call to a server with a limit may
+// RecordNextTurn records the earliest time for which a call to a server with a bound may
 // get a reservation.
 func (b *Board) RecordNextTurn(server string, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if limit := b.limits[server]; limit != nil {
-		limit.nextTurnAt = at
-	}
+	b.nextTurns[server] = at
 }
 
 // NextTurn returns the earliest time for which a call to a server may get a reservation.
@@ -147,23 +172,27 @@
 	return b.servers[server].Draining
 }
 
-// turnWait returns how long a call would wait for a turn of a server that names a limit;
-// limited is false if it names none. The caller holds the lock.
+// turnWait returns how long a call would wait for a turn of a server with a bound;
+// limited is false if it has none. The caller holds the lock.
 func (b *Board) turnWait(server string, now time.Time) (wait time.Duration, limited bool) {
-	limit := b.limits[server]
-	if limit == nil || limit.PerSecond == 0 {
+	if !b.anyBounds(now) || !b.bound(server, now).Limited() {
 		return 0, false
 	}
-	return max(0, limit.nextTurnAt.Sub(now)), true
+	return max(0, b.nextTurns[server].Sub(now)), true
+}
+
+// anyBounds reports whether there may be servers with a bound. The caller holds the lock.
+func (b *Board) anyBounds(now time.Time) bool {
+	return len(b.limits) > 0 || now.Before(b.coldUntil)
 }
 
 // FirstTurn returns when the first of the servers that could take a call has a turn. ok is
-// false if one of them names no limit, or if there are none. It looks at no more than
+// false if one of them has no bound, or if there are none. It looks at no more than
 // maxCandidates.
 func (b *Board) FirstTurn(service string, call *pomelospring.Call, now time.Time) (at time.Time, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.limits) == 0 {
+	if !b.anyBounds(now) {
 		return time.Time{}, false
 	}
 	seen := 0
@@ -185,8 +214,8 @@
 	return at, ok
 }
 
-// LimitOf returns how many requests a second a server takes from all instances
-// together; 0 if it names no limit.
+// LimitOf returns the limit that a server names, in requests per second; 0 if it names
+// none.
 func (b *Board) LimitOf(server string) (perSecond float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -205,4 +234,5 @@
 			delete(b.limits, id)
 		}
 	}
+	maps.DeleteFunc(b.nextTurns, func(_ string, at time.Time) bool { return at.Before(now) })
 }
--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -35,6 +35,9 @@
 			At:        n.Clock(),
 		}}, "its own answer")
 	}
+	if !notice.ColdUntil.IsZero() {
+		n.Board.RecordCold(server.ID, server.Started, notice.ColdUntil, n.Clock())
+	}
 	if notice.Brittle || notice.BrittleEnded {
 		n.RecordBrittleness([]Brittleness{{
 			Server:              server.ID,
--- a/fleet/operator_records.go
+++ b/fleet/operator_records.go
@@ -98,6 +98,12 @@
 		return
 	}
 	o.logRates(before, policy)
+	if len(policy.Ignored) > 0 {
+		events.Log(o.Logger, events.PolicyPartsIgnored, log.Fields{
+			"version": policy.Version,
+			"ignored": policy.Ignored,
+		})
+	}
 	o.Ledger.Configure(policy.Teams, o.Clock())
 	events.Log(o.Logger, events.PolicyInForce, log.Fields{
 		"version": policy.Version,
--- a/fleet/server_list.go
+++ b/fleet/server_list.go
@@ -22,6 +22,9 @@
 	returnWindow = 2 * time.Second
 )
 
+// ownRead names this instance's read of the store as the source of an entry.
+const ownRead = "its entry"
+
 // ServerList maintains the list of backend servers from the entries that they
 // write to the store.
 type ServerList struct {
@@ -42,6 +45,8 @@
 	// missing maps servers whose entry was removed to the time at which they are
 	// dropped.
 	missing map[string]time.Time
+	// cold maps the servers that were logged as cold to when they no longer are.
+	cold map[string]time.Time
 	// returnDeadline is the end of the window in which expired servers may
 	// register again after an outage.
 	returnDeadline time.Time
@@ -101,8 +106,9 @@
 		}
 	}
 	for _, server := range l.departures.overdue(now) {
-		l.upsert(server)
+		l.upsert(server, ownRead, now)
 	}
+	l.logWarm(now)
 }
 
 // logRestored logs which servers a restore of the store left in doubt.
@@ -125,6 +131,7 @@
 	if l.servers == nil {
 		l.servers = map[string]pomelospring.FleetServer{}
 		l.missing = map[string]time.Time{}
+		l.cold = map[string]time.Time{}
 		l.departures = newDepartures()
 	}
 }
@@ -147,7 +154,7 @@
 	for _, server := range changed {
 		listed[server.ID] = true
 		if !l.departures.skip(server, now) {
-			l.upsert(server)
+			l.upsert(server, "a leader's list", now)
 		}
 	}
 	for _, id := range removed {
@@ -290,11 +297,15 @@
 		l.departures.withheld[server.ID] = server
 		return
 	}
-	l.upsert(server)
+	if !server.ColdUntil.IsZero() && !server.ColdUntil.After(now) {
+		l.Board.endCold(server.ID, now)
+	}
+	l.upsert(server, ownRead, now)
 }
 
-// upsert adds or updates a server unless the known entry is newer.
-func (l *ServerList) upsert(server pomelospring.FleetServer) {
+// upsert adds or updates a server unless the known entry is newer; source says where it
+// comes from.
+func (l *ServerList) upsert(server pomelospring.FleetServer, source string, now time.Time) {
 	before, known := l.servers[server.ID]
 	if known && server.Started.Before(before.Started) {
 		// A delayed heartbeat from before the server restarted.
@@ -304,6 +315,8 @@
 		// A draining server takes calls again only after a restart.
 		server.Draining = true
 	}
+	l.setCold(&server, before, now)
+	l.logCold(server, source, now)
 	delete(l.missing, server.ID)
 	l.departures.returned(server.ID)
 	l.servers[server.ID] = server
--- a/pacing/schedule.go
+++ b/pacing/schedule.go
@@ -27,6 +27,8 @@
 	// after the first reservation. That is for instances that each have a part of the
 	// rate, as their credits would add up.
 	KeepsCredit bool
+	// CreditCalls bounds these turns if it is not 0.
+	CreditCalls int
 
 	// next has, by server, the earliest time of its next turn, credit left aside.
 	next map[string]time.Time
@@ -89,6 +91,9 @@
 	if !s.KeepsCredit {
 		return 0
 	}
+	if s.CreditCalls > 0 {
+		return time.Duration(s.CreditCalls-1) * interval
+	}
 	return max((minCreditCalls-1)*interval, creditTime-interval)
 }
 
--- a/policy.go
+++ b/policy.go
@@ -14,6 +14,8 @@
 	// KeyTeams maps a key to the name of its team.
 	KeyTeams map[string]string
 	Limits   CallerLimits
+	// Ignored names what was malformed and is taken as not said.
+	Ignored []string
 }
 
 // PolicyRoute maps requests of one host and path prefix to services.
@@ -59,6 +61,11 @@
 	Name string
 	// Engine is nil for plain services.
 	Engine *EngineLimits
+	// ColdFor is how long a server is cold after it was started, and ColdPerSecond how many
+	// requests a second it then takes from all instances together; both are 0 for services
+	// whose servers are never cold.
+	ColdFor       time.Duration
+	ColdPerSecond float64
 }
 
 // EngineLimits limits what a model worker may be ordered to load.
--- a/relay/client.go
+++ b/relay/client.go
@@ -248,7 +248,7 @@
 			err = fmt.Errorf("%w: the offer was not accepted in time", pomelospring.ErrNotSent)
 		}
 	}()
-	_, limited := c.Board.ServerLimitOf(dispatch.Server.ID)
+	bound := c.Board.BoundOf(dispatch.Server.ID, c.Clock())
 	stream, err = coordinationpb.NewDRPCRelayClient(c.Peers.Conn(ctx, relay)).Send(ctx)
 	if err == nil {
 		err = stream.Send(&coordinationpb.RelayRequest{
@@ -256,7 +256,7 @@
 				Instance:   c.Instance,
 				Server:     dispatch.Server.ID,
 				Started:    dispatch.Server.Started.UnixMilli(),
-				LimitKnown: limited,
+				LimitKnown: bound.Limited(),
 			},
 		})
 	}
--- a/relay/convert.go
+++ b/relay/convert.go
@@ -76,6 +76,9 @@
 	if notice.PausedUntil.After(now) {
 		sent.PauseMilliseconds = max(1, notice.PausedUntil.Sub(now).Milliseconds())
 	}
+	if notice.ColdUntil.After(now) {
+		sent.ColdMilliseconds = max(1, notice.ColdUntil.Sub(now).Milliseconds())
+	}
 	return sent
 }
 
@@ -95,6 +98,9 @@
 	if sent.PauseMilliseconds > 0 {
 		notice.PausedUntil = now.Add(time.Duration(sent.PauseMilliseconds) * time.Millisecond)
 	}
+	if sent.ColdMilliseconds > 0 {
+		notice.ColdUntil = now.Add(time.Duration(sent.ColdMilliseconds) * time.Millisecond)
+	}
 	return notice
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -132,10 +132,11 @@
 		}, now)
 		return server, failure
 	}
-	if limit, limited := s.Board.ServerLimitOf(server.ID); limited && !offer.LimitKnown {
-		failure = notSent("the server names a limit")
+	if bound := s.Board.BoundOf(server.ID, now); bound.Limited() && !offer.LimitKnown {
+		failure = notSent("the server has a limit")
 		failure.Notice = noticeToProto(pomelospring.ServerNotice{
-			RequestsPerSecond: limit.PerSecond,
+			RequestsPerSecond: bound.Limit.PerSecond,
+			ColdUntil:         bound.ColdUntil,
 		}, now)
 		return server, failure
 	}
