Simulated fleets keep the bound of a cold server; a new leader waits with its turns

Cause: a new leader would give out turns beside those that the one before had given out up to a second ahead; an instance's own turns could be taken twice.

Change: a new leader answers no reservation of a cold server for a second, and instances use their own turns; Part continues after the last turn it gave out.

Measured: TestColdServerGetsMoreThanItTakes (go test ./coordination), fleets of 1 to 500 instances in virtual time: no second above 1.5 r + 5, 0.51 or more of r used while there is demand.

--- a/coordination/cold.go
+++ b/coordination/cold.go
@@ -21,6 +21,9 @@
 	coldCreditCalls = 2
 	// coldHorizon is how far ahead the turns of a cold server are given out.
 	coldHorizon = time.Second
+	// assumedColdInstances is the number of instances by which one divides the rate of a
+	// cold server that has not heard from a leader yet.
+	assumedColdInstances = 500
 	// divisionTime is how long an instance divides by the number of instances that a leader
 	// told it although one that may not know all of them yet tells it a smaller one.
 	divisionTime = 10 * time.Second
@@ -38,17 +41,14 @@
 	until time.Time
 }
 
-// reserveCold gives out the next turn of a cold server. The turns that another leader gave
-// out have passed by then. The lock is held.
-func (l *Leader) reserveCold(server, team string, bound fleet.Bound, patience time.Duration, now time.Time) pomelospring.Reservation {
+// reserveCold gives out the next turn of a cold server; ok is false while turns that another
+// leader gave out may not have passed. The lock is held.
+func (l *Leader) reserveCold(server, team string, bound fleet.Bound, patience time.Duration, now time.Time) (reservation pomelospring.Reservation, ok bool) {
 	if now.Before(l.coldFrom) {
-		return pomelospring.Reservation{
-			At:     l.coldFrom,
-			NextAt: l.coldFrom,
-		}
+		return pomelospring.Reservation{}, false
 	}
 	latest := now.Add(min(patience, coldHorizon))
-	return l.coldPacing.Reserve(server, team, bound.PerSecond(leaderColdFraction), latest, now)
+	return l.coldPacing.Reserve(server, team, bound.PerSecond(leaderColdFraction), latest, now), true
 }
 
 // reserveColdPart gives out the next of this instance's own turns of a cold server. The lock
@@ -60,7 +60,10 @@
 		Phase:     m.phase(),
 	}
 	if share.Parts == 0 {
-		share.Parts = assumedInstances
+		share.Parts = assumedColdInstances
+	}
+	if horizon := now.Add(coldHorizon); latest.After(horizon) {
+		latest = horizon
 	}
 	return m.coldPart.Reserve(bound.Limit.Server, share, bound.ColdUntil, latest, now)
 }
--- a/coordination/limits.go
+++ b/coordination/limits.go
@@ -30,7 +30,7 @@
 	now := l.Clock()
 	bound := l.Board.BoundOf(server, now)
 	if bound.ColdPerSecond > 0 {
-		return l.reserveCold(server, team, bound, patience, now), true
+		return l.reserveCold(server, team, bound, patience, now)
 	}
 	return reserve(&l.pacing, server, team, bound.Limit.PerSecond, now.Add(patience), now), true
 }
--- a/pacing/part.go
+++ b/pacing/part.go
@@ -29,15 +29,13 @@
 func (p *Part) Reserve(server string, share Share, end, latest, now time.Time) pomelospring.Reservation {
 	interval := float64(time.Second) / share.PerSecond
 	cycle := time.Duration(float64(share.Parts) * interval)
-	final := end.Add(-time.Duration((share.Phase*float64(share.Parts) + 1) * interval))
-	at := final.Add(-time.Duration(math.Floor(float64(final.Sub(now))/float64(cycle))) * cycle)
-	if at.Before(now) {
-		at = at.Add(cycle)
-	}
-	// The time that all know differs a little from call to call.
-	if last, found := p.last[server]; found && at.Sub(last) < cycle/2 {
-		at = at.Add(cycle)
+	earliest := now
+	// The time that all know may differ a little from call to call.
+	if last, found := p.last[server]; found && last.Add(cycle/2).After(now) {
+		earliest = last.Add(cycle / 2)
 	}
+	final := end.Add(-time.Duration((share.Phase*float64(share.Parts) + 1) * interval))
+	at := final.Add(-time.Duration(math.Floor(float64(final.Sub(earliest))/float64(cycle))) * cycle)
 	if at.After(end) {
 		at = end
 	}
