--- a/front/limited_server_test.go
+++ b/front/limited_server_test.go
@@ -34,6 +34,12 @@
 // mostRequests returns the largest number of requests that arrived in a window that
 // begins after a time.
 func (w *worker) mostRequests(after time.Time) (most int) {
+	return w.mostWithin(limitWindow, after, time.Now())
+}
+
+// mostWithin returns the largest number of requests that arrived in a window that begins
+// after a time, until another.
+func (w *worker) mostWithin(window time.Duration, after, until time.Time) (most int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i, first := range w.requests {
@@ -42,7 +48,7 @@
 		}
 		count := 0
 		for _, at := range w.requests[i:] {
-			if at.Sub(first) < limitWindow {
+			if at.Sub(first) < window && at.Before(until) {
 				count++
 			}
 		}
