--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -240,6 +240,12 @@
 	}
 }
 
+// coldPolicy has a service whose servers may be cold.
+var coldPolicy = &pomelospring.Policy{
+	Version:  1,
+	Services: map[string]pomelospring.Service{"app": {ColdFor: time.Second, ColdPerSecond: 5}},
+}
+
 func TestACallThatIsNotSentThroughAnInstanceReachesNoServer(t *testing.T) {
 	scenarios := []struct {
 		name string
@@ -268,6 +274,13 @@
 		{name: "the server names a limit to it", prepare: func(i *instance, target pomelospring.FleetServer) {
 			i.board.RecordLimit(fleet.ServerLimit{Server: target.ID, Started: target.Started, PerSecond: 5, At: time.Now()}, time.Now())
 		}, noted: func(e *entry) bool { return e.board.LimitOf("i-1") == 5 }},
+		{name: "the server is cold, as it knows alone", prepare: func(i *instance, target pomelospring.FleetServer) {
+			i.board.SetPolicy(coldPolicy)
+			i.board.RecordCold(target.ID, target.Started, time.Now().Add(time.Minute), time.Now())
+		}, noted: func(e *entry) bool {
+			e.board.SetPolicy(coldPolicy)
+			return e.board.BoundOf("i-1", time.Now()).ColdPerSecond == 5
+		}},
 	}
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
