--- a/coordination/cold.go
+++ b/coordination/cold.go
@@ -65,7 +65,7 @@
 	if horizon := now.Add(coldHorizon); latest.After(horizon) {
 		latest = horizon
 	}
-	return m.coldPart.Reserve(bound.Limit.Server, share, bound.ColdUntil, latest, now)
+	return m.coldPart.Reserve(bound.Server, share, bound.ColdUntil, latest, now)
 }
 
 // phase returns this instance's place among those that divide a rate; a random one if it
--- a/coordination/limits.go
+++ b/coordination/limits.go
@@ -78,7 +78,7 @@
 	if !bound.Limited() {
 		return reserve(nil, server.ID, team, 0, latest, now)
 	}
-	bound.Limit.Server = server.ID
+	bound.Limit.Server = bound.Server
 	if bound.Limit.Started.IsZero() {
 		bound.Limit.Started = server.Started
 	}
@@ -116,7 +116,7 @@
 	case address == "" || !m.LeaderAnswers():
 		return pomelospring.Reservation{}, errNoLeader
 	case address == m.Address:
-		reservation, ok := m.Leader.Reserve(bound.Limit.Server, team, patience)
+		reservation, ok := m.Leader.Reserve(bound.Server, team, patience)
 		if !ok {
 			return pomelospring.Reservation{}, errNotLeading
 		}
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -87,22 +87,33 @@
 	return limits
 }
 
-// AllLimits lists the limits that hold now, with the time of each server's next turn as
+// AllBounds lists the bounds that hold now, with the time of each server's next turn as
 // far as it is known here.
-func (b *Board) AllLimits() (limits []ServerLimit, nextTurns []time.Time) {
+func (b *Board) AllBounds(now time.Time) (bounds []Bound, nextTurns []time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, id := range slices.Sorted(maps.Keys(b.limits)) {
-		if limit := b.limits[id]; limit.PerSecond > 0 {
-			limits = append(limits, limit.ServerLimit)
+	if !b.anyBounds(now) {
+		return nil, nil
+	}
+	ids := map[string]bool{}
+	for id := range b.limits {
+		ids[id] = true
+	}
+	for id := range b.servers {
+		ids[id] = true
+	}
+	for _, id := range slices.Sorted(maps.Keys(ids)) {
+		if bound := b.bound(id, now); bound.Limited() {
+			bounds = append(bounds, bound)
 			nextTurns = append(nextTurns, b.nextTurns[id])
 		}
 	}
-	return limits, nextTurns
+	return bounds, nextTurns
 }
 
 // Bound is how many requests a second a server takes from all instances together, now.
 type Bound struct {
+	Server string
 	// Limit is the limit that the server named, without PerSecond if it names none.
 	Limit ServerLimit
 	// ColdPerSecond is what it takes while it is cold, until ColdUntil; 0 if it isn't.
@@ -132,6 +143,7 @@
 
 // bound returns the bound of a server. The caller holds the lock.
 func (b *Board) bound(server string, now time.Time) (bound Bound) {
+	bound.Server = server
 	if known := b.limits[server]; known != nil {
 		bound.Limit = known.ServerLimit
 	}
--- a/front/inspection.go
+++ b/front/inspection.go
@@ -24,11 +24,13 @@
 	ExpiresAt   time.Time `json:"expiresAt"`
 }
 
-// limitView is the limit of a backend server as operators see it.
+// limitView is what a backend server takes from all instances together as operators see
+// it: the limit that it names, or what it takes while it is cold.
 type limitView struct {
 	Server     string    `json:"server"`
 	PerSecond  float64   `json:"perSecond"`
-	NamedAt    time.Time `json:"namedAt"`
+	NamedAt    time.Time `json:"namedAt,omitzero"`
+	ColdUntil  time.Time `json:"coldUntil,omitzero"`
 	NextTurnAt time.Time `json:"nextTurnAt,omitzero"`
 }
 
@@ -83,13 +85,14 @@
 }
 
 func (f *Front) showLimits(w http.ResponseWriter, _ *http.Request) {
-	limits, nextTurns := f.board.AllLimits()
-	views := make([]limitView, 0, len(limits))
-	for i, limit := range limits {
+	bounds, nextTurns := f.board.AllBounds(time.Now())
+	views := make([]limitView, 0, len(bounds))
+	for i := range bounds {
 		views = append(views, limitView{
-			Server:     limit.Server,
-			PerSecond:  limit.PerSecond,
-			NamedAt:    limit.At,
+			Server:     bounds[i].Server,
+			PerSecond:  bounds[i].PerSecond(1),
+			NamedAt:    bounds[i].Limit.At,
+			ColdUntil:  bounds[i].ColdUntil,
 			NextTurnAt: nextTurns[i],
 		})
 	}
