Test leaders that do not know a cold server

Cause: nothing showed what an instance does with a leader of the build before, or one that has not read that a server is cold.

Change: TestLeaderThatDoesNotKnowAColdServerGrantsAll, over the real messages.

Measured: go test -race ./coordination -run TestLeaderThatDoes passes: 12 to 19 calls in 3 s where the leader hears of it, at most 1 with the build before.

--- a/coordination/cold_test.go
+++ b/coordination/cold_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -13,9 +14,13 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/coordination"
+	"github.com/pomelospring/pomelospring/coordination/coordinationpb"
 	"github.com/pomelospring/pomelospring/fleet"
+	"github.com/pomelospring/pomelospring/peer"
 	"github.com/pomelospring/pomelospring/quarantine"
 	"github.com/pomelospring/pomelospring/quota"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
 )
 
 const (
@@ -290,3 +295,77 @@
 		t.Errorf("%.2f of the rate was used, want 0.5", used)
 	}
 }
+
+// formerBuild is a leader of the build before cold servers were known.
+type formerBuild struct {
+	coordination.Server
+}
+
+func (*formerBuild) Reserve(context.Context, *coordinationpb.ReserveRequest) (*coordinationpb.ReserveReply, error) {
+	return &coordinationpb.ReserveReply{Granted: true}, nil
+}
+
+// TestLeaderThatDoesNotKnowAColdServerGrantsAll guards against an instance that relies on a
+// leader which has not heard that a server is cold, or never will.
+func TestLeaderThatDoesNotKnowAColdServerGrantsAll(t *testing.T) {
+	const perSecond, length = 6.5, 3 * time.Second
+	scenarios := []struct {
+		name string
+		// former says that the leader is of the build before.
+		former      bool
+		least, most int
+	}{
+		{name: "it hears of it by the first reservation", least: 12, most: 19},
+		{name: "it is of the build before", former: true, most: 1},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				leader := startLeader(ctx, &singleWorker{})
+				setColdTerms(leader.Board, perSecond)
+				server := leader.Board.Servers()[0]
+				mux := drpcmux.New()
+				var service coordinationpb.DRPCCoordinationServer = &coordination.Server{
+					Leaders: map[string]*coordination.Leader{"north": leader},
+				}
+				if scenario.former {
+					service = &formerBuild{}
+				}
+				if err := coordinationpb.DRPCRegisterCoordination(mux, service); err != nil {
+					t.Fatal(err)
+				}
+				peers := peer.NewClient(nil)
+				defer func() { _ = peers.Close() }()
+				peers.Dial = func(context.Context, string) (net.Conn, error) {
+					ours, theirs := net.Pipe()
+					go func() { _ = drpcserver.New(mux).ServeOne(ctx, theirs) }()
+					return ours, nil
+				}
+				board := fleet.NewBoard("north")
+				setColdTerms(board, perSecond)
+				server.ColdUntil = time.Now().Add(length)
+				board.SetServers(map[string]pomelospring.FleetServer{server.ID: server}, time.Now())
+				member := &coordination.Member{
+					Domain: "north",
+					Board:  board,
+					Peers:  peers,
+					Logger: &log.Logger{Handler: discard.New()},
+					Clock:  time.Now,
+				}
+				member.SetLeader("leader")
+				granted := 0
+				for time.Now().Before(server.ColdUntil) {
+					if member.Reserve(ctx, server, "shop", time.Now()).Granted {
+						granted++
+					}
+					time.Sleep(coldStep)
+				}
+				if granted < scenario.least || granted > scenario.most {
+					t.Errorf("%d calls in 3 s, want %d to %d", granted, scenario.least, scenario.most)
+				}
+			})
+		})
+	}
+}
