Expect cold servers in a failure domain that is taken back

Cause: the servers of an evacuated failure domain may be cold at its end, and their entries say so up to a heartbeat later. Change: the take-back of a domain lets its servers count as cold until their entries say otherwise.

--- a/front/front.go
+++ b/front/front.go
@@ -154,6 +154,7 @@
 		Gauges:        f.metrics,
 
 		DecodeEvacuation: platform.DecodeEvacuation,
+		OnReturned:       f.board.ExpectCold,
 	}
 	f.servers = &fleet.ServerList{
 		Board:  f.board,
