--- a/entry/limited_server_test.go
+++ b/entry/limited_server_test.go
@@ -246,3 +246,54 @@
 		})
 	}
 }
+
+// lateTurns is a coordinator whose first reservations are known only after their time, as
+// to a process that was suspended.
+type lateTurns struct {
+	coordinator
+	late  time.Duration
+	asked int
+}
+
+func (l *lateTurns) Reserve(context.Context, pomelospring.FleetServer, string, time.Time) pomelospring.Reservation {
+	l.asked++
+	now := time.Now()
+	if l.asked == 1 {
+		time.Sleep(l.late)
+	}
+	return pomelospring.Reservation{
+		Granted: true,
+		At:      now,
+		NextAt:  now,
+	}
+}
+
+// TestTurnIsUsedLongAfterItsTime guards against calls that leave together after their
+// turns have passed.
+func TestTurnIsUsedLongAfterItsTime(t *testing.T) {
+	scenarios := []struct {
+		late  time.Duration
+		asked int
+	}{
+		{late: 100 * time.Millisecond, asked: 1},
+		{late: 600 * time.Millisecond, asked: 2},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.late.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				servers := &limitedBackend{limit: 5}
+				service := newLimitedFleet(1, servers)[0]
+				turns := &lateTurns{coordinator: coordinator{board: service.Board, none: true}, late: scenario.late}
+				service.Coordinator = turns
+				for _, id := range []string{"app-a", "app-b", "app-c"} {
+					service.Board.RecordLimit(fleet.ServerLimit{Server: id, PerSecond: servers.limit, At: time.Now()}, time.Now())
+				}
+				out := &refusedResponder{}
+				service.Serve(t.Context(), call("/lookup/1"), out)
+				if out.Status != http.StatusOK || turns.asked != scenario.asked {
+					t.Errorf("status %d after %d reservations, want 200 after %d", out.Status, turns.asked, scenario.asked)
+				}
+			})
+		})
+	}
+}
