Entries end an expected cold time although others report it

Cause: each report of a cold server that another instance sent with a reservation renewed the time from which an entry may end it, so that a leader kept to the bound for the whole expected time; an answer that said cold was ignored after an entry had ended the expectation.

Change: a report that tells nothing later changes nothing; answers always count.

Measured: two more rows of TestColdTimeOfAServerIsForgotten pass (go test ./fleet).

--- a/coordination/limits.go
+++ b/coordination/limits.go
@@ -56,7 +56,7 @@
 	now := leader.Clock()
 	leader.notices().RecordLimits(limitsFromProto([]*coordinationpb.ServerLimit{request.Limit}, now), "a reservation")
 	if request.ColdMilliseconds > 0 {
-		leader.Board.RecordCold(request.Limit.Server, time.UnixMilli(request.Limit.Started), now.Add(time.Duration(request.ColdMilliseconds)*time.Millisecond), now)
+		leader.Board.RecordReportedCold(request.Limit.Server, time.UnixMilli(request.Limit.Started), now.Add(time.Duration(request.ColdMilliseconds)*time.Millisecond), now)
 	}
 	reservation, ok := leader.Reserve(request.Limit.Server, request.Team, time.Duration(request.PatienceMilliseconds)*time.Millisecond)
 	if !ok {
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -28,15 +28,26 @@
 	ended bool
 }
 
-// RecordCold records that a start of a server is cold until a time, as an answer of it or
-// another instance said.
+// RecordCold records that a start of a server is cold until a time, as an answer of it said.
 func (b *Board) RecordCold(server string, started, until, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if listed, found := b.servers[server]; !found || !listed.Started.Equal(started) {
+	if listed, found := b.servers[server]; found && listed.Started.Equal(started) {
+		b.noteCold(server, started, until, now)
+	}
+}
+
+// RecordReportedCold records the same as another instance knows it, unless an entry has
+// ended that cold time here.
+func (b *Board) RecordReportedCold(server string, started, until, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if known := b.coldNotices[server]; known != nil && known.ended && until.Sub(known.until) < maxEntryDelay {
 		return
 	}
-	b.noteCold(server, started, until, now)
+	if listed, found := b.servers[server]; found && listed.Started.Equal(started) {
+		b.noteCold(server, started, until, now)
+	}
 }
 
 // ExpectCold records that a domain is taken back: until their entries say otherwise its
@@ -60,7 +71,7 @@
 // lock.
 func (b *Board) noteCold(server string, started, until, at time.Time) {
 	known := b.coldNotices[server]
-	if known != nil && known.started.Equal(started) && until.Sub(known.until) < maxEntryDelay && (known.ended || until.Before(known.until)) {
+	if known != nil && known.started.Equal(started) && !known.ended && until.Sub(known.until) < minColdExtension {
 		return
 	}
 	b.coldNotices[server] = &coldNotice{
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -89,6 +89,8 @@
 		expect bool
 		// notice is what an answer says is left, in ms.
 		notice int
+		// report is what another instance says is left, in ms.
+		report int
 		// left is how long the server is then known to be cold, in ms.
 		left int
 	}
@@ -112,7 +114,8 @@
 		{name: "an answer says so", steps: []step{{entry: "-60000 0"}, {at: 100, notice: 2000, left: 2000}, {at: 1200, entry: "-60000 0", left: 900}, {at: 2100}}, changes: 1},
 		{name: "taken back", steps: []step{{entry: "-60000 0"}, {at: 100, expect: true, left: 5400}, {at: 5500}}, changes: 1},
 		{name: "taken back, and an entry under way says that it isn't cold", steps: []step{{entry: "-60000 0"}, {at: 100, expect: true, left: 5400}, {at: 900, entry: "-60000 0", left: 4600}}, changes: 1},
-		{name: "taken back, and a later entry says so", steps: []step{{entry: "-60000 0"}, {at: 100, expect: true, left: 5400}, {at: 2200, entry: "-60000 0"}, {at: 2300, notice: 3000}}, changes: 1},
+		{name: "taken back, and a later entry says so", steps: []step{{entry: "-60000 0"}, {at: 100, expect: true, left: 5400}, {at: 2200, entry: "-60000 0"}, {at: 2300, report: 3300}, {at: 2400, notice: 3000, left: 3000}}, changes: 1},
+		{name: "others report it often, and a later entry ends it", steps: []step{{entry: "-60000 0"}, {at: 100, report: 5400, left: 5400}, {at: 1100, report: 4405, left: 4400}, {at: 2050, report: 3500, left: 3450}, {at: 2200, entry: "-60000 0"}, {at: 2300, report: 3250}}, changes: 1},
 		{name: "taken back, and an entry says that it is cold", steps: []step{{entry: "-60000 0"}, {at: 100, expect: true, left: 5400}, {at: 1200, entry: "-60000 1900", left: 4300}}, changes: 2},
 		{name: "taken back twice", steps: []step{{entry: "-60000 0"}, {at: 100, expect: true, left: 5400}, {at: 2200, entry: "-60000 0"}, {at: 4300, expect: true, left: 5400}}, changes: 1},
 	}
@@ -130,10 +133,13 @@
 				if s.expect {
 					c.Board.ExpectCold("north", c.now)
 				}
+				listed, _ := c.Board.Server(id)
 				if s.notice > 0 {
-					listed, _ := c.Board.Server(id)
 					c.Board.RecordCold(id, listed.Started, c.now.Add(time.Duration(s.notice)*time.Millisecond), c.now)
 				}
+				if s.report > 0 {
+					c.Board.RecordReportedCold(id, listed.Started, c.now.Add(time.Duration(s.report)*time.Millisecond), c.now)
+				}
 				if diff := cmp.Diff(time.Duration(s.left)*time.Millisecond, c.coldLeft(id)); diff != "" {
 					t.Errorf("step %d: %s", n, diff)
 				}
