Cold servers are logged where their entry is read

Cause: each instance logged 355 and 356 for each server of a relayed list: 1168 lines within half a second when a domain of 19 servers came back.

Change: the instance that read the entry logs it, or the one that got an answer which says so. 324 still shows the listing everywhere.

Measured: go test ./fleet ./relay passes.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -29,12 +29,16 @@
 }
 
 // RecordCold records that a start of a server is cold until a time, as an answer of it said.
-func (b *Board) RecordCold(server string, started, until, now time.Time) {
+// It returns what the server takes meanwhile if that is news.
+func (b *Board) RecordCold(server string, started, until, now time.Time) (perSecond float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if listed, found := b.servers[server]; found && listed.Started.Equal(started) {
-		b.noteCold(server, started, until, now)
+	listed, found := b.servers[server]
+	if !found || !listed.Started.Equal(started) || !b.noteCold(server, started, until, now) {
+		return 0
 	}
+	_, perSecond = b.cold(server, now)
+	return perSecond
 }
 
 // RecordReportedCold records the same as another instance knows it, unless an entry has
@@ -67,12 +71,12 @@
 	}
 }
 
-// noteCold records a cold time of a server that was known at a time. The caller holds the
-// lock.
-func (b *Board) noteCold(server string, started, until, at time.Time) {
+// noteCold records a cold time of a server that was known at a time, and reports whether it
+// is longer than was known. The caller holds the lock.
+func (b *Board) noteCold(server string, started, until, at time.Time) (changed bool) {
 	known := b.coldNotices[server]
 	if known != nil && known.started.Equal(started) && !known.ended && until.Sub(known.until) < minColdExtension {
-		return
+		return false
 	}
 	b.coldNotices[server] = &coldNotice{
 		started: started,
@@ -80,6 +84,7 @@
 		until:   until,
 	}
 	b.raiseColdUntil(until)
+	return true
 }
 
 // endCold records that an entry of a server, read at a time, says that it isn't cold.
@@ -159,18 +164,20 @@
 	}
 }
 
-// logCold logs that a server is cold, as a source says, and which ones no longer are.
-func (l *ServerList) logCold(server pomelospring.FleetServer, source string, now time.Time) {
+// logCold logs that a server is cold as its entry says, which this instance read. The others
+// have it from this one.
+func (l *ServerList) logCold(id string, now time.Time) {
+	server := l.servers[id]
 	_, perSecond := l.Board.coldTerms(server.Service)
-	if perSecond == 0 || !server.ColdUntil.After(now) || l.cold[server.ID].Equal(server.ColdUntil) {
+	if perSecond == 0 || !server.ColdUntil.After(now) || l.cold[id].Equal(server.ColdUntil) {
 		return
 	}
-	l.cold[server.ID] = server.ColdUntil
+	l.cold[id] = server.ColdUntil
 	events.Log(l.Logger, events.ServerCold, log.Fields{
-		"server":    server.ID,
+		"server":    id,
 		"perSecond": perSecond,
 		"until":     server.ColdUntil.UnixMilli(),
-		"source":    source,
+		"source":    "its entry",
 	})
 }
 
--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -36,7 +36,7 @@
 		}}, "its own answer")
 	}
 	if !notice.ColdUntil.IsZero() {
-		n.Board.RecordCold(server.ID, server.Started, notice.ColdUntil, n.Clock())
+		n.recordCold(server, notice.ColdUntil)
 	}
 	if notice.Brittle || notice.BrittleEnded {
 		n.RecordBrittleness([]Brittleness{{
@@ -82,6 +82,20 @@
 	}
 }
 
+// recordCold applies that a server is cold until a time.
+func (n Notices) recordCold(server pomelospring.FleetServer, until time.Time) {
+	perSecond := n.Board.RecordCold(server.ID, server.Started, until, n.Clock())
+	if perSecond == 0 {
+		return
+	}
+	events.Log(n.Logger, events.ServerCold, log.Fields{
+		"server":    server.ID,
+		"perSecond": perSecond,
+		"until":     until.UnixMilli(),
+		"source":    "its own answer",
+	})
+}
+
 // recordPause applies that a server asked this instance for a pause.
 func (n Notices) recordPause(server pomelospring.FleetServer, until time.Time) {
 	now := n.Clock()
--- a/fleet/server_list.go
+++ b/fleet/server_list.go
@@ -22,9 +22,6 @@
 	returnWindow = 2 * time.Second
 )
 
-// ownRead names this instance's read of the store as the source of an entry.
-const ownRead = "its entry"
-
 // ServerList maintains the list of backend servers from the entries that they
 // write to the store.
 type ServerList struct {
@@ -106,7 +103,8 @@
 		}
 	}
 	for _, server := range l.departures.overdue(now) {
-		l.upsert(server, ownRead, now)
+		l.upsert(server, now)
+		l.logCold(server.ID, now)
 	}
 	l.logWarm(now)
 }
@@ -154,7 +152,7 @@
 	for _, server := range changed {
 		listed[server.ID] = true
 		if !l.departures.skip(server, now) {
-			l.upsert(server, "a leader's list", now)
+			l.upsert(server, now)
 		}
 	}
 	for _, id := range removed {
@@ -300,12 +298,12 @@
 	if !server.ColdUntil.IsZero() && !server.ColdUntil.After(now) {
 		l.Board.endCold(server.ID, now)
 	}
-	l.upsert(server, ownRead, now)
+	l.upsert(server, now)
+	l.logCold(server.ID, now)
 }
 
-// upsert adds or updates a server unless the known entry is newer; source says where it
-// comes from.
-func (l *ServerList) upsert(server pomelospring.FleetServer, source string, now time.Time) {
+// upsert adds or updates a server unless the known entry is newer.
+func (l *ServerList) upsert(server pomelospring.FleetServer, now time.Time) {
 	before, known := l.servers[server.ID]
 	if known && server.Started.Before(before.Started) {
 		// A delayed heartbeat from before the server restarted.
@@ -316,7 +314,6 @@
 		server.Draining = true
 	}
 	l.setCold(&server, before, now)
-	l.logCold(server, source, now)
 	delete(l.missing, server.ID)
 	l.departures.returned(server.ID)
 	l.servers[server.ID] = server
