--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -28,15 +28,30 @@
 	ended bool
 }
 
-// RecordCold records that a start of a server is cold until a time, as an answer of it or
-// another instance said.
-func (b *Board) RecordCold(server string, started, until, now time.Time) {
+// RecordCold records that a start of a server is cold until a time, as an answer of it said.
+// It returns what the server takes meanwhile if that is news.
+func (b *Board) RecordCold(server string, started, until, now time.Time) (perSecond float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if listed, found := b.servers[server]; !found || !listed.Started.Equal(started) {
+	listed, found := b.servers[server]
+	if !found || !listed.Started.Equal(started) || !b.noteCold(server, started, until, now) {
+		return 0
+	}
+	_, perSecond = b.cold(server, now)
+	return perSecond
+}
+
+// RecordReportedCold records the same as another instance knows it, unless an entry has
+// ended that cold time here.
+func (b *Board) RecordReportedCold(server string, started, until, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if known := b.coldNotices[server]; known != nil && known.ended && until.Sub(known.until) < maxEntryDelay {
 		return
 	}
-	b.noteCold(server, started, until, now)
+	if listed, found := b.servers[server]; found && listed.Started.Equal(started) {
+		b.noteCold(server, started, until, now)
+	}
 }
 
 // ExpectCold records that a domain is taken back: until their entries say otherwise its
@@ -56,12 +71,12 @@
 	}
 }
 
-// noteCold records a cold time of a server that was known at a time. The caller holds the
-// lock.
-func (b *Board) noteCold(server string, started, until, at time.Time) {
+// noteCold records a cold time of a server that was known at a time, and reports whether it
+// is longer than was known. The caller holds the lock.
+func (b *Board) noteCold(server string, started, until, at time.Time) (changed bool) {
 	known := b.coldNotices[server]
-	if known != nil && known.started.Equal(started) && until.Sub(known.until) < maxEntryDelay && (known.ended || until.Before(known.until)) {
-		return
+	if known != nil && known.started.Equal(started) && !known.ended && until.Sub(known.until) < minColdExtension {
+		return false
 	}
 	b.coldNotices[server] = &coldNotice{
 		started: started,
@@ -69,6 +84,7 @@
 		until:   until,
 	}
 	b.raiseColdUntil(until)
+	return true
 }
 
 // endCold records that an entry of a server, read at a time, says that it isn't cold.
@@ -148,18 +164,20 @@
 	}
 }
 
-// logCold logs that a server is cold, as a source says, and which ones no longer are.
-func (l *ServerList) logCold(server pomelospring.FleetServer, source string, now time.Time) {
+// logCold logs that a server is cold as its entry says, which this instance read. The others
+// have it from this one.
+func (l *ServerList) logCold(id string, now time.Time) {
+	server := l.servers[id]
 	_, perSecond := l.Board.coldTerms(server.Service)
-	if perSecond == 0 || !server.ColdUntil.After(now) || l.cold[server.ID].Equal(server.ColdUntil) {
+	if perSecond == 0 || !server.ColdUntil.After(now) || l.cold[id].Equal(server.ColdUntil) {
 		return
 	}
-	l.cold[server.ID] = server.ColdUntil
+	l.cold[id] = server.ColdUntil
 	events.Log(l.Logger, events.ServerCold, log.Fields{
-		"server":    server.ID,
+		"server":    id,
 		"perSecond": perSecond,
 		"until":     server.ColdUntil.UnixMilli(),
-		"source":    source,
+		"source":    "its entry",
 	})
 }
 
