Keep calls in the homes of their route and team

Cause: nothing read allowed-regions, so a call with homes could run, or its body be relayed, anywhere.

Regions come from the settings (regions, from the zones of the template). Without homes nothing changes. A team's rate is logged when it differs, no longer when anything of the team does.

--- a/coordination/evacuated_domain_test.go
+++ b/coordination/evacuated_domain_test.go
@@ -71,8 +71,7 @@
 	})
 }
 
-// An evacuated domain's leader is not asked, and the others share what it doesn't load.
-func TestLeadersOfEvacuatedDomainsAreNotAsked(t *testing.T) {
+func TestLeadersOfEvacuatedDomainsAndOutsideHomesAreNotAsked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -92,11 +91,13 @@
 			Board:   board,
 			Members: []*coordination.Member{member},
 		}
+		var homes pomelospring.Homes
 		place := func() (server string, failed bool) {
 			outcome, err := coordinator.Place(ctx, pomelospring.PlacementRequest{
 				Adapter:  "m/x",
 				Domain:   "south",
 				Deadline: time.Now().Add(time.Second),
+				Homes:    homes,
 			})
 			return outcome.Server, err != nil
 		}
@@ -108,5 +109,14 @@
 		if server, _ := place(); server != "a" {
 			t.Errorf("placed on %q, want a", server)
 		}
+		board.Regions = map[string]string{"north": "west"}
+		homes = pomelospring.Homes{"east"}
+		if server, failed := place(); server != "" || !failed {
+			t.Errorf("placed on %q outside the homes", server)
+		}
+		homes = pomelospring.Homes{"west"}
+		if server, _ := place(); server != "a" {
+			t.Errorf("placed on %q, want a", server)
+		}
 	})
 }
--- a/coordination/placement_coordinator.go
+++ b/coordination/placement_coordinator.go
@@ -29,7 +29,7 @@
 func (c *PlacementCoordinator) Place(ctx context.Context, request pomelospring.PlacementRequest) (outcome pomelospring.PlacementOutcome, err error) {
 	members := c.membersByPreference(request)
 	if len(members) == 0 {
-		return pomelospring.PlacementOutcome{}, errEvacuated
+		return pomelospring.PlacementOutcome{}, errNoDomain
 	}
 	err = errNoLeader
 	var fallback *Member
@@ -65,8 +65,8 @@
 	return c.recordPlacement(request, outcome), nil
 }
 
-// errEvacuated is why no leader is asked.
-var errEvacuated = errors.New("all failure domains are evacuated")
+// errNoDomain is why no leader is asked.
+var errNoDomain = errors.New("all failure domains are evacuated, or outside the call's homes")
 
 // noWaitTimeout limits a placement request that doesn't wait for a free slot, the
 // load included.
@@ -90,7 +90,7 @@
 }
 
 // membersByPreference lists the domains' members, the adapter's home domain
-// first, without those that are evacuated. For a further copy it starts with the domain of
+// first, without those that are evacuated or outside the homes. For a further copy it starts with the domain of
 // the request.
 func (c *PlacementCoordinator) membersByPreference(request pomelospring.PlacementRequest) []*Member {
 	first := int(xxhash.Sum64String(request.Adapter) % uint64(len(c.Members)))
@@ -98,7 +98,9 @@
 		first = max(0, slices.IndexFunc(c.Members, func(m *Member) bool { return m.Domain == request.Domain }))
 	}
 	members := append(slices.Clone(c.Members[first:]), c.Members[:first]...)
-	return slices.DeleteFunc(members, func(m *Member) bool { return c.Board.Evacuated(m.Domain) })
+	return slices.DeleteFunc(members, func(m *Member) bool {
+		return c.Board.Evacuated(m.Domain) || !c.Board.InHomes(request.Homes, m.Domain)
+	})
 }
 
 // Leaders returns the addresses of the known leaders by domain.
--- a/entry/brittle_server.go
+++ b/entry/brittle_server.go
@@ -175,6 +175,7 @@
 		Domain:   s.Board.Domain,
 		Deadline: now.Add(replicaRequestTimeout),
 		Replica:  true,
+		Homes:    c.call.Homes,
 		Unusable: s.Board.UnusableServers(choice.Candidate.Server.Service, now.Add(maxCopyTurnWait), now),
 	}, now)
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -80,7 +80,7 @@
 	}
 	now = s.Clock()
 	if c.limits != nil && c.call.NeedsAdapter() {
-		s.requestCopies(c.call.Adapter, choice, now)
+		s.requestCopies(c.call, choice, now)
 	}
 	c.logRouted(choice, candidates, c.lastEventID, now)
 	return choice, nil
@@ -222,6 +222,7 @@
 		Adapter:  c.call.Adapter,
 		Domain:   c.service.Board.Domain,
 		Deadline: deadline,
+		Homes:    c.call.Homes,
 		Unusable: append(c.service.Board.UnusableServers(c.targetService, turnBy, c.service.Clock()), c.otherSoftware()...),
 	}
 	for id := range avoid {
@@ -239,16 +240,17 @@
 // queue is long, or if this domain has none and calls often enough.
 //
 // For load: an adapter in demand beyond one worker, or in several domains.
-func (s *Service) requestCopies(adapter string, choice dispatch.Choice, now time.Time) {
+func (s *Service) requestCopies(call *pomelospring.Call, choice dispatch.Choice, now time.Time) {
 	request := pomelospring.PlacementRequest{
-		Adapter:  adapter,
+		Adapter:  call.Adapter,
 		Domain:   s.Board.Domain,
 		Deadline: now.Add(replicaRequestTimeout),
+		Homes:    call.Homes,
 	}
 	switch {
 	case s.Board.Speeds("").PrefillTime(choice.Candidate.WaitingTokens) > replicaQueueThreshold:
 		request.Replica = true
-	case choice.Candidate.Server.Domain != s.Board.Domain && !s.Board.Evacuated(s.Board.Domain) && s.Board.DomainDemand(adapter, now) > localCopyDemand:
+	case choice.Candidate.Server.Domain != s.Board.Domain && s.ownDomainTakes(call) && s.Board.DomainDemand(call.Adapter, now) > localCopyDemand:
 		request.Optional, request.OwnDomain, request.AtOnce = true, true, true
 	default:
 		return
@@ -257,6 +259,11 @@
 	s.requestCopy(request, now)
 }
 
+// ownDomainTakes reports whether the servers of this instance's domain may take a call.
+func (s *Service) ownDomainTakes(call *pomelospring.Call) bool {
+	return !s.Board.Evacuated(s.Board.Domain) && s.Board.InHomes(call.Homes, s.Board.Domain)
+}
+
 // requestCopy sends a placement request that no call waits for.
 func (s *Service) requestCopy(request pomelospring.PlacementRequest, now time.Time) {
 	adapter := request.Adapter
--- a/entry/service.go
+++ b/entry/service.go
@@ -213,6 +213,9 @@
 	if refusal != nil {
 		return refusal
 	}
+	if refusal = c.applyHomes(team, now); refusal != nil {
+		return refusal
+	}
 	c.deadline = c.call.Arrived.Add(c.route.Timeout)
 	if !c.call.Deadline.IsZero() && c.call.Deadline.Before(c.deadline) {
 		c.deadline = c.call.Deadline
@@ -238,6 +241,22 @@
 	return nil
 }
 
+// applyHomes keeps the call in the homes of its route and team. It returns a refusal if the
+// fleet has no failure domain there.
+func (c *session) applyHomes(team pomelospring.PolicyTeam, now time.Time) *pomelospring.Refusal {
+	c.call.Homes = pomelospring.CommonHomes(c.route.Homes, team.Homes)
+	if c.service.Board.HasHome(c.call.Homes) {
+		return nil
+	}
+	events.Log(c.service.Logger, events.CallOutsideHomes, log.Fields{
+		"request": c.call.ID,
+		"route":   c.route.Name,
+		"team":    c.team,
+		"homes":   c.call.Homes,
+	})
+	return pomelospring.NewRefusal(pomelospring.CodeNoBackendServer, retryAfter(now), "no failure domain lies in the homes of the route and team")
+}
+
 // setService sets the service that runs the call.
 func (c *session) setService(name string, policy *pomelospring.Policy, team pomelospring.PolicyTeam) {
 	c.targetService = name
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -89,6 +89,8 @@
 	RelayRefused      = define(345, "relayRefused", log.InfoLevel, "This instance did not send a call for another one; nothing reached the backend server.")
 	DomainEvacuated   = define(350, "domainEvacuated", log.WarnLevel, "Operators evacuated a failure domain: its backend servers get nothing until it is taken back.")
 	DomainReturned    = define(351, "domainReturned", log.InfoLevel, "Operators took an evacuated failure domain back.")
+	CallOutsideHomes  = define(353, "callOutsideHomes", log.WarnLevel, "A call was refused because no failure domain of the fleet lies in the regions that its route and team both allow.")
+	HomesUnknown      = define(354, "homesUnknown", log.WarnLevel, "The configuration names homes that are no region of the settings; empty ones are ignored, to the others no call is sent.")
 	EvacuationIgnored = define(352, "evacuationIgnored", log.WarnLevel, "An operators' record evacuates a failure domain that the settings don't list.")
 	ServerMalformed   = define(325, "serverSpoiled", log.WarnLevel, "An entry of the list of backend servers is malformed and is not used.")
 
--- a/fleet.go
+++ b/fleet.go
@@ -113,6 +113,8 @@
 	Arrived time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Homes are the regions that the call must not leave, once it is admitted.
+	Homes Homes
 }
 
 // Model returns the base model of the call.
@@ -485,6 +487,8 @@
 	Optional bool
 	// OwnDomain asks for a worker in Domain only.
 	OwnDomain bool
+	// Homes are the regions in which the worker may be.
+	Homes Homes
 	// AtOnce asks to fail rather than to wait for a free slot.
 	AtOnce bool
 	// Avoid lists workers that have just failed the call, and Missing those that
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -26,6 +26,8 @@
 type Board struct {
 	// Domain is this instance's failure domain.
 	Domain string
+	// Regions has the region of each failure domain as far as it is known; it doesn't change.
+	Regions map[string]string
 
 	policy atomic.Pointer[pomelospring.Policy]
 	// operatorConfirmedAt is when the operators' records were last known to be
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -168,7 +168,7 @@
 	}
 	seen := 0
 	for id := range b.index.pool(service, call).all() {
-		if server := b.servers[id]; server.Draining || b.paused(id, now) {
+		if server := b.servers[id]; server.Draining || b.paused(id, now) || !b.InHomes(call.Homes, server.Domain) {
 			continue
 		}
 		wait, limited := b.turnWait(id, now)
--- a/fleet/operator_records.go
+++ b/fleet/operator_records.go
@@ -117,6 +117,7 @@
 		return
 	}
 	o.logRates(before, policy)
+	o.logUnknownHomes(policy)
 	o.Ledger.Configure(policy.Teams, o.Clock())
 	events.Log(o.Logger, events.PolicyInForce, log.Fields{
 		"version": policy.Version,
@@ -130,7 +131,7 @@
 // logRates logs each team whose rate differs from the previous configuration.
 func (o *OperatorRecords) logRates(before, policy *pomelospring.Policy) {
 	for name, team := range policy.Teams {
-		if before != nil && before.Teams[name] == team {
+		if before != nil && before.Teams[name].TokensPerSecond == team.TokensPerSecond && before.Teams[name].Burst == team.Burst {
 			continue
 		}
 		events.Log(o.Logger, events.TeamRateChanged, log.Fields{
--- a/fleet/pauses.go
+++ b/fleet/pauses.go
@@ -80,7 +80,7 @@
 		if server.Draining {
 			continue
 		}
-		if call.NeedsAdapter() && b.cutOff(server.Domain, now) {
+		if call.NeedsAdapter() && b.cutOff(server.Domain, now) || !b.InHomes(call.Homes, server.Domain) {
 			skipped = true
 			continue
 		}
--- a/fleet/server_load.go
+++ b/fleet/server_load.go
@@ -216,7 +216,7 @@
 // can take a call. The caller holds the lock.
 func (b *Board) candidate(id, service string, call *pomelospring.Call, now time.Time) (candidate dispatch.Candidate, usable bool) {
 	server, listed := b.servers[id]
-	if !listed || server.Service != service || server.Draining || b.evacuated[server.Domain] || b.paused(id, now) {
+	if !listed || server.Service != service || server.Draining || b.evacuated[server.Domain] || b.paused(id, now) || !b.InHomes(call.Homes, server.Domain) {
 		return dispatch.Candidate{}, false
 	}
 	version, canServe := b.canServe(&server, call, now)
--- a/front/front.go
+++ b/front/front.go
@@ -132,6 +132,7 @@
 		metrics:    metrics.New(),
 		quarantine: quarantine.NewRegister(),
 	}
+	f.board.Regions = config.Regions
 	f.quarantine.OnChange = f.logBlocks
 	logger.Handler = f.metrics.CountEvents(logger.Handler)
 	f.store.Counters = f.metrics
@@ -240,6 +241,7 @@
 		},
 		Engine:   f.engines,
 		Notices:  notices,
+		Region:   f.settings.Regions[f.settings.Domain],
 		Stopping: func() bool { return f.stopping.Err() != nil },
 		Logger:   f.logger,
 		Clock:    f.clock,
--- a/policy.go
+++ b/policy.go
@@ -41,6 +41,8 @@
 	// Priority is the rank of the route's requests; 0 goes first.
 	Priority int
 	Splits   []ServiceSplit
+	// Homes are the regions that the route's calls must not leave.
+	Homes Homes
 }
 
 // Repeatable reports whether a request that may have run may be sent again.
@@ -87,6 +89,8 @@
 	Burst           float64
 	// PlainTokens is the charge for a request without a token count.
 	PlainTokens float64
+	// Homes are the regions that the team's calls must not leave.
+	Homes Homes
 }
 
 // CallerLimits limits the size and duration of callers' requests.
--- a/relay/client.go
+++ b/relay/client.go
@@ -212,7 +212,7 @@
 			release()
 		}
 	}()
-	stream, err := c.offer(ctx, cancel, relay, dispatch)
+	stream, err := c.offer(ctx, cancel, relay, call.Homes, dispatch)
 	if err != nil {
 		return nil, err
 	}
@@ -240,8 +240,9 @@
 	return answer, nil
 }
 
-// offer offers an attempt to an instance, and returns once it is accepted.
-func (c *Client) offer(ctx context.Context, cancel context.CancelFunc, relay string, dispatch pomelospring.Dispatch) (stream coordinationpb.DRPCRelay_SendClient, err error) {
+// offer offers an attempt to an instance, and returns once it is accepted. The offer says
+// nothing of the call, which must not leave its homes.
+func (c *Client) offer(ctx context.Context, cancel context.CancelFunc, relay string, homes pomelospring.Homes, dispatch pomelospring.Dispatch) (stream coordinationpb.DRPCRelay_SendClient, err error) {
 	timer := time.AfterFunc(offerTimeout, cancel)
 	defer func() {
 		if !timer.Stop() && err == nil {
@@ -271,6 +272,9 @@
 	if !reply.Accepted {
 		return nil, c.failure(relay, dispatch.Server, reply.Failure)
 	}
+	if !homes.Allow(reply.Region) {
+		return nil, fmt.Errorf("%w: the instance is outside the call's homes", pomelospring.ErrNotSent)
+	}
 	return stream, nil
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -35,6 +35,8 @@
 	Direct  pomelospring.Backend
 	Engine  pomelospring.Engine
 	Notices fleet.Notices
+	// Region is that of this instance; empty if it isn't known.
+	Region string
 	// Stopping reports whether the instance stops, and accepts no attempts.
 	Stopping func() bool
 	Logger   log.Interface
@@ -78,6 +80,7 @@
 	acceptedAt := s.Clock()
 	if err = stream.Send(&coordinationpb.RelayReply{
 		Accepted: true,
+		Region:   s.Region,
 	}); err != nil {
 		return err
 	}
--- a/settings/front.go
+++ b/settings/front.go
@@ -15,6 +15,8 @@
 	FirstStart   bool        `yaml:"firstStart" doc:"The whole fleet starts for the first time: instances may take a second to be ready rather than all read the store."`
 	Bounds       FrontBounds `yaml:"bounds" doc:"What the platform holds instances to."`
 	Logging      Logging     `yaml:"logging" doc:"Logs."`
+
+	Regions map[string]string `yaml:"regions" validate:"dive,keys,required,endkeys,max=64" doc:"Region of each failure domain, for routes and teams that have homes; without it their calls are refused."`
 }
 
 // FrontListen holds the addresses that an instance listens on.
