Give a team's tokens to its urgent and cheap calls first

What callers saw: while a team asks three to five times its rate, what goes on is drawn by lot, so payments of 200 tokens are refused beside summaries of 9,000; refused callers come back and are refused again; hundreds of instances that are asked at one moment exceed the team's bound together.

A call has the same draw on every return. Refused callers are told to come back when what the fleet refused is worked off. What is more than an instance's part of the bucket is granted by the leader (AskTokens); leaders of the build before don't offer that, and instances then decide as before.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -67,6 +67,10 @@
 	// Uptime is a clock that keeps running while the process is suspended.
 	Uptime func() time.Duration
 	Eras   *StoreEras
+	// Ledger is this instance's, in which the leader's sums have LedgerIndex; it may be
+	// nil.
+	Ledger      *quota.Ledger
+	LedgerIndex int
 
 	mu    sync.Mutex
 	lease lease.Lease
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -395,6 +395,7 @@
 		Instances: int(reply.Instances),
 		Known:     int(reply.Known),
 		Interval:  interval,
+		Grants:    reply.GrantsTokens,
 	}, now)
 }
 
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -12,7 +12,6 @@
 	"github.com/pomelospring/pomelospring/coordination/coordinationpb"
 	"github.com/pomelospring/pomelospring/fleet"
 	"github.com/pomelospring/pomelospring/quarantine"
-	"github.com/pomelospring/pomelospring/quota"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 )
@@ -162,6 +161,7 @@
 	}
 	if request.WithSpending {
 		reply.Spending = spendingToProto(l.totals.Others(request.Instance))
+		reply.GrantsTokens = l.Ledger != nil
 	}
 	reply.Instances, reply.Known = l.countInstances(now)
 	if request.Relay {
@@ -294,28 +294,6 @@
 	return list
 }
 
-func spendingFromProto(list []*coordinationpb.TeamSpending) map[string]quota.Spending {
-	spending := make(map[string]quota.Spending, len(list))
-	for _, entry := range list {
-		spending[entry.Team] = quota.Spending{
-			Spent: entry.Tokens,
-			Asked: entry.Asked,
-		}
-	}
-	return spending
-}
-
-func spendingToProto(spending map[string]quota.Spending) (list []*coordinationpb.TeamSpending) {
-	for team, counts := range spending {
-		list = append(list, &coordinationpb.TeamSpending{
-			Team:   team,
-			Tokens: counts.Spent,
-			Asked:  counts.Asked,
-		})
-	}
-	return list
-}
-
 func serversToProto(servers []pomelospring.FleetServer) (list []*coordinationpb.ServerEntry) {
 	for _, server := range servers {
 		list = append(list, &coordinationpb.ServerEntry{
--- a/entry/service.go
+++ b/entry/service.go
@@ -63,8 +63,12 @@
 	// RetrySlack is the retry burst of each service on this instance, until
 	// SetRetrySlack is called.
 	RetrySlack float64
-	// Counters counts results of calls; it may be nil.
-	Counters Counters
+	// Tokens asks leaders for tokens of teams; if it is nil, each instance decides by
+	// itself.
+	Tokens TokenLeaders
+	// Counters counts results of calls, and TokenCounts tokens; they may be nil.
+	Counters    Counters
+	TokenCounts TokenCounters
 	// Engine is asked whether a model worker has ended, and Quarantine holds the
 	// prompt parts under which workers ended.
 	Engine     pomelospring.Engine
@@ -100,6 +104,18 @@
 	Refused(team string, code pomelospring.Code)
 }
 
+// TokenCounters counts the tokens that calls of teams asked for.
+type TokenCounters interface {
+	TokensAsked(team string, tokens float64, admitted bool)
+}
+
+// TokenLeaders are the leaders that decide on tokens which one instance may not give out
+// by itself.
+type TokenLeaders interface {
+	// AskTokens asks the leader at an index of the ledger, and charges what is granted.
+	AskTokens(ctx context.Context, leader int, request quota.Request) quota.Decision
+}
+
 // session is the state of one call while it is served.
 type session struct {
 	service       *Service
@@ -113,6 +129,8 @@
 	// without an engine.
 	priority      int
 	chargedTokens float64
+	// tokenReason is why the team's tokens were refused.
+	tokenReason string
 	// parts are the prompt parts that other calls may share.
 	parts []string
 	// fingerprint identifies this call and its repeats.
@@ -227,7 +245,7 @@
 	if refusal = c.checkQuarantine(ctx, now); refusal != nil {
 		return refusal
 	}
-	if refusal = c.charge(team, now); refusal != nil {
+	if refusal = c.charge(ctx, team, now); refusal != nil {
 		return refusal
 	}
 	if refusal = c.findOrigin(ctx, policy, team); refusal != nil {
@@ -276,7 +294,7 @@
 }
 
 // charge takes the call's tokens from its team's budget.
-func (c *session) charge(team pomelospring.PolicyTeam, now time.Time) *pomelospring.Refusal {
+func (c *session) charge(ctx context.Context, team pomelospring.PolicyTeam, now time.Time) *pomelospring.Refusal {
 	if c.team == "" {
 		return nil
 	}
@@ -284,14 +302,37 @@
 	if c.call.HasTokenCounts {
 		tokens = float64(c.call.PromptTokens + c.call.OutputTokens)
 	}
-	admitted, retryAt := c.service.Ledger.Admit(c.team, tokens, c.service.updateAverageCost(c.route.Name, tokens), now)
-	if !admitted {
-		return pomelospring.NewRefusal(pomelospring.CodeOverRate, retryAt, "the team is over its rate")
+	s := c.service
+	request := quota.Request{
+		Team:        c.team,
+		Tokens:      tokens,
+		UsualTokens: s.updateAverageCost(c.route.Name, tokens),
+		Priority:    c.priority,
+		Call:        c.fingerprint,
+	}
+	decision := s.Ledger.Admit(request, now)
+	if decision.AskLeader {
+		decision = s.askLeader(ctx, decision.Leader, request, now)
+	}
+	if s.TokenCounts != nil {
+		s.TokenCounts.TokensAsked(c.team, tokens, decision.Admitted)
+	}
+	if !decision.Admitted {
+		c.tokenReason = decision.Reason
+		return pomelospring.NewRefusal(pomelospring.CodeOverRate, decision.RetryAt, "the team is over its rate")
 	}
 	c.chargedTokens = tokens
 	return nil
 }
 
+// askLeader has a leader decide on a request for tokens.
+func (s *Service) askLeader(ctx context.Context, leader int, request quota.Request, now time.Time) quota.Decision {
+	if s.Tokens == nil {
+		return s.Ledger.AdmitUnanswered(request, now)
+	}
+	return s.Tokens.AskTokens(ctx, leader, request)
+}
+
 // refuse refunds a call that did not run, and counts, logs and sends the
 // refusal.
 func (c *session) refuse(refusal *pomelospring.Refusal) {
@@ -316,6 +357,9 @@
 		"tokens":  c.call.PromptTokens + c.call.OutputTokens,
 		"level":   int64(s.Ledger.Level(c.team, now)),
 	}
+	if c.tokenReason != "" {
+		fields["tokenReason"] = c.tokenReason
+	}
 	if !refusal.RetryAt.IsZero() {
 		fields["retryMs"] = refusal.RetryAt.Sub(now).Milliseconds()
 	}
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -87,6 +87,7 @@
 	PathWhole         = define(343, "pathWhole", log.InfoLevel, "This instance connects to a backend server again; brokenMs tells for how long it could not.")
 	CallSentThrough   = define(344, "callSentThrough", log.InfoLevel, "A call was sent to a backend server through another instance, as this one can't connect to the server; with an error, sent says whether the call may have reached the server.")
 	RelayRefused      = define(345, "relayRefused", log.InfoLevel, "This instance did not send a call for another one; nothing reached the backend server.")
+	TokensDivided     = define(360, "tokensDivided", log.InfoLevel, "A leader was asked for tokens of a team, as they are more than this instance may give out by itself, and did not answer; this instance's part of them decides.")
 	ServerMalformed   = define(325, "serverSpoiled", log.WarnLevel, "An entry of the list of backend servers is malformed and is not used.")
 
 	ServerLeaving = define(330, "serverLeaving", log.InfoLevel, "A backend server announced that it leaves, while the server list has it as ready; it gets no new work until it is started anew.")
--- a/front/front.go
+++ b/front/front.go
@@ -189,7 +189,9 @@
 		Ledger:      f.ledger,
 		Logger:      logger,
 		Clock:       clock,
+		Tokens:      f.coordinator,
 		Counters:    f.metrics,
+		TokenCounts: f.metrics,
 		Engine: &relay.Engine{
 			Engine: f.engines,
 			Relays: f.relays,
@@ -309,6 +311,8 @@
 	leader.Clock = f.clock
 	leader.Uptime = uptime
 	leader.Eras = f.eras
+	leader.Ledger = f.ledger
+	leader.LedgerIndex = index
 	member := &coordination.Member{
 		Domain:      domain,
 		Relay:       domain == config.Domain,
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -70,6 +70,18 @@
 	}).Counter("requests_refused").Inc(1)
 }
 
+// TokensAsked counts the tokens of a team's request, admitted or refused.
+func (m *Metrics) TokensAsked(team string, tokens float64, admitted bool) {
+	outcome := "refused"
+	if admitted {
+		outcome = "admitted"
+	}
+	m.scope.Tagged(map[string]string{
+		"team":    team,
+		"outcome": outcome,
+	}).Counter("tokens_asked").Inc(int64(tokens))
+}
+
 // StoreCalled counts a call to the platform's store by its kind and outcome.
 func (m *Metrics) StoreCalled(kind, outcome string) {
 	m.scope.Tagged(map[string]string{
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -31,6 +31,31 @@
 	// initialShare is an instance's share of a rate before the first report. It
 	// is small, as the fleet may be large.
 	initialShare = 0.02
+	// rankWindow is the time constant with which the demand by rank decays; at least
+	// rankWindowIntervals exchange intervals.
+	rankWindow          = time.Second
+	rankWindowIntervals = 3
+	// A team is contended while it asks for more than contendedFraction of its rate, or
+	// while its level is below contendedLevel of its burst.
+	contendedFraction = 0.7
+	contendedLevel    = 0.5
+	// Ranks count while the level is below rankedLevel of the burst.
+	rankedLevel = 0.75
+	// urgentFraction is the fraction of a rate up to which the first ranks are always
+	// admitted, and urgentReserve the fraction of the burst that is kept for them.
+	// They may go into debt by as much.
+	urgentFraction = 0.5
+	urgentReserve  = 0.1
+	// levelTime is the time in which a team's level is brought to its aim, and
+	// maxLevelAim the highest aim as a fraction of the burst.
+	levelTime   = 500 * time.Millisecond
+	maxLevelAim = 0.5
+	// overdraftFraction is the fraction of a burst that the instances together may
+	// overdraw before they know of each other.
+	overdraftFraction = 0.5
+	// spareFraction is the fraction of a rate that is taken as free for refused callers
+	// who return.
+	spareFraction = 0.5
 	// minRefillRate keeps the retry delay finite, in tokens per second.
 	minRefillRate = 1
 	// minRetryDelay and maxRetryDelay bound the time after which a refused
@@ -65,6 +90,7 @@
 	// reported to it recently, and instances is the number of those that did.
 	refillFraction float64
 	instances      int
+	grants         bool
 }
 
 // LeaderReport is a leader's report to one instance about the spending of all
@@ -79,6 +105,8 @@
 	Known     int
 	// Interval is the time until the next report.
 	Interval time.Duration
+	// Grants says that the leader decides on what is more than an instance's part.
+	Grants bool
 }
 
 type account struct {
@@ -94,10 +122,17 @@
 	// instances, decayed over demandWindow.
 	recentOwn    float64
 	recentOthers float64
-	// recentRefused are the tokens that this instance refused, decayed over
-	// demandWindow.
-	recentRefused float64
-	decayedAt     time.Time
+	// ownRanks and otherRanks are the tokens requested here and at the other instances by
+	// rank, and allOthers those of all ranks there, decayed over the rank window. Other
+	// instances report ranks only while the team is contended.
+	ownRanks   map[int]float64
+	otherRanks map[int]float64
+	allOthers  float64
+	decayedAt  time.Time
+	// backlog are the tokens refused by all instances whose callers are likely to return.
+	backlog float64
+	// unasked are the tokens charged here since the last report without asking the leader.
+	unasked float64
 	// share is the fraction of the team's rate that this instance may use while
 	// no leader's report is current.
 	share float64
@@ -109,8 +144,44 @@
 	Spent float64
 	// Asked are the tokens of all requests, including refused ones.
 	Asked float64
+	// ByRank are the tokens asked by rank, counted while the team is contended.
+	ByRank map[int]float64
 }
 
+// Request is a call that asks for tokens of its team.
+type Request struct {
+	Team   string
+	Tokens float64
+	// UsualTokens is what calls of the same kind usually cost.
+	UsualTokens float64
+	// Priority is that of the call in its service; negative where there is none.
+	Priority int
+	// Call is the same for a call and its repeats.
+	Call string
+}
+
+// Decision is the answer to a request.
+type Decision struct {
+	Admitted bool
+	// AskLeader says that the leader whose index is Leader has to decide.
+	AskLeader bool
+	Leader    int
+	// RetryAt is when a refused caller may retry, and Reason why it was refused.
+	RetryAt time.Time
+	Reason  string
+}
+
+// Reasons of refusals.
+const (
+	// ReasonEmpty is given if the team has no tokens left.
+	ReasonEmpty = "no tokens left"
+	// ReasonRank is given if the team's tokens go to its other calls.
+	ReasonRank = "tokens are for other calls"
+	// ReasonUnanswered is given if the leader didn't answer, and this instance may not
+	// give out the tokens by itself.
+	ReasonUnanswered = "the leader did not answer"
+)
+
 // NewLedger returns a ledger that receives reports from a number of leaders;
 // random returns a number in [0, 1).
 func NewLedger(leaders int, random func() float64) *Ledger {
@@ -133,6 +204,11 @@
 				refilledAt: now,
 				decayedAt:  now,
 				share:      initialShare,
+				ownRanks:   map[int]float64{},
+				otherRanks: map[int]float64{},
+				own: Spending{
+					ByRank: map[int]float64{},
+				},
 			}
 			l.accounts[name] = a
 		}
@@ -143,43 +219,217 @@
 	}
 }
 
-// Admit charges tokens to a team, or returns when the team may retry.
+// Admit charges the tokens of a request to its team, or refuses it, or says that the
+// leader has to decide.
 //
-// A bucket above the reserve admits a request of any size, so that large
-// requests are not refused more often than small ones with the same reserve.
-// While the whole fleet requests more than the bucket holds until the next
-// report, requests are admitted in proportion to what is available.
-func (l *Ledger) Admit(team string, tokens, reserve float64, now time.Time) (admitted bool, retryAt time.Time) {
+// A bucket above the usual cost admits a request of any size, so that large requests
+// are not refused more often than small ones of the same kind.
+func (l *Ledger) Admit(request Request, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.accounts[team]
+	a := l.accounts[request.Team]
+	if a == nil {
+		return Decision{
+			Admitted: true,
+		}
+	}
+	l.refill(a, now)
+	decision, urgent := l.decide(a, request, now)
+	l.countDemand(a, request, now)
+	if !decision.Admitted {
+		a.backlog += request.Tokens
+		return decision
+	}
+	if !urgent && l.mustAsk(a, request.Tokens, now) {
+		return Decision{
+			AskLeader: true,
+			Leader:    l.activeIndex(now),
+		}
+	}
+	a.unasked += request.Tokens
+	a.charge(request.Tokens)
+	return decision
+}
+
+// Grant decides on a request for which another instance asked its leader, with the
+// ledger of the leader's instance. It charges nothing.
+func (l *Ledger) Grant(request Request, now time.Time) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[request.Team]
+	if a == nil {
+		return Decision{
+			Admitted: true,
+		}
+	}
+	l.refill(a, now)
+	decision, _ := l.decide(a, request, now)
+	if !decision.Admitted {
+		a.backlog += request.Tokens
+	}
+	return decision
+}
+
+// Charge charges the tokens of a request that the leader admitted.
+func (l *Ledger) Charge(team string, tokens float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.accounts[team]; a != nil {
+		l.refill(a, now)
+		a.charge(tokens)
+	}
+}
+
+// AdmitUnanswered decides on a request for which the leader was asked without an answer:
+// it is admitted with the probability that the rest of this instance's part covers it.
+func (l *Ledger) AdmitUnanswered(request Request, now time.Time) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[request.Team]
 	if a == nil {
-		return true, time.Time{}
+		return Decision{
+			Admitted: true,
+		}
 	}
 	l.refill(a, now)
-	a.own.Asked += tokens
-	a.recentOwn += tokens
-	if a.rate > 0 {
-		available := a.level - min(reserve, maxReserveFraction*a.burst)
-		if available <= 0 || available < l.expectedDemand(a, now)*l.random() {
-			retryDelay := l.retryDelay(a, reserve, now)
-			a.recentRefused += tokens
-			return false, now.Add(retryDelay)
+	if request.Tokens*l.random() >= l.ownPart(a, now)-a.unasked {
+		return Decision{
+			RetryAt: l.retryAt(a, request, 0, now),
+			Reason:  ReasonUnanswered,
 		}
 	}
-	a.charge(tokens)
-	return true, time.Time{}
+	a.unasked += request.Tokens
+	a.charge(request.Tokens)
+	return Decision{
+		Admitted: true,
+	}
+}
+
+// countDemand counts a request as asked.
+func (l *Ledger) countDemand(a *account, request Request, now time.Time) {
+	rank := Rank(request.Priority, request.UsualTokens)
+	a.own.Asked += request.Tokens
+	a.recentOwn += request.Tokens
+	a.ownRanks[rank] += request.Tokens
+	if l.contended(a, now) {
+		a.own.ByRank[rank] += request.Tokens
+	}
 }
 
-// expectedDemand estimates the tokens that the whole fleet will request of the
-// team until the next report.
-func (l *Ledger) expectedDemand(a *account, now time.Time) float64 {
+// contended reports whether the team asks for nearly more than its rate.
+func (l *Ledger) contended(a *account, now time.Time) bool {
+	rate := a.rate * l.refillFraction(a, now)
+	return a.level < contendedLevel*a.burst || (a.recentOwn+a.recentOthers)/demandWindow.Seconds() > contendedFraction*rate
+}
+
+// decide decides on a request without charging it, and says whether it is urgent.
+func (l *Ledger) decide(a *account, request Request, now time.Time) (decision Decision, urgent bool) {
+	if a.rate <= 0 {
+		return Decision{
+			Admitted: true,
+		}, false
+	}
+	fraction := 1.0
+	if a.level < rankedLevel*a.burst {
+		fraction, urgent = l.admittedFraction(a, Rank(request.Priority, request.UsualTokens), now)
+	}
+	reserve := min(request.UsualTokens, maxReserveFraction*a.burst)
+	if urgent {
+		reserve = -urgentReserve * a.burst
+	}
+	switch {
+	case a.level <= reserve:
+		decision.Reason = ReasonEmpty
+	case fraction < 1 && drawOf(request.Call) >= fraction:
+		decision.Reason = ReasonRank
+	default:
+		decision.Admitted = true
+		return decision, urgent
+	}
+	decision.RetryAt = l.retryAt(a, request, fraction, now)
+	return decision, urgent
+}
+
+// admittedFraction returns the fraction of the requests of a rank that is admitted, and
+// whether the ranks up to it are urgent: always admitted, as they ask for little.
+func (l *Ledger) admittedFraction(a *account, rank int, now time.Time) (fraction float64, urgent bool) {
+	asked := l.askedByRank(a, now)
+	total, upTo := 0.0, 0.0
+	for other, tokens := range asked {
+		total += tokens
+		if other <= rank {
+			upTo += tokens
+		}
+	}
+	rate := a.rate * l.refillFraction(a, now)
+	if total > rate && upTo <= urgentFraction*rate {
+		return 1, true
+	}
+	span := l.reportSpan(now)
+	aim := min(urgentReserve*a.burst+rate*span.Seconds(), maxLevelAim*a.burst)
+	flow := rate + (a.level-aim)/max(span, levelTime).Seconds()
+	fraction, known := pour(flow, asked)[rank]
+	if !known {
+		return 1, false
+	}
+	return fraction, false
+}
+
+// askedByRank returns what the whole fleet asks of the team, in tokens per second. What
+// instances ask without telling the ranks is divided as the rest.
+func (l *Ledger) askedByRank(a *account, now time.Time) map[int]float64 {
+	asked := make(map[int]float64, len(a.ownRanks))
+	known, own := 0.0, 0.0
+	for rank, tokens := range a.ownRanks {
+		asked[rank] += tokens
+		own += tokens
+	}
+	for rank, tokens := range a.otherRanks {
+		asked[rank] += tokens
+		known += tokens
+	}
+	if own+known <= 0 {
+		return asked
+	}
+	scale := max(1, (own+a.allOthers)/(own+known)) / l.rankWindow(now).Seconds()
+	for rank := range asked {
+		asked[rank] *= scale
+	}
+	return asked
+}
+
+// reportSpan returns the time between reports of the active leader, or since the last one
+// if that is longer; 0 without a leader.
+func (l *Ledger) reportSpan(now time.Time) time.Duration {
 	leader := l.activeLeader(now)
-	if leader == nil || a.recentOthers <= 0 {
+	if leader == nil {
 		return 0
 	}
-	span := max(leader.interval, now.Sub(leader.reportedAt))
-	return (a.recentOwn + a.recentOthers) / demandWindow.Seconds() * span.Seconds()
+	return max(leader.interval, now.Sub(leader.reportedAt))
+}
+
+// rankWindow returns the time constant of the demand by rank.
+func (l *Ledger) rankWindow(now time.Time) time.Duration {
+	if leader := l.activeLeader(now); leader != nil {
+		return max(rankWindow, rankWindowIntervals*leader.interval)
+	}
+	return rankWindow
+}
+
+// mustAsk reports whether the leader has to decide on tokens.
+func (l *Ledger) mustAsk(a *account, tokens float64, now time.Time) bool {
+	leader := l.activeLeader(now)
+	return a.rate > 0 && leader != nil && leader.grants && leader.instances > 1 && a.unasked+tokens > l.ownPart(a, now)
+}
+
+// ownPart returns the tokens that this instance may charge between two reports without
+// asking the leader.
+func (l *Ledger) ownPart(a *account, now time.Time) float64 {
+	instances := 1
+	if leader := l.activeLeader(now); leader != nil {
+		instances = leader.instances
+	}
+	return (a.level + a.unasked + overdraftFraction*a.burst) / float64(instances)
 }
 
 // activeLeader returns the first leader whose report is current; nil without
@@ -198,6 +448,10 @@
 func (l *Ledger) ActiveLeader(now time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.activeIndex(now)
+}
+
+func (l *Ledger) activeIndex(now time.Time) int {
 	active := l.activeLeader(now)
 	for i := range l.leaders {
 		if &l.leaders[i] == active {
@@ -224,7 +478,7 @@
 	defer l.mu.Unlock()
 	spending := make(map[string]Spending, len(l.accounts))
 	for name, a := range l.accounts {
-		spending[name] = a.own
+		spending[name] = a.own.plus(Spending{})
 	}
 	return spending
 }
@@ -241,6 +495,9 @@
 	}
 	sameLeader := leader.leaderID == report.Leader
 	before := leader.others
+	if report.Others == nil {
+		report.Others = map[string]Spending{}
+	}
 	*leader = leaderState{
 		leaderID:       report.Leader,
 		others:         report.Others,
@@ -249,19 +506,37 @@
 		interval:       report.Interval,
 		refillFraction: min(1, float64(report.Instances)/float64(max(1, report.Known))),
 		instances:      max(1, report.Instances),
+		grants:         report.Grants,
 	}
 	if l.activeLeader(now) != leader {
 		return
 	}
 	for name, a := range l.accounts {
 		if sameLeader {
-			a.level -= report.Others[name].Spent - before[name].Spent
-			a.recentOthers = max(0, a.recentOthers+report.Others[name].Asked-before[name].Asked)
+			a.addOthers(report.Others[name].minus(before[name]))
 		}
+		a.unasked = 0
 		a.share = a.computeShare(leader)
 	}
 }
 
+// ApplySpending applies what the leader at an index knows of one team's spending at the
+// other instances, between two reports. It reports whether the leader is the active one.
+func (l *Ledger) ApplySpending(index int, leaderID, team string, others Spending, now time.Time) (applied bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	leader := &l.leaders[index]
+	if l.activeLeader(now) != leader || leader.leaderID != leaderID {
+		return false
+	}
+	if a := l.accounts[team]; a != nil {
+		l.refill(a, now)
+		a.addOthers(others.minus(leader.others[team]))
+		leader.others[team] = others
+	}
+	return true
+}
+
 // Level returns the tokens that a team has available on this instance.
 func (l *Ledger) Level(team string, now time.Time) float64 {
 	l.mu.Lock()
@@ -274,6 +549,17 @@
 	return a.level
 }
 
+// addOthers applies an increase of the other instances' spending.
+func (a *account) addOthers(increase Spending) {
+	a.level -= increase.Spent
+	a.backlog += max(0, increase.Asked-increase.Spent)
+	a.recentOthers = max(0, a.recentOthers+increase.Asked)
+	a.allOthers = max(0, a.allOthers+increase.Asked)
+	for rank, tokens := range increase.ByRank {
+		a.otherRanks[rank] = max(0, a.otherRanks[rank]+tokens)
+	}
+}
+
 func (a *account) charge(tokens float64) {
 	a.level -= tokens
 	a.own.Spent += tokens
@@ -284,13 +570,17 @@
 	if passed := now.Sub(a.refilledAt); passed > 0 {
 		refillFraction := l.refillFraction(a, now)
 		a.level = min(a.burst*refillFraction, a.level+a.rate*refillFraction*passed.Seconds())
+		a.backlog = max(0, a.backlog-spareFraction*a.rate*refillFraction*passed.Seconds())
 		a.refilledAt = now
 	}
 	if passed := now.Sub(a.decayedAt); passed > 0 {
 		retained := math.Exp(-passed.Seconds() / demandWindow.Seconds())
 		a.recentOwn *= retained
 		a.recentOthers *= retained
-		a.recentRefused *= retained
+		retained = math.Exp(-passed.Seconds() / l.rankWindow(now).Seconds())
+		a.allOthers *= retained
+		decayRanks(a.ownRanks, retained)
+		decayRanks(a.otherRanks, retained)
 		a.decayedAt = now
 	}
 }
@@ -316,12 +606,27 @@
 	return evenShareFraction*even + (1-evenShareFraction)*leader.refillFraction*a.recentOwn/total
 }
 
-// retryDelay estimates how long the account's level stays below the reserve.
-func (l *Ledger) retryDelay(a *account, reserve float64, now time.Time) time.Duration {
+// decayRanks decays demand by rank, and forgets what is left of less than a token.
+func decayRanks(ranks map[int]float64, retained float64) {
+	for rank, tokens := range ranks {
+		if ranks[rank] = tokens * retained; ranks[rank] < 1 {
+			delete(ranks, rank)
+		}
+	}
+}
+
+// retryAt returns when there is likely to be room for a request of which a fraction was
+// admitted: once the debt is paid and the fleet has worked off what it refused before.
+// Callers return over the second half of that time, in the order of their draws.
+func (l *Ledger) retryAt(a *account, request Request, fraction float64, now time.Time) time.Time {
 	rate := max(minRefillRate, a.rate*l.refillFraction(a, now))
-	// Callers that were refused here recently will retry too.
-	contention := 1 + a.recentRefused/demandWindow.Seconds()/rate
-	retryDelay := time.Duration((min(reserve, maxReserveFraction*a.burst) - a.level) / rate * float64(time.Second))
-	retryDelay = time.Duration(float64(max(minRetryDelay, retryDelay)) * contention)
-	return min(maxRetryDelay, retryDelay)
+	deficit := min(request.UsualTokens, maxReserveFraction*a.burst) - a.level
+	position := max(0, drawOf(request.Call)-fraction) / max(1-fraction, math.SmallestNonzeroFloat64)
+	seconds := max(deficit/rate, 0) + min(a.backlog/(spareFraction*rate), maxRetryDelay.Seconds())*(1+position)/2
+	if fraction < 1 {
+		// It takes as long to see that a flood has ended.
+		seconds += l.rankWindow(now).Seconds()
+	}
+	retryDelay := time.Duration(min(seconds, maxRetryDelay.Seconds()) * float64(time.Second))
+	return now.Add(max(minRetryDelay, retryDelay))
 }
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -39,13 +39,19 @@
 	// unreachable reports whether an instance can't reach a leader.
 	unreachable func(instance, leader int, at time.Duration) bool
 	// spent holds the tokens admitted in each step.
-	spent []float64
-	now   time.Time
+	spent    []float64
+	interval time.Duration
+	// late says that exchanges are not at the same moments, and that some fail.
+	late bool
+	// calls counts the requests, and asked those for which a leader was asked.
+	calls, asked  int
+	now, runStart time.Time
 }
 
 func newFleet(instances, leaders int, rate, burst float64, seed uint64) *fleet {
 	f := &fleet{
-		now: start,
+		now:      start,
+		interval: interval,
 	}
 	for range instances {
 		random := rand.New(rand.NewPCG(seed, uint64(len(f.ledgers))))
@@ -62,23 +68,70 @@
 // run sends requests of one size to each instance, at a demand in tokens per
 // second.
 func (f *fleet) run(length time.Duration, demand func(instance int, at time.Duration) float64, size float64, random *rand.Rand) {
+	f.runStart = f.now
 	for at := time.Duration(0); at < length; at += step {
 		sum := 0.0
-		for i, ledger := range f.ledgers {
+		for i := range f.ledgers {
 			if random.Float64() < demand(i, at)*step.Seconds()/size {
-				if admitted, _ := ledger.Admit(team, size, 0, f.now); admitted {
+				if f.admit(i, size) {
 					sum += size
 				}
 			}
-			if at%interval == 0 {
-				f.exchange(i, at)
-			}
+			f.exchangeIfDue(i, at)
 		}
 		f.spent = append(f.spent, sum)
 		f.now = f.now.Add(step)
 	}
 }
 
+// admit asks for the tokens of a request at an instance, and at the leader where that is
+// needed.
+func (f *fleet) admit(instance int, size float64) bool {
+	f.calls++
+	return f.ask(instance, quota.Request{
+		Team:   team,
+		Tokens: size,
+		Call:   fmt.Sprint(f.calls),
+	}).Admitted
+}
+
+func (f *fleet) ask(instance int, request quota.Request) quota.Decision {
+	decision := f.ledgers[instance].Admit(request, f.now)
+	if !decision.AskLeader {
+		return decision
+	}
+	f.asked++
+	leader := decision.Leader
+	if f.unreachable != nil && f.unreachable(instance, leader, f.now.Sub(f.runStart)) {
+		return f.ledgers[instance].AdmitUnanswered(request, f.now)
+	}
+	totals := f.totals[leader]
+	if !f.ledgers[leader].ApplySpending(leader, fmt.Sprint("leader", leader), team, totals.OthersOfTeam(fmt.Sprint(leader), team), f.now) {
+		return f.ledgers[instance].AdmitUnanswered(request, f.now)
+	}
+	decision = f.ledgers[leader].Grant(request, f.now)
+	if decision.Admitted {
+		totals.Add(fmt.Sprint(instance), team, request.Tokens)
+		f.ledgers[instance].Charge(team, request.Tokens, f.now)
+	}
+	return decision
+}
+
+// exchangeIfDue exchanges spending at the fleet's interval; at another moment for each
+// instance, and with every third exchange failing, if reports are late.
+func (f *fleet) exchangeIfDue(instance int, at time.Duration) {
+	count := int((at + f.interval) / f.interval)
+	if f.late {
+		at += time.Duration(instance) * step
+		if (count+instance)%3 == 0 {
+			return
+		}
+	}
+	if at%f.interval == 0 {
+		f.exchange(instance, at)
+	}
+}
+
 func (f *fleet) exchange(instance int, at time.Duration) {
 	for leader, totals := range f.totals {
 		if f.unreachable != nil && f.unreachable(instance, leader, at) {
@@ -97,7 +150,8 @@
 			Others:    totals.Others(name),
 			Instances: reporting,
 			Known:     len(f.ledgers),
-			Interval:  interval,
+			Interval:  f.interval,
+			Grants:    true,
 		}, f.now)
 	}
 }
@@ -299,12 +353,16 @@
 			now := start.Add(scenario.filled)
 			var got result
 			for _, tokens := range scenario.tokens {
-				admitted, retryAt := ledger.Admit(team, tokens, scenario.reserve, now)
+				decision := ledger.Admit(quota.Request{
+					Team:        team,
+					Tokens:      tokens,
+					UsualTokens: scenario.reserve,
+				}, now)
 				got = result{
-					Admitted: admitted,
+					Admitted: decision.Admitted,
 				}
-				if !admitted {
-					got.Retry = retryAt.Sub(now)
+				if !decision.Admitted {
+					got.Retry = decision.RetryAt.Sub(now)
 				}
 			}
 			if diff := cmp.Diff(scenario.want, got); diff != "" {
--- a/quota/totals.go
+++ b/quota/totals.go
@@ -1,5 +1,7 @@
 package quota
 
+import "maps"
+
 // Totals adds up the spending of all instances, so that the leader can report
 // to each instance what the others spend. It is not safe for concurrent use.
 type Totals struct {
@@ -36,7 +38,7 @@
 		t.sums[team] = t.sums[team].plus(increase)
 		t.contributions[instance][team] = t.contributions[instance][team].plus(increase)
 	}
-	t.lastReported[instance] = counts
+	t.lastReported[instance] = maps.Clone(counts)
 }
 
 // Others returns the sums over all instances but one.
@@ -48,16 +50,52 @@
 	return others
 }
 
+// OthersOfTeam returns one team's sum over all instances but one.
+func (t *Totals) OthersOfTeam(instance, team string) Spending {
+	return t.sums[team].minus(t.contributions[instance][team])
+}
+
+// Knows reports whether an instance has reported to this leader.
+func (t *Totals) Knows(instance string) bool { return t.lastReported[instance] != nil }
+
+// Add counts tokens that the leader granted an instance that it knows, until its next
+// report.
+func (t *Totals) Add(instance, team string, granted float64) {
+	increase := Spending{
+		Spent: granted,
+	}
+	t.sums[team] = t.sums[team].plus(increase)
+	t.contributions[instance][team] = t.contributions[instance][team].plus(increase)
+	t.lastReported[instance][team] = t.lastReported[instance][team].plus(increase)
+}
+
 func (s Spending) plus(other Spending) Spending {
 	return Spending{
-		Spent: s.Spent + other.Spent,
-		Asked: s.Asked + other.Asked,
+		Spent:  s.Spent + other.Spent,
+		Asked:  s.Asked + other.Asked,
+		ByRank: combine(s.ByRank, other.ByRank, 1),
 	}
 }
 
 func (s Spending) minus(other Spending) Spending {
 	return Spending{
-		Spent: s.Spent - other.Spent,
-		Asked: s.Asked - other.Asked,
+		Spent:  s.Spent - other.Spent,
+		Asked:  s.Asked - other.Asked,
+		ByRank: combine(s.ByRank, other.ByRank, -1),
+	}
+}
+
+// combine returns the tokens by rank plus others times a factor.
+func combine(ranks, others map[int]float64, factor float64) map[int]float64 {
+	if len(ranks)+len(others) == 0 {
+		return nil
+	}
+	combined := maps.Clone(ranks)
+	if combined == nil {
+		combined = make(map[int]float64, len(others))
+	}
+	for rank, tokens := range others {
+		combined[rank] += factor * tokens
 	}
+	return combined
 }
