--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -92,6 +92,7 @@
 	CallOutsideHomes  = define(353, "callOutsideHomes", log.WarnLevel, "A call was refused because no failure domain of the fleet lies in the regions that its route and team both allow.")
 	HomesUnknown      = define(354, "homesUnknown", log.WarnLevel, "The configuration names homes that are no region of the settings; empty ones are ignored, to the others no call is sent.")
 	EvacuationIgnored = define(352, "evacuationIgnored", log.WarnLevel, "An operators' record evacuates a failure domain that the settings don't list.")
+	TokensDivided     = define(360, "tokensDivided", log.InfoLevel, "A leader was asked for tokens of a team, as they are more than this instance may give out by itself, and did not answer; this instance's part of them decides.")
 	ServerMalformed   = define(325, "serverSpoiled", log.WarnLevel, "An entry of the list of backend servers is malformed and is not used.")
 
 	ServerLeaving = define(330, "serverLeaving", log.InfoLevel, "A backend server announced that it leaves, while the server list has it as ready; it gets no new work until it is started anew.")
