--- a/fleet.go
+++ b/fleet.go
@@ -197,6 +197,19 @@
 	Brittle             bool
 	RejectionsPerSecond float64
 	BrittleEnded        bool
+	// Load is what the server says of its load; zero if the answer says nothing.
+	Load ServerLoadReport
+}
+
+// ServerLoadReport is what a backend server says of its load at the moment of an answer.
+type ServerLoadReport struct {
+	// Running and Waiting count its calls, and Slots those that it runs at once.
+	Running int
+	Waiting int
+	Slots   int
+	// TimeFactor is the time that work takes there relative to usual; 0 if it is not
+	// said.
+	TimeFactor float64
 }
 
 // BackendAnswer is a backend server's answer whose body is not read yet.
