Learn each server's pace and room, and use them for choice and placement

Each board learns from what servers say of their load, or else from answers' times, how long work takes on each server (pace), and from late answers and rejections how many calls it takes (room). Instances report observations in the exchange, and the leader tells paces that changed; all fields are optional. dispatch.Wait multiplies work by the pace and adds a cost beyond the room, faster servers are ranked first, and the leader prefers them for adapters. A server that is known to be slow counts as silent later. Metrics server_pace and server_room, events 368 and 369.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -92,6 +92,8 @@
 	permits permitDesk
 	// rooms has the calls that may be under way at these servers, as logged last.
 	rooms map[string]int
+	// loggedPaces has the paces of the domain's servers that were logged last.
+	loggedPaces map[string]loggedPace
 	// nextModelLoadAt is when the next base model load may start.
 	nextModelLoadAt time.Time
 	// readyMarkedAt is the time up to which loaded adapters were marked ready.
@@ -124,6 +126,8 @@
 		loads:   fleet.NewLoadTotals(),
 		members: map[string]*member{},
 		waiting: map[string]int{},
+
+		loggedPaces: map[string]loggedPace{},
 	}
 }
 
@@ -292,6 +296,7 @@
 	l.table.Pauses = l.Board.Pauses(now)
 	l.table.ActiveLeaders = l.AnsweringDomains()
 	l.table.Speeds = l.Board.Speeds("")
+	l.updatePaces(now)
 	instances, _ := l.countInstances(now)
 	l.table.RecentUseWindow = recentUseIntervals * exchangeInterval(int(instances))
 	for adapter, version := range l.Board.DeclaredVersions() {
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -303,6 +303,10 @@
 		Brittle:          brittlenessToProto(m.Board.Brittlenesses(m.Domain), m.Clock()),
 	}
 	m.addUnpermitted(request.Uses)
+	if address != m.Address {
+		request.Paces = pacesToProto(m.Board.TakePaceReports(m.Domain), m.Clock())
+		request.PaceVersion = m.Board.LeaderPaceVersion(m.Domain, m.Clock())
+	}
 	if request.WithSpending {
 		request.Spending = spendingToProto(m.Ledger.Spending())
 	}
@@ -329,6 +333,10 @@
 	if m.Relays != nil {
 		m.Relays.SetRelays(reply.Relays)
 	}
+	if address != m.Address {
+		full := request.PaceVersion == 0 || request.Leader != reply.Leader
+		m.Board.SetLeaderPaces(m.Domain, pacesFromReply(reply), full, reply.PaceVersion, m.Clock())
+	}
 	m.applyReply(reply, relayRequested && address != m.Address, serverVersion == 0)
 }
 
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -147,6 +147,7 @@
 	l.notices().RecordLeaving(leavingFromProto(request.Leaving), request.Name)
 	l.notices().RecordLimits(limitsFromProto(request.Limits, now), request.Name)
 	l.notices().RecordBrittleness(brittlenessFromProto(request.Brittle, now), request.Name)
+	l.Board.MergePaces(pacesFromProto(request.Paces, now), now)
 	l.permits.setUnpermitted(request.Instance, unpermittedFromProto(request.Uses))
 	l.table.MarkReady(l.readyMarkedAt, now)
 	l.readyMarkedAt = now
@@ -163,6 +164,11 @@
 	if request.WithSpending {
 		reply.Spending = spendingToProto(l.totals.Others(request.Instance))
 	}
+	pacesSince := request.PaceVersion
+	if request.Leader != l.term() {
+		pacesSince = 0
+	}
+	reply.Paces, reply.PaceVersion = l.changedPaces(pacesSince)
 	reply.Instances, reply.Known = l.countInstances(now)
 	if request.Relay {
 		l.addRelay(pomelospring.TopicPosition{
--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -27,6 +28,17 @@
 	// on. It keeps calls of one adapter on few of its workers until the wait there
 	// is longer: this frees slots on the others and raises prefix cache hits.
 	rankCost = 100 * time.Millisecond
+	// crowdingCost is what the first call beyond a server's room adds to its wait, and
+	// maxCrowdingCost the most that calls beyond it add.
+	crowdingCost    = 10 * time.Millisecond
+	maxCrowdingCost = time.Second
+	// lateFactor is how many times longer than expected an answer takes that is late, and
+	// minLateness by how much longer it takes at least.
+	lateFactor  = 3
+	minLateness = 50 * time.Millisecond
+	// paceClassStep is the factor between the classes of paces by which servers are
+	// ranked.
+	paceClassStep = 1.5
 )
 
 // Candidate is a backend server that could take the call.
@@ -52,6 +64,38 @@
 	// Brittle is set if the server falls over under rejections, so that each call needs a
 	// permit.
 	Brittle bool
+	// Pace is the time that work takes there relative to usual; 0 if unknown.
+	Pace float64
+	// Room is how many calls it takes without becoming late; 0 if unknown.
+	Room int
+}
+
+// crowding is the cost of a call beyond the candidate's room, more the further beyond.
+func (c Candidate) crowding() time.Duration {
+	beyond := c.Running + 1 - c.Room
+	if c.Room <= 0 || beyond <= 0 {
+		return 0
+	}
+	return min(maxCrowdingCost, time.Duration(beyond*beyond)*crowdingCost)
+}
+
+// LateAfter returns how long the answer of a candidate, or its first output, may take before
+// it is late: well over what it was expected to, and over what noise causes.
+func LateAfter(candidate Candidate, requirements Requirements) time.Duration {
+	expected := candidate.AtPace(requirements.Speeds.PlainCallTime())
+	if requirements.Model {
+		uncached := max(0, requirements.PromptTokens-candidate.CachedTokens)
+		expected = candidate.AtPace(requirements.Speeds.PrefillTime(candidate.WaitingTokens + uncached))
+	}
+	return lateFactor*expected + minLateness
+}
+
+// AtPace returns how long work takes at the candidate that usually takes a time.
+func (c Candidate) AtPace(usual time.Duration) time.Duration {
+	if c.Pace <= 0 {
+		return usual
+	}
+	return time.Duration(float64(usual) * c.Pace)
 }
 
 // Requirements describes a call and the instance that sends it.
@@ -163,16 +207,18 @@
 	return level
 }
 
-// rankCandidates ranks the candidates of the own domain before the others, and
-// each group by a hash of the affinity and the server, so that the instances of a
-// domain agree without communicating; without affinity all ranks are 0.
+// rankCandidates ranks the candidates of the own domain before the others, faster
+// ones before slower ones, and each group by a hash of the affinity and the server, so
+// that the instances of a domain agree without communicating; without affinity all
+// ranks are 0.
 func rankCandidates(candidates []Candidate, requirements Requirements) []int {
 	ranks := make([]int, len(candidates))
 	if requirements.Affinity == "" {
 		return ranks
 	}
-	hashes := make([]uint64, len(candidates))
+	hashes, classes := make([]uint64, len(candidates)), make([]int, len(candidates))
 	for i, candidate := range candidates {
+		classes[i] = paceClass(candidate.Pace)
 		hashes[i] = xxhash.Sum64String(requirements.Affinity + "|" + candidate.Server.ID)
 	}
 	order := make([]int, len(candidates))
@@ -187,7 +233,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(hashes[y], hashes[x]), cmp.Compare(x, y))
+		return cmp.Or(cmp.Compare(classes[x], classes[y]), cmp.Compare(hashes[y], hashes[x]), cmp.Compare(x, y))
 	})
 	for rank, i := range order {
 		ranks[i] = rank
@@ -195,23 +241,31 @@
 	return ranks
 }
 
+// paceClass returns the class of a pace, 0 for the usual one and less for faster servers,
+// so that instances that know slightly different paces rank servers alike.
+func paceClass(pace float64) int {
+	if pace <= 0 {
+		return 0
+	}
+	return int(math.Round(math.Log(pace) / math.Log(paceClassStep)))
+}
+
 // Wait estimates the time until a candidate's first output, plus penalties for
 // its failure rate and for another failure domain.
 func Wait(candidate Candidate, requirements Requirements) time.Duration {
-	var distance time.Duration
+	penalty := candidate.crowding()
 	if candidate.Server.Domain != requirements.Domain {
-		distance = crossDomainCost
+		penalty += crossDomainCost
 	}
 	if !requirements.Model {
 		slots := max(1, candidate.Server.Slots)
 		queued := time.Duration(float64(requirements.Speeds.PlainCallTime()) * float64(candidate.Running+1) / float64(slots))
-		return candidate.TurnWait + queued + distance + time.Duration(candidate.FailureRate*float64(plainFailureCost))
+		return candidate.TurnWait + candidate.AtPace(queued) + penalty + time.Duration(candidate.FailureRate*float64(plainFailureCost))
 	}
 	uncached := max(0, requirements.PromptTokens-candidate.CachedTokens)
 	return candidate.TurnWait +
-		requirements.Speeds.PrefillTime(candidate.WaitingTokens+uncached) +
-		time.Duration(candidate.Running)*runningCallCost +
-		distance +
+		candidate.AtPace(requirements.Speeds.PrefillTime(candidate.WaitingTokens+uncached)+time.Duration(candidate.Running)*runningCallCost) +
+		penalty +
 		time.Duration(candidate.FailureRate*float64(failureCost))
 }
 
--- a/dispatch/choice_test.go
+++ b/dispatch/choice_test.go
@@ -87,6 +87,51 @@
 			requirements: plain,
 			want:         "b",
 		},
+		{
+			name: "the faster server",
+			candidates: []dispatch.Candidate{
+				candidate("a", "north", func(c *dispatch.Candidate) { c.Pace = 1.3 }),
+				candidate("b", "north", func(c *dispatch.Candidate) { c.Pace = 0.5 }),
+			},
+			requirements: model,
+			want:         "b",
+		},
+		{
+			name: "a slower server without a queue",
+			candidates: []dispatch.Candidate{
+				candidate("a", "north", func(c *dispatch.Candidate) { c.Pace = 1.3 }),
+				candidate("b", "north", func(c *dispatch.Candidate) { c.Pace, c.WaitingTokens = 0.5, 40000 }),
+			},
+			requirements: model,
+			want:         "a",
+		},
+		{
+			name: "the faster server of a service without a model",
+			candidates: []dispatch.Candidate{
+				candidate("a", "north", func(c *dispatch.Candidate) { c.Running = 2 }),
+				candidate("b", "north", func(c *dispatch.Candidate) { c.Running, c.Pace = 2, 0.5 }),
+			},
+			requirements: plain,
+			want:         "b",
+		},
+		{
+			name: "a server with room",
+			candidates: []dispatch.Candidate{
+				candidate("a", "north", func(c *dispatch.Candidate) { c.Running, c.Room = 8, 4 }),
+				candidate("b", "north", func(c *dispatch.Candidate) { c.Running = 9 }),
+			},
+			requirements: model,
+			want:         "b",
+		},
+		{
+			name: "the least beyond its room",
+			candidates: []dispatch.Candidate{
+				candidate("a", "north", func(c *dispatch.Candidate) { c.Running, c.Room = 12, 4 }),
+				candidate("b", "north", func(c *dispatch.Candidate) { c.Running, c.Room = 12, 10 }),
+			},
+			requirements: model,
+			want:         "b",
+		},
 	}
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/pomelospring/pomelospring"
 	"github.com/pomelospring/pomelospring/dispatch"
 	"github.com/pomelospring/pomelospring/events"
+	"github.com/pomelospring/pomelospring/fleet"
 )
 
 const (
@@ -55,6 +56,9 @@
 	sentAt time.Time
 	queued bool
 	ended  bool
+	// lateAfter is how long the first output, or the whole of another answer, may take
+	// before it is late.
+	lateAfter time.Duration
 	// resumes is set if the server was asked to go on after the last event.
 	resumes bool
 	// outcome is how the call ended for the server's permit.
@@ -69,10 +73,33 @@
 	watchdog watchdog
 }
 
+// recordTime records whether the server was late, as of its other calls then.
+func (a *attempt) recordTime(took, limit time.Duration) {
+	c := a.session
+	c.service.Board.RecordTimedAnswer(a.server.ID, fleet.TimedAnswer{
+		Calls: a.choice.Candidate.Running + 1,
+		Took:  took,
+		Limit: limit,
+	}, c.service.Clock())
+}
+
+// recordPlainAnswer records how long a sound answer of a service without a model took.
+func (a *attempt) recordPlainAnswer() {
+	c := a.session
+	now := c.service.Clock()
+	took := now.Sub(a.sentAt)
+	a.recordTime(took, a.lateAfter)
+	if !a.queued {
+		c.service.Board.RecordPlainAnswerTime(a.server.ID, c.targetService, took, now)
+	}
+}
+
 // recordFirstOutput records that the prefill is done.
 func (a *attempt) recordFirstOutput() {
+	a.recordTime(a.session.service.Clock().Sub(a.sentAt), a.lateAfter)
 	if !a.queued {
-		a.session.service.Board.RecordPrefill(a.prefillTokens, a.session.service.Clock().Sub(a.sentAt))
+		now := a.session.service.Clock()
+		a.session.service.Board.RecordAnswerTime(a.server.ID, a.prefillTokens, now.Sub(a.sentAt), now)
 	}
 	a.session.service.Board.RecordFirstOutput(a.server.ID, a.session.call.Adapter, a.prefillTokens, a.session.call.Parts, a.session.service.Clock())
 	a.prefillTokens = 0
@@ -113,8 +140,8 @@
 	if len(body) <= maxBodyBytes {
 		a.recordWhole(answer)
 	}
-	if !failed && !a.queued && c.limits == nil {
-		c.service.Board.RecordPlainCall(c.targetService, c.service.Clock().Sub(a.sentAt))
+	if !failed && c.limits == nil {
+		a.recordPlainAnswer()
 	}
 	a.end(answer.Status >= http.StatusInternalServerError)
 	c.avoid[a.server.ID] = true
@@ -311,6 +338,9 @@
 func (a *attempt) finishStream(answer *pomelospring.BackendAnswer, rest []byte) (done bool) {
 	c := a.session
 	a.recordWhole(answer)
+	if c.longestPause > 0 {
+		a.recordTime(c.longestPause, c.route.PauseTarget)
+	}
 	a.end(false)
 	if !c.forwarded {
 		c.beginStream(answer)
--- a/entry/run.go
+++ b/entry/run.go
@@ -246,7 +246,7 @@
 		Deadline: now.Add(replicaRequestTimeout),
 	}
 	switch {
-	case s.Board.Speeds("").PrefillTime(choice.Candidate.WaitingTokens) > replicaQueueThreshold:
+	case choice.Candidate.AtPace(s.Board.Speeds("").PrefillTime(choice.Candidate.WaitingTokens)) > replicaQueueThreshold:
 		request.Replica = true
 	case choice.Candidate.Server.Domain != s.Board.Domain && s.Board.DomainDemand(adapter, now) > localCopyDemand:
 		request.Optional, request.OwnDomain, request.AtOnce = true, true, true
@@ -324,6 +324,7 @@
 		server:        server,
 		prefillTokens: max(0, c.call.PromptTokens-choice.Candidate.CachedTokens),
 		sentAt:        c.service.Clock(),
+		lateAfter:     dispatch.LateAfter(choice.Candidate, c.requirements()),
 		queued:        choice.Candidate.WaitingTokens > 0 || c.limits == nil && choice.Candidate.Running >= server.Slots,
 	}
 }
@@ -457,6 +458,9 @@
 func (a *attempt) handleRejection(ctx context.Context, answer *pomelospring.BackendAnswer) (done bool) {
 	c, server := a.session, a.server
 	a.end(!answer.Misdirected)
+	if !answer.Misdirected && !answer.Notice.Leaving {
+		c.service.Board.RecordRejection(server.ID, max(answer.Notice.Load.Running, a.choice.Candidate.Running), c.service.Clock())
+	}
 	c.avoid[server.ID] = true
 	if answer.Misdirected && c.call.NeedsAdapter() {
 		c.missing[server.ID] = true
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -23,6 +23,8 @@
 	// route's latency target.
 	minFirstEventTimeout = 2500 * time.Millisecond
 	firstEventTargets    = 2.5
+	// maxPacePatience bounds how many times longer a slow server may send nothing.
+	maxPacePatience = 2
 	// watchdogInterval is how often an attempt checks whether its server's failure
 	// domain has been cut off.
 	watchdogInterval = 400 * time.Millisecond
@@ -65,7 +67,7 @@
 	if c.route.Streaming && !c.mayExecuteAgain() {
 		return
 	}
-	idleTimeout := c.firstEventTimeout()
+	idleTimeout := a.idleTimeout()
 	w := &a.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -89,6 +91,16 @@
 	return max(minFirstEventTimeout, time.Duration(firstEventTargets*float64(c.route.Target)))
 }
 
+// idleTimeout is firstEventTimeout at the pace of the attempt's server: one that is known to
+// be slow isn't silent yet.
+func (a *attempt) idleTimeout() time.Duration {
+	timeout := a.session.firstEventTimeout()
+	if !a.session.route.Streaming {
+		return timeout
+	}
+	return max(timeout, min(a.choice.Candidate.AtPace(timeout), maxPacePatience*timeout))
+}
+
 // checkWatchdog starts a takeover if the server is silent, and schedules the next
 // check.
 func (a *attempt) checkWatchdog(ctx context.Context) {
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -87,6 +87,8 @@
 	PathWhole         = define(343, "pathWhole", log.InfoLevel, "This instance connects to a backend server again; brokenMs tells for how long it could not.")
 	CallSentThrough   = define(344, "callSentThrough", log.InfoLevel, "A call was sent to a backend server through another instance, as this one can't connect to the server; with an error, sent says whether the call may have reached the server.")
 	RelayRefused      = define(345, "relayRefused", log.InfoLevel, "This instance did not send a call for another one; nothing reached the backend server.")
+	ServerPaceChanged = define(368, "serverPaceChanged", log.InfoLevel, "The time that work takes on a backend server, relative to usual (1), changed by 1.3 times or more; of its domain's leader, every 2 s at most for a server.")
+	ServerRoomChanged = define(369, "serverRoomChanged", log.InfoLevel, "The number of calls that a backend server takes without becoming late, as this instance learned it, changed by 1.5 times or more; every 5 s at most for a server.")
 	ServerMalformed   = define(325, "serverSpoiled", log.WarnLevel, "An entry of the list of backend servers is malformed and is not used.")
 
 	ServerLeaving = define(330, "serverLeaving", log.InfoLevel, "A backend server announced that it leaves, while the server list has it as ready; it gets no new work until it is started anew.")
--- a/fleet/board.go
+++ b/fleet/board.go
@@ -72,6 +72,14 @@
 	// duration of a call by service.
 	prefill    dispatch.Speeds
 	plainCalls map[string]time.Duration
+	// paces has how fast servers are, and leaderPaces what the leader of each failure
+	// domain last told of that.
+	paces       *Paces
+	leaderPaces map[string]*leaderPaces
+	rooms       *Rooms
+	// ratioQuantiles has the measuredQuantile of the times of answers to their average, by
+	// service, as in plainCalls.
+	ratioQuantiles map[string]float64
 	// instances is how many instances share the backend servers; reportAge is
 	// the average age of what they report of their load.
 	instances int
@@ -111,6 +119,11 @@
 		evidence:      map[string]*cutOffEvidence{},
 		paths:         map[string]*path{},
 		plainCalls:    map[string]time.Duration{},
+		paces:         NewPaces(),
+		leaderPaces:   map[string]*leaderPaces{},
+		rooms:         NewRooms(),
+
+		ratioQuantiles: map[string]float64{},
 	}
 }
 
@@ -203,6 +216,7 @@
 	b.endLimits(servers, readAt)
 	b.endPaths(servers)
 	b.endBrittleness(servers, readAt)
+	b.endPaces(servers)
 	versionBefore := b.serverVersion
 	for id, server := range servers {
 		if before, known := b.servers[id]; !known || !before.Equivalent(&server) {
--- a/fleet/candidates_bench_test.go
+++ b/fleet/candidates_bench_test.go
@@ -63,13 +63,17 @@
 		leaving int
 		// limited is one in how many servers names a limit and has no turn for long.
 		limited int
+		// differing is set if the servers' paces differ and their rooms are known.
+		differing bool
 	}{
 		{name: "adapter", adapter: "m/a17"},
 		{name: "adapter, every other server pauses, every tenth leaves", adapter: "m/a17", pausing: 2, leaving: 10},
 		{name: "adapter, all servers pause", adapter: "m/a17", pausing: 1},
 		{name: "adapter, every other server names a limit", adapter: "m/a17", limited: 2},
 		{name: "adapter, all servers name limits", adapter: "m/a17", limited: 1},
+		{name: "adapter, servers differ", adapter: "m/a17", differing: true},
 		{name: "model", adapter: "m"},
+		{name: "model, servers differ", adapter: "m", differing: true},
 		{name: "model, every other server pauses, every tenth leaves", adapter: "m", pausing: 2, leaving: 10},
 		{name: "model, all servers pause", adapter: "m", pausing: 1},
 		{name: "model, every other server names a limit", adapter: "m", limited: 2},
@@ -78,6 +82,7 @@
 	for _, scenario := range scenarios {
 		b.Run(scenario.name, func(b *testing.B) {
 			board := benchedBoard()
+			paces := map[string]float64{}
 			for i := range benchedServers {
 				id := fmt.Sprintf("i-%05d", i)
 				if scenario.pausing > 0 && i%scenario.pausing == 0 {
@@ -90,6 +95,13 @@
 					board.RecordLimit(fleet.ServerLimit{Server: id, Started: start, PerSecond: 1, At: start}, start)
 					board.RecordNextTurn(id, start.Add(time.Minute))
 				}
+				if scenario.differing {
+					paces[id] = 0.5 + float64(i%10)/10
+					board.RecordRejection(id, 5, start)
+				}
+			}
+			for d := range benchedDomains {
+				board.SetLeaderPaces(fmt.Sprintf("d%d", d), paces, true, 1, start)
 			}
 			call := &pomelospring.Call{ID: "r", Adapter: scenario.adapter, PromptTokens: 1000}
 			requirements := dispatch.Requirements{Domain: "d0", PromptTokens: 1000, Model: true}
--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -18,6 +18,7 @@
 
 // Record applies what a server announced in an answer to this instance.
 func (n Notices) Record(server pomelospring.FleetServer, notice pomelospring.ServerNotice) {
+	n.Board.RecordLoadReport(server.ID, notice.Load, n.Clock())
 	if notice.Leaving {
 		n.RecordLeaving([]LeavingServer{{
 			ID:      server.ID,
--- a/fleet/server_load.go
+++ b/fleet/server_load.go
@@ -229,6 +229,8 @@
 		Version:       version,
 		WaitingTokens: othersLoad.WaitingTokens,
 		Running:       othersLoad.Running,
+		Pace:          b.paceOf(id, now),
+		Room:          b.rooms.Of(id, server.Slots, now),
 	}
 	candidate.TurnWait, candidate.Limited = b.turnWait(id, now)
 	candidate.Brittle = b.isBrittle(&server)
--- a/front/front.go
+++ b/front/front.go
@@ -429,6 +429,7 @@
 	addLoop(&group, f.blockKeeper().Run)
 	addLoop(&group, f.origins.Run)
 	addLoop(&group, f.directory.Run)
+	addLoop(&group, f.speedReporter().Run)
 	addLoop(&group, f.operatorFollower().Run)
 	addLoop(&group, f.serverFollower().Run)
 	addLoop(&group, f.watchSettings)
@@ -455,6 +456,15 @@
 	}
 }
 
+func (f *Front) speedReporter() *fleet.SpeedReporter {
+	return &fleet.SpeedReporter{
+		Board:   f.board,
+		Metrics: f.metrics,
+		Logger:  f.logger,
+		Clock:   f.clock,
+	}
+}
+
 func (f *Front) blockKeeper() *coordination.BlockKeeper {
 	return &coordination.BlockKeeper{
 		Store:       f.store,
--- a/loading/placement_table.go
+++ b/loading/placement_table.go
@@ -49,6 +49,9 @@
 	// reported server load includes the request.
 	assignmentCost     = 120 * time.Millisecond
 	assignmentHalfLife = 400 * time.Millisecond
+	// ownWorkCost is the usual time of a prompt, that of the call which an adapter is loaded
+	// for.
+	ownWorkCost = 2 * assignmentCost
 	// planRetryDelay is the time until the next attempt after no plan was
 	// possible.
 	planRetryDelay = 20 * time.Millisecond
@@ -105,6 +108,9 @@
 	Pauses map[string]time.Time
 	// Speeds are the learned speeds of the workers.
 	Speeds dispatch.Speeds
+	// Paces are the times that work takes on workers relative to usual, of those that
+	// differ from it.
+	Paces map[string]float64
 	// Revision increases with each change of the workers' residency.
 	Revision int64
 }
--- a/loading/placement_table_test.go
+++ b/loading/placement_table_test.go
@@ -429,3 +429,31 @@
 		}
 	}
 }
+
+// TestPlanPrefersFasterWorkers guards against loads on workers where work takes longer, and
+// against all loads on those where it takes less.
+func TestPlanPrefersFasterWorkers(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		paces   map[string]float64
+		waiting int64
+		want    string
+	}{
+		{name: "alike", want: "a"},
+		{name: "the first one is slow", paces: map[string]float64{"a": 1.3}, want: "b"},
+		{name: "the second one is fast", paces: map[string]float64{"b": 0.5}, want: "b"},
+		{name: "the fast one is busy", paces: map[string]float64{"b": 0.5}, waiting: 60000, want: "a"},
+		{name: "all are slow", paces: map[string]float64{"a": 4, "b": 4}, want: "a"},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			table := workers(report(1), report(1))
+			table.Paces = scenario.paces
+			table.SetServerLoad("b", 0, scenario.waiting, nil, start)
+			plan := table.Plan(request("m/new"), start)
+			if diff := cmp.Diff(scenario.want, plan.Server.ID); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -287,9 +287,13 @@
 // cost estimates the time until the first output of the adapter on a worker.
 func (t *PlacementTable) cost(w *worker, request pomelospring.PlacementRequest, now time.Time) time.Duration {
 	cost := t.loadTime(w, request.Adapter)
-	cost += t.Speeds.PrefillTime(w.waitingTokens)
-	cost += time.Duration(w.running) * time.Millisecond
-	cost += time.Duration(w.assignmentWeight(now) * float64(assignmentCost))
+	work := t.Speeds.PrefillTime(w.waitingTokens)
+	work += time.Duration(w.running) * time.Millisecond
+	work += time.Duration(w.assignmentWeight(now) * float64(assignmentCost))
+	if pace, found := t.Paces[w.server.ID]; found {
+		work = time.Duration(float64(work+ownWorkCost)*pace) - ownWorkCost
+	}
+	cost += work
 	if w.server.Domain != request.Domain {
 		cost += remoteDomainCost
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -70,6 +70,16 @@
 	}).Counter("requests_refused").Inc(1)
 }
 
+// ServerSpeed sets how long work takes on a server, relative to usual, and how many calls it
+// takes.
+func (m *Metrics) ServerSpeed(server string, pace float64, room int) {
+	scope := m.scope.Tagged(map[string]string{
+		"server": server,
+	})
+	scope.Gauge("server_pace").Update(pace)
+	scope.Gauge("server_room").Update(float64(room))
+}
+
 // StoreCalled counts a call to the platform's store by its kind and outcome.
 func (m *Metrics) StoreCalled(kind, outcome string) {
 	m.scope.Tagged(map[string]string{
