--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -93,6 +93,8 @@
 	HomesUnknown      = define(354, "homesUnknown", log.WarnLevel, "The configuration names homes that are no region of the settings; empty ones are ignored, to the others no call is sent.")
 	EvacuationIgnored = define(352, "evacuationIgnored", log.WarnLevel, "An operators' record evacuates a failure domain that the settings don't list.")
 	TokensDivided     = define(360, "tokensDivided", log.InfoLevel, "A leader was asked for tokens of a team, as they are more than this instance may give out by itself, and did not answer; this instance's part of them decides.")
+	ServerPaceChanged = define(368, "serverPaceChanged", log.InfoLevel, "The time that work takes on a backend server, relative to usual (1), changed by 1.3 times or more; of its domain's leader, every 2 s at most for a server.")
+	ServerRoomChanged = define(369, "serverRoomChanged", log.InfoLevel, "The number of calls that a backend server takes without becoming late, as this instance learned it, changed by 1.5 times or more; every 5 s at most for a server.")
 	ServerMalformed   = define(325, "serverSpoiled", log.WarnLevel, "An entry of the list of backend servers is malformed and is not used.")
 
 	ServerLeaving = define(330, "serverLeaving", log.InfoLevel, "A backend server announced that it leaves, while the server list has it as ready; it gets no new work until it is started anew.")
