--- a/fleet/regions.go
+++ b/fleet/regions.go
@@ -18,7 +18,7 @@
 
 // InHomes reports whether a failure domain lies in one of a call's homes.
 func (b *Board) InHomes(homes pomelospring.Homes, domain string) bool {
-	return homes.Allow(b.Regions[domain])
+	return homes == nil || homes.Allow(b.Regions[domain])
 }
 
 // logUnknownHomes logs the homes of a configuration that name no region of the fleet.
