--- a/entry/answer_beginning.go
+++ b/entry/answer_beginning.go
@@ -12,11 +12,13 @@
 // event of a stream, else the whole body or the beginning of a long one. A silent
 // server is not given up for an answer that breaks off before.
 func (c *session) begun(answer *pomelospring.BackendAnswer) (*pomelospring.BackendAnswer, error) {
-	read := readComplete
+	var beginning []byte
+	var err error
 	if c.route.Streaming {
-		read = readFirstEvent
+		beginning, err = readFirstEvent(answer)
+	} else {
+		beginning, _, err = readComplete(c.call.Memory, answer)
 	}
-	beginning, err := read(answer)
 	if err != nil {
 		_ = answer.Body.Close()
 		return nil, err
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -102,7 +102,7 @@
 	c := a.session
 	// A partly forwarded stream can't continue with an answer that isn't a stream.
 	failed := answer.Status >= http.StatusInternalServerError || c.forwarded
-	body, err := readComplete(answer)
+	body, whole, err := readComplete(c.call.Memory, answer)
 	if err == nil && !failed && !a.claim() {
 		err = errTakenOver
 	}
@@ -110,7 +110,7 @@
 		a.recordBreak(ctx)
 		return a.handleBrokenAnswer(ctx, err)
 	}
-	if len(body) <= maxBodyBytes {
+	if whole {
 		a.recordWhole(answer)
 	}
 	if !failed && !a.queued && c.limits == nil {
@@ -119,10 +119,10 @@
 	a.end(answer.Status >= http.StatusInternalServerError)
 	c.avoid[a.server.ID] = true
 	c.successor = a.settle()
-	if failed && a.replaceFailure(ctx, answer, body) {
+	if failed && a.replaceFailure(ctx, answer, body, whole) {
 		return false
 	}
-	if len(body) > maxBodyBytes && !c.forwarded {
+	if !whole && !c.forwarded {
 		return a.forwardLong(ctx, answer, body)
 	}
 	if c.forwarded {
@@ -135,9 +135,14 @@
 	return true
 }
 
-// readComplete reads an answer to its end, or more than maxBodyBytes of it.
-func readComplete(answer *pomelospring.BackendAnswer) (body []byte, err error) {
-	body, err = io.ReadAll(io.LimitReader(answer.Body, maxBodyBytes+1))
+// readComplete reads an answer to its end. One that is longer than maxBodyBytes, or that
+// finds no memory, is read only in part and isn't whole.
+func readComplete(memory pomelospring.Memory, answer *pomelospring.BackendAnswer) (body []byte, whole bool, err error) {
+	body, err = pomelospring.ReadGranted(memory, io.LimitReader(answer.Body, maxBodyBytes+1), answer.Length)
+	whole = err == nil && len(body) <= maxBodyBytes
+	if errors.Is(err, pomelospring.ErrNoMemory) {
+		err = nil
+	}
 	switch {
 	case err != nil:
 	case answer.Status < http.StatusOK:
@@ -145,18 +150,17 @@
 	case answer.Status < http.StatusMultipleChoices && !answer.Signed:
 		err = errors.New("the answer has no signature")
 	}
-	return body, err
+	return body, whole, err
 }
 
 // replaceFailure reports whether another attempt follows one that got a failed
 // answer, which is kept in case that the other attempt fails too.
-func (a *attempt) replaceFailure(ctx context.Context, answer *pomelospring.BackendAnswer, body []byte) bool {
+func (a *attempt) replaceFailure(ctx context.Context, answer *pomelospring.BackendAnswer, body []byte, whole bool) bool {
 	c := a.session
-	isLong := len(body) > maxBodyBytes
-	if c.successor == nil && (isLong && !c.forwarded || ctx.Err() != nil || !c.mayRetry(false)) {
+	if c.successor == nil && (!whole && !c.forwarded || ctx.Err() != nil || !c.mayRetry(false)) {
 		return false
 	}
-	if !isLong {
+	if whole {
 		c.failure, c.failureBody, c.failureServer = answer, body, a.server
 	}
 	c.logRetry(a.server, http.StatusText(answer.Status), true)
--- a/fleet.go
+++ b/fleet.go
@@ -113,6 +113,8 @@
 	Arrived time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Memory grants memory for what the call holds beside its body; nil grants all.
+	Memory Memory
 }
 
 // Model returns the base model of the call.
--- a/front/front.go
+++ b/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/pomelospring/pomelospring/entry"
 	"github.com/pomelospring/pomelospring/events"
 	"github.com/pomelospring/pomelospring/fleet"
+	"github.com/pomelospring/pomelospring/intake"
 	"github.com/pomelospring/pomelospring/metrics"
 	"github.com/pomelospring/pomelospring/origin"
 	"github.com/pomelospring/pomelospring/peer"
@@ -43,13 +44,11 @@
 	// time that the relay through the leader adds, it keeps within the two seconds
 	// after which a leaving server must receive no more requests.
 	serverReadInterval = 500 * time.Millisecond
-	// headerTimeout limits the time to read a request's header.
+	// headerTimeout limits the time to read a request's header, on the listeners that
+	// aren't for callers.
 	headerTimeout = 10 * time.Second
-	// idleTimeout closes callers' idle connections. The platform's own limit is
-	// lower in the known configurations, so callers close theirs first.
-	idleTimeout = 65 * time.Second
-	// maxHeaderBytes limits the size of a request's header, in bytes.
-	maxHeaderBytes = 64 << 10
+	// maxCallerTime bounds the times that a configuration gives callers.
+	maxCallerTime = time.Hour
 	// deregistrationTime is how long new connections may still arrive after the
 	// readiness check starts to fail: the load balancer polls it once a second and
 	// acts on the second failure.
@@ -100,6 +99,8 @@
 	home     *coordination.Member
 	instance string
 	ingress  *platform.Ingress
+	machine  intake.Machine
+	callers  *intake.Account
 	metrics  *metrics.Metrics
 	service  *entry.Service
 	server   *coordination.Server
@@ -200,6 +201,8 @@
 		RetrySlack: config.Bounds.RetrySlack / assumedInstances,
 	}
 	f.retrySlack.Store(&config.Bounds.RetrySlack)
+	f.machine = intake.NewMachine(config.MemoryMB, config.MaxDescriptors)
+	f.callers = intake.NewAccount(f.machine, f.limits, logger, clock)
 	f.ingress = &platform.Ingress{
 		Serve:  f.service.Serve,
 		Limits: f.limits,
@@ -400,6 +403,7 @@
 func (f *Front) Run(ctx context.Context) (err error) {
 	defer pomelospring.Annotate(&err, "front %s", f.settings.Name)
 	debug.SetGCPercent(gcPercent)
+	f.machine.LimitRuntime()
 	callers, err := net.Listen("tcp", f.settings.Listen.Callers)
 	if err != nil {
 		return err
@@ -556,13 +560,19 @@
 func (f *Front) addCallers(ctx context.Context, group *run.Group, listener net.Listener) {
 	server := &http.Server{
 		Handler:           f.ingress,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: maxCallerTime,
+		IdleTimeout:       maxCallerTime,
+		MaxHeaderBytes:    intake.MaxHeaderBytes,
 		ErrorLog:          events.NewErrorLog(f.logger),
-		ConnContext:       connection.Remember,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return intake.Remember(connection.Remember(ctx, conn), conn)
+		},
+		ConnState: intake.Follow,
 	}
-	f.addServer(group, server, listener)
+	f.addServer(group, server, &intake.Listener{
+		Listener: listener,
+		Account:  f.callers,
+	})
 	interrupted, interrupt := context.WithCancel(context.Background())
 	group.Add(func() error {
 		select {
--- /dev/null
+++ b/intake/account.go
@@ -0,0 +1,354 @@
+// Package intake bounds what callers hold of an instance: memory, descriptors and time.
+package intake
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/events"
+)
+
+const (
+	// callerMemoryShare is the part of the machine's memory that callers may hold.
+	callerMemoryShare = 0.35
+	// smallShare is the part of the callers' memory that is only for connections that
+	// hold smallBytes or less.
+	smallShare = 0.25
+	smallBytes = 64 << 10
+	// callerDescriptorShare is the part of the descriptors that callers' connections may
+	// take. Each running request takes another one.
+	callerDescriptorShare = 0.4
+	// minBytesPerSecond is the rate at which a request must come on while memory is short,
+	// on average since lagGrace after its beginning.
+	minBytesPerSecond = 16 << 10
+	lagGrace          = 2 * time.Second
+	// grantWait bounds the wait for memory of requests that give way.
+	grantWait = 500 * time.Millisecond
+	// logInterval is the time between log lines of one kind.
+	logInterval = 10 * time.Second
+)
+
+// Machine is what an instance may use.
+type Machine struct {
+	MemoryBytes int64
+	Descriptors int64
+}
+
+// Account is what callers hold of an instance. A connection is charged before the bytes
+// that it brings are used.
+type Account struct {
+	// Limits returns the limits in effect; zero before the first configuration.
+	Limits func() pomelospring.CallerLimits
+	Logger log.Interface
+	Clock  pomelospring.Clock
+
+	bytes       int64
+	smallOnly   int64
+	connections int
+
+	mu sync.Mutex
+	// held is the sum of what all connections and reservations hold, and leaving the part
+	// of connections that were told to give way.
+	held    int64
+	leaving int64
+	conns   map[*Conn]struct{}
+	// freed is closed when something is released.
+	freed  chan struct{}
+	kinds  [kindCount]kindState
+	relays int64
+}
+
+// kind is why callers were refused.
+type kind int
+
+const (
+	kindMemory kind = iota
+	kindConnections
+	kindHead
+	kindCount
+)
+
+var kindEvents = [kindCount]events.Event{
+	kindMemory:      events.CallerMemoryShort,
+	kindConnections: events.CallerConnectionsShort,
+	kindHead:        events.CallerHeadTooLarge,
+}
+
+type kindState struct {
+	count    int64
+	loggedAt time.Time
+	logged   int64
+}
+
+// NewAccount returns an account of the callers' share of a machine.
+func NewAccount(machine Machine, limits func() pomelospring.CallerLimits, logger log.Interface, clock pomelospring.Clock) *Account {
+	share := int64(callerMemoryShare * float64(machine.MemoryBytes))
+	return &Account{
+		Limits:      limits,
+		Logger:      logger,
+		Clock:       clock,
+		bytes:       share,
+		smallOnly:   int64(smallShare * float64(share)),
+		connections: max(1, int(callerDescriptorShare*float64(machine.Descriptors))),
+		conns:       map[*Conn]struct{}{},
+		freed:       make(chan struct{}),
+	}
+}
+
+// Usage is what callers hold, and how many were refused.
+type Usage struct {
+	Bytes       int64
+	BytesLimit  int64
+	Connections int
+	// ConnectionLimit bounds the connections.
+	ConnectionLimit int
+	// RelayedBytes is the part of Bytes that is held for other instances.
+	RelayedBytes int64
+	// MemoryRefusals, ConnectionRefusals and HeadRefusals count those that gave way or were
+	// refused for memory, connections, and a head over its limit.
+	MemoryRefusals     int64
+	ConnectionRefusals int64
+	HeadRefusals       int64
+}
+
+// Usage returns what callers hold now.
+func (a *Account) Usage() Usage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Usage{
+		Bytes:              a.held,
+		BytesLimit:         a.bytes,
+		Connections:        len(a.conns),
+		ConnectionLimit:    a.connections,
+		RelayedBytes:       a.relays,
+		MemoryRefusals:     a.kinds[kindMemory].count,
+		ConnectionRefusals: a.kinds[kindConnections].count,
+		HeadRefusals:       a.kinds[kindHead].count,
+	}
+}
+
+// Reserve charges bytes of a request that another instance sends, which Release frees.
+func (a *Account) Reserve(n int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.fits(0, n) {
+		a.count(kindMemory)
+		return false
+	}
+	a.held += n
+	a.relays += n
+	return true
+}
+
+// Release frees what Reserve charged.
+func (a *Account) Release(n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.relays -= n
+	a.free(n)
+}
+
+func (a *Account) free(n int64) {
+	if n == 0 {
+		return
+	}
+	a.held -= n
+	close(a.freed)
+	a.freed = make(chan struct{})
+}
+
+// fits reports whether one that holds some bytes may hold n more.
+func (a *Account) fits(holds, n int64) bool {
+	limit := a.bytes
+	if holds+n > smallBytes {
+		limit -= a.smallOnly
+	}
+	return a.held+n <= limit
+}
+
+// grow charges a connection with n more bytes. While memory is short, others give way, or
+// the connection is refused.
+func (a *Account) grow(ctx context.Context, c *Conn, n int64) bool {
+	var waited <-chan time.Time
+	for {
+		a.mu.Lock()
+		if c.gaveWay || c.phase.Load() == phaseClosed {
+			a.mu.Unlock()
+			return false
+		}
+		if a.fits(c.held, n) {
+			a.held += n
+			c.held += n
+			a.mu.Unlock()
+			return true
+		}
+		if !a.makeRoom(c, n) {
+			a.count(kindMemory)
+			a.mu.Unlock()
+			return false
+		}
+		freed := a.freed
+		a.mu.Unlock()
+		if waited == nil {
+			waited = time.After(grantWait)
+		}
+		select {
+		case <-freed:
+		case <-waited:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// makeRoom tells others to give way until n more bytes fit for c, and reports whether
+// they will.
+func (a *Account) makeRoom(c *Conn, n int64) bool {
+	lacking := func() bool {
+		a.held -= a.leaving
+		defer func() { a.held += a.leaving }()
+		return !a.fits(c.held, n)
+	}
+	if !lacking() {
+		return true
+	}
+	now := a.Clock()
+	candidates := a.candidates(c, n, now)
+	var room int64
+	for _, other := range candidates {
+		room += other.held
+	}
+	limit := a.bytes
+	if c.held+n > smallBytes {
+		limit -= a.smallOnly
+	}
+	if a.held-a.leaving-room+n > limit {
+		return false
+	}
+	for _, other := range candidates {
+		if !lacking() {
+			break
+		}
+		a.giveWay(other)
+	}
+	return true
+}
+
+// candidates returns the connections that give way before c, in order: those that lag,
+// the slowest first, and the newest of those that hold much.
+func (a *Account) candidates(c *Conn, n int64, now time.Time) (candidates []*Conn) {
+	isSmall := c.held+n <= smallBytes
+	for other := range a.conns {
+		if other == c || other.held == 0 || other.gaveWay || !other.isRead() {
+			continue
+		}
+		if other.lags(now) || other.held > smallBytes && (isSmall || other.since.After(c.since)) {
+			candidates = append(candidates, other)
+		}
+	}
+	slices.SortFunc(candidates, func(x, y *Conn) int {
+		xLags, yLags := x.lags(now), y.lags(now)
+		switch {
+		case xLags && yLags:
+			return cmp.Compare(x.rate(now), y.rate(now))
+		case xLags:
+			return -1
+		case yLags:
+			return 1
+		}
+		return y.since.Compare(x.since)
+	})
+	return candidates
+}
+
+// giveWay tells a connection to give way. Its request is refused if it has one, else it
+// is closed.
+func (a *Account) giveWay(c *Conn) {
+	c.gaveWay = true
+	a.leaving += c.held
+	a.count(kindMemory)
+	c.interrupt()
+}
+
+// admit counts a new connection. While all are taken, another one is closed for it, or
+// it is refused.
+func (a *Account) admit(c *Conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.conns) >= a.connections {
+		a.count(kindConnections)
+		victim := a.mostDispensable(a.Clock())
+		if victim == nil {
+			return false
+		}
+		a.remove(victim)
+		_ = victim.Conn.Close()
+	}
+	a.conns[c] = struct{}{}
+	return true
+}
+
+// mostDispensable returns the connection that is closed for a new one: the longest silent
+// new one, the longest idle one, or the slowest that lags; nil for none.
+func (a *Account) mostDispensable(now time.Time) (victim *Conn) {
+	var victimRank int
+	for c := range a.conns {
+		rank := 0
+		switch c.phase.Load() {
+		case phaseSilent:
+			rank = 3
+		case phaseIdle:
+			rank = 2
+		case phaseHead:
+			if c.lags(now) {
+				rank = 1
+			}
+		}
+		if rank > victimRank || rank > 0 && rank == victimRank && c.since.Before(victim.since) {
+			victim, victimRank = c, rank
+		}
+	}
+	return victim
+}
+
+// remove ends the account of a connection.
+func (a *Account) remove(c *Conn) {
+	if c.phase.Swap(phaseClosed) == phaseClosed {
+		return
+	}
+	delete(a.conns, c)
+	a.empty(c)
+}
+
+// empty frees all that a connection holds.
+func (a *Account) empty(c *Conn) {
+	if c.gaveWay {
+		a.leaving -= c.held
+	}
+	held := c.held
+	c.held = 0
+	a.free(held)
+}
+
+// count counts refusals, and logs the first of a while.
+func (a *Account) count(k kind) {
+	state := &a.kinds[k]
+	state.count++
+	now := a.Clock()
+	if !state.loggedAt.IsZero() && now.Sub(state.loggedAt) < logInterval {
+		return
+	}
+	events.Log(a.Logger, kindEvents[k], log.Fields{
+		"count":       state.count - state.logged,
+		"bytes":       a.held,
+		"bytesLimit":  a.bytes,
+		"connections": len(a.conns),
+	})
+	state.loggedAt, state.logged = now, state.count
+}
--- /dev/null
+++ b/intake/body.go
@@ -0,0 +1,57 @@
+package intake
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+)
+
+// ReadBody reads a request's body, of a length that is negative if unknown, as its memory
+// is granted. The request is charged until its connection is idle or closed; memory is
+// what it may ask for more.
+func ReadBody(ctx context.Context, body io.Reader, length int64) (content []byte, memory pomelospring.Memory, err error) {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	if c == nil {
+		content, err = pomelospring.ReadGranted(nil, body, length)
+		return content, nil, err
+	}
+	c.begin(phaseBody)
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	g := grant{
+		ctx:  ctx,
+		conn: c,
+	}
+	if !g.Grow(requestBytes) {
+		return nil, nil, pomelospring.ErrNoMemory
+	}
+	if content, err = pomelospring.ReadGranted(g, body, length); err != nil {
+		if c.hasGivenWay() {
+			err = pomelospring.ErrNoMemory
+		}
+		return nil, nil, err
+	}
+	if !c.run() {
+		return nil, nil, pomelospring.ErrNoMemory
+	}
+	return content, g, nil
+}
+
+func (c *Conn) hasGivenWay() bool {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	return c.gaveWay
+}
+
+// run begins the run of a request that was read, which gives way to none, unless it was
+// told to before.
+func (c *Conn) run() bool {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	if c.gaveWay || c.phase.Load() == phaseClosed {
+		return false
+	}
+	c.phase.Store(phaseRunning)
+	return true
+}
--- /dev/null
+++ b/intake/conn.go
@@ -0,0 +1,286 @@
+package intake
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pomelospring/pomelospring"
+)
+
+const (
+	// defaultHeaderBytes, defaultHeaderTimeout and defaultIdleTimeout hold until a
+	// configuration is known.
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 65 * time.Second
+	// headSlack is the number of bytes behind a head that are read with it.
+	headSlack = 4096
+	// MaxHeaderBytes bounds a head whatever the configuration allows.
+	MaxHeaderBytes = 1 << 20
+	// freeHeadBytes is what a head may cost without being charged; running requests pay
+	// for it.
+	freeHeadBytes = 16 << 10
+	// headLineBytes is what the parsed form of a line and its copies hold, beside the
+	// text, which headByteCost counts.
+	headLineBytes = 256
+	headByteCost  = 4
+	// requestBytes is what a running request holds beside its body and a large head:
+	// buffers and stacks of both its connections.
+	requestBytes = 48 << 10
+	// suspensionGrace is the time to read what arrived while the process was suspended.
+	suspensionGrace = 20 * time.Millisecond
+	// lingerTime is how long a refused connection stays open, so that the caller reads
+	// the refusal before the connection is reset.
+	lingerTime  = 500 * time.Millisecond
+	refusalWait = 100 * time.Millisecond
+	headRefusal = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+// Phases of a connection. A new one is silent until its first byte, one that has served a
+// request is idle until the next; then a head is read, then a body, and then the request
+// runs until its answer is written.
+const (
+	phaseSilent int32 = iota
+	phaseIdle
+	phaseHead
+	phaseBody
+	phaseRunning
+	phaseClosed
+)
+
+// errEnded ends the reading of a head; the HTTP server closes the connection without an
+// answer.
+var errEnded = &net.OpError{
+	Op:  "read",
+	Err: os.ErrDeadlineExceeded,
+}
+
+// Conn is a caller's connection. It follows the limits of the configuration, and is
+// charged for what it holds.
+type Conn struct {
+	net.Conn
+	account *Account
+
+	phase atomic.Int32
+	// received counts the bytes since the phase began.
+	received atomic.Int64
+	// The account's lock guards those of these that change in several goroutines.
+	since   time.Time
+	held    int64
+	gaveWay bool
+	// Of the goroutine that reads heads:
+	readUntil time.Time
+	headCost  int64
+	headPaid  int64
+}
+
+// Listener accepts callers' connections as far as the account admits them.
+type Listener struct {
+	net.Listener
+	Account *Account
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &Conn{
+			Conn:    conn,
+			account: l.Account,
+			since:   l.Account.Clock(),
+		}
+		if l.Account.admit(c) {
+			c.readBy(c.account.idleTimeout())
+			return c, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+func (a *Account) idleTimeout() time.Duration {
+	if timeout := a.Limits().IdleTimeout; timeout > 0 {
+		return timeout
+	}
+	return defaultIdleTimeout
+}
+
+func (a *Account) headerTimeout() time.Duration {
+	if timeout := a.Limits().HeaderTimeout; timeout > 0 {
+		return timeout
+	}
+	return defaultHeaderTimeout
+}
+
+func (a *Account) headerBytes() int64 {
+	if limit := a.Limits().HeaderBytes; limit > 0 {
+		return min(limit, MaxHeaderBytes)
+	}
+	return defaultHeaderBytes
+}
+
+// NetConn returns the connection itself.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// readBy sets the time by which the next bytes must arrive.
+func (c *Conn) readBy(timeout time.Duration) {
+	c.readUntil = time.Now().Add(timeout)
+	_ = c.Conn.SetReadDeadline(c.readUntil)
+}
+
+// SetReadDeadline implements net.Conn. Until a request runs, the limits of the
+// configuration hold instead of the HTTP server's.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	if c.phase.Load() <= phaseHead && (deadline.IsZero() || deadline.After(c.readUntil)) {
+		deadline = c.readUntil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(buffer []byte) (n int, err error) {
+	n, err = c.Conn.Read(buffer)
+	phase := c.phase.Load()
+	if phase > phaseHead {
+		c.received.Add(int64(n))
+		return n, err
+	}
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(suspensionGrace))
+		n, err = c.Conn.Read(buffer)
+	}
+	if n == 0 {
+		return n, err
+	}
+	if phase != phaseHead {
+		c.begin(phaseHead)
+		c.headCost, c.headPaid = 0, freeHeadBytes
+		c.readBy(c.account.headerTimeout())
+	}
+	if !c.receiveHead(buffer[:n]) {
+		return 0, errEnded
+	}
+	return n, err
+}
+
+// receiveHead counts and charges a part of a head, and reports whether it may go on.
+func (c *Conn) receiveHead(part []byte) bool {
+	if c.received.Add(int64(len(part))) > c.account.headerBytes()+headSlack {
+		c.refuseHead()
+		return false
+	}
+	c.headCost += int64(len(part))*headByteCost + int64(bytes.Count(part, []byte{'\n'}))*headLineBytes
+	due := c.headCost - c.headPaid
+	if due <= 0 {
+		return true
+	}
+	if !c.account.grow(context.Background(), c, due) {
+		return false
+	}
+	c.headPaid += due
+	return true
+}
+
+func (c *Conn) refuseHead() {
+	c.account.mu.Lock()
+	c.account.count(kindHead)
+	c.account.mu.Unlock()
+	_ = c.SetWriteDeadline(time.Now().Add(refusalWait))
+	if _, err := c.Write([]byte(headRefusal)); err != nil {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	time.Sleep(lingerTime)
+}
+
+// begin begins a phase.
+func (c *Conn) begin(phase int32) {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	if c.phase.Load() == phaseClosed {
+		return
+	}
+	c.since = c.account.Clock()
+	c.received.Store(0)
+	c.phase.Store(phase)
+	if phase == phaseIdle {
+		c.account.empty(c)
+	}
+}
+
+// isRead reports whether a request is still being read.
+func (c *Conn) isRead() bool {
+	phase := c.phase.Load()
+	return phase == phaseHead || phase == phaseBody
+}
+
+// rate returns the bytes a second since the phase began.
+func (c *Conn) rate(now time.Time) float64 {
+	return float64(c.received.Load()) / max(now.Sub(c.since).Seconds(), time.Millisecond.Seconds())
+}
+
+// lags reports whether a request comes on too slowly for times when memory is short.
+func (c *Conn) lags(now time.Time) bool {
+	elapsed := now.Sub(c.since) - lagGrace
+	return elapsed > 0 && float64(c.received.Load()) < elapsed.Seconds()*minBytesPerSecond
+}
+
+// interrupt ends the reading of a request. A head is closed, a body fails, so that its
+// request is refused.
+func (c *Conn) interrupt() {
+	if c.phase.Load() == phaseBody {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		return
+	}
+	_ = c.Conn.Close()
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.account.mu.Lock()
+	c.account.remove(c)
+	c.account.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Follow follows the states that the HTTP server gives a connection. It fits
+// http.Server.ConnState.
+func Follow(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*Conn)
+	if !ok || state != http.StateIdle {
+		return
+	}
+	c.begin(phaseIdle)
+	c.readBy(c.account.idleTimeout())
+}
+
+type connKey struct{}
+
+// Remember keeps a caller's connection in the context of its requests.
+func Remember(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := conn.(*Conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+// grant grants memory to one request.
+type grant struct {
+	ctx  context.Context
+	conn *Conn
+}
+
+var _ pomelospring.Memory = grant{}
+
+// Grow implements pomelospring.Memory.
+func (g grant) Grow(bytes int64) bool { return g.conn.account.grow(g.ctx, g.conn, bytes) }
--- a/settings/front.go
+++ b/settings/front.go
@@ -5,16 +5,18 @@
 // Front holds the settings of an instance behind a load balancer, run by
 // `pomelospringd front`.
 type Front struct {
-	Name         string      `yaml:"name" validate:"required,max=128" doc:"Name of this instance, in logs."`
-	Domain       string      `yaml:"domain" validate:"required,max=64" doc:"Failure domain that the instance runs in."`
-	Domains      []string    `yaml:"domains" validate:"required,dive,required" doc:"All failure domains of the fleet; the same on all instances."`
-	Listen       FrontListen `yaml:"listen" doc:"Addresses to listen on."`
-	StoreAddress string      `yaml:"storeAddress" validate:"required,hostname_port" doc:"host:port of the platform's metadata store."`
-	GroupParts   int         `yaml:"groupParts" validate:"min=1,max=1000" doc:"Partitions that the store gives every topic; the leader holds all of the group's."`
-	Processor    float64     `yaml:"processorShare" validate:"min=0,max=1024" doc:"Part of a core that the instance has; those with more lead sooner."`
-	FirstStart   bool        `yaml:"firstStart" doc:"The whole fleet starts for the first time: instances may take a second to be ready rather than all read the store."`
-	Bounds       FrontBounds `yaml:"bounds" doc:"What the platform holds instances to."`
-	Logging      Logging     `yaml:"logging" doc:"Logs."`
+	Name           string      `yaml:"name" validate:"required,max=128" doc:"Name of this instance, in logs."`
+	Domain         string      `yaml:"domain" validate:"required,max=64" doc:"Failure domain that the instance runs in."`
+	Domains        []string    `yaml:"domains" validate:"required,dive,required" doc:"All failure domains of the fleet; the same on all instances."`
+	Listen         FrontListen `yaml:"listen" doc:"Addresses to listen on."`
+	StoreAddress   string      `yaml:"storeAddress" validate:"required,hostname_port" doc:"host:port of the platform's metadata store."`
+	GroupParts     int         `yaml:"groupParts" validate:"min=1,max=1000" doc:"Partitions that the store gives every topic; the leader holds all of the group's."`
+	Processor      float64     `yaml:"processorShare" validate:"min=0,max=1024" doc:"Part of a core that the instance has; those with more lead sooner."`
+	FirstStart     bool        `yaml:"firstStart" doc:"The whole fleet starts for the first time: instances may take a second to be ready rather than all read the store."`
+	Bounds         FrontBounds `yaml:"bounds" doc:"What the platform holds instances to."`
+	Logging        Logging     `yaml:"logging" doc:"Logs."`
+	MemoryMB       int64       `yaml:"memoryMB" validate:"min=0,max=16777216" doc:"Memory that the instance may use, in megabytes, of which callers get a part; 0 for the machine's, or the runtime's own limit if that is less."`
+	MaxDescriptors int64       `yaml:"maxDescriptors" validate:"min=0,max=16777216" doc:"Descriptors that the instance may use, of which callers' connections get a part; 0 for the process's own limit."`
 }
 
 // FrontListen holds the addresses that an instance listens on.
