Bound what callers hold of an instance

Of the configuration's limits only the largest body was read.

While memory is short, requests that are still read give way; nothing that was sent to a server does. Instances charge calls that they send for others, and refuse them as not sent without room.

The crowds and bounds of the tests are as they were; memoryMB is now given without looking whether the build knows it.

--- a/front/front.go
+++ b/front/front.go
@@ -203,6 +203,8 @@
 	f.retrySlack.Store(&config.Bounds.RetrySlack)
 	f.machine = intake.NewMachine(config.MemoryMB, config.MaxDescriptors)
 	f.callers = intake.NewAccount(f.machine, f.limits, logger, clock)
+	f.relaying.Memory = f.callers
+	f.addCallerGauges()
 	f.ingress = &platform.Ingress{
 		Serve:  f.service.Serve,
 		Limits: f.limits,
@@ -256,6 +258,26 @@
 	}
 }
 
+// addCallerGauges adds what callers hold to the metrics.
+func (f *Front) addCallerGauges() {
+	for _, gauge := range []struct {
+		name string
+		help string
+		read func(u intake.Usage) float64
+	}{
+		{"caller_bytes", "Memory that callers hold.", func(u intake.Usage) float64 { return float64(u.Bytes) }},
+		{"caller_bytes_limit", "Memory that callers may hold.", func(u intake.Usage) float64 { return float64(u.BytesLimit) }},
+		{"caller_bytes_relayed", "Part of caller_bytes that is held for other instances.", func(u intake.Usage) float64 { return float64(u.RelayedBytes) }},
+		{"caller_connections", "Connections of callers.", func(u intake.Usage) float64 { return float64(u.Connections) }},
+		{"caller_connections_limit", "Connections that callers may have.", func(u intake.Usage) float64 { return float64(u.ConnectionLimit) }},
+		{"caller_memory_refusals", "Requests that were refused or closed for want of memory.", func(u intake.Usage) float64 { return float64(u.MemoryRefusals) }},
+		{"caller_connection_refusals", "Connections that were refused or closed for want of connections.", func(u intake.Usage) float64 { return float64(u.ConnectionRefusals) }},
+		{"caller_head_refusals", "Requests with a head over the limit.", func(u intake.Usage) float64 { return float64(u.HeadRefusals) }},
+	} {
+		f.metrics.AddGauge(gauge.name, gauge.help, func() float64 { return gauge.read(f.callers.Usage()) })
+	}
+}
+
 // assumedInstances is the number of instances that share the fleet's retry burst
 // until a leader reports the actual number.
 const assumedInstances = 12
--- a/intake/account.go
+++ b/intake/account.go
@@ -23,8 +23,8 @@
 	// callerDescriptorShare is the part of the descriptors that callers' connections may
 	// take. Each running request takes another one.
 	callerDescriptorShare = 0.4
-	// minBytesPerSecond is the rate at which a request must come on while memory is short,
-	// on average since lagGrace after its beginning.
+	// minBytesPerSecond is the rate at which a request must come on while memory is short.
+	// It may stay behind it by lagGrace.
 	minBytesPerSecond = 16 << 10
 	lagGrace          = 2 * time.Second
 	// grantWait bounds the wait for memory of requests that give way.
@@ -241,7 +241,7 @@
 }
 
 // candidates returns the connections that give way before c, in order: those that lag,
-// the slowest first, and the newest of those that hold much.
+// the longest first, and the newest of those that hold much.
 func (a *Account) candidates(c *Conn, n int64, now time.Time) (candidates []*Conn) {
 	isSmall := c.held+n <= smallBytes
 	for other := range a.conns {
@@ -256,7 +256,7 @@
 		xLags, yLags := x.lags(now), y.lags(now)
 		switch {
 		case xLags && yLags:
-			return cmp.Compare(x.rate(now), y.rate(now))
+			return cmp.Compare(x.soundUntil.Load(), y.soundUntil.Load())
 		case xLags:
 			return -1
 		case yLags:
@@ -295,7 +295,7 @@
 }
 
 // mostDispensable returns the connection that is closed for a new one: the longest silent
-// new one, the longest idle one, or the slowest that lags; nil for none.
+// new one, the longest idle one, or a head that lags; nil for none.
 func (a *Account) mostDispensable(now time.Time) (victim *Conn) {
 	var victimRank int
 	for c := range a.conns {
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -68,14 +68,16 @@
 	account *Account
 
 	phase atomic.Int32
-	// received counts the bytes since the phase began.
-	received atomic.Int64
+	// soundUntil is until when the request comes on fast enough without another byte, in
+	// nanoseconds of Unix time.
+	soundUntil atomic.Int64
 	// The account's lock guards those of these that change in several goroutines.
 	since   time.Time
 	held    int64
 	gaveWay bool
 	// Of the goroutine that reads heads:
 	readUntil time.Time
+	headBytes int64
 	headCost  int64
 	headPaid  int64
 }
@@ -150,7 +152,9 @@
 	n, err = c.Conn.Read(buffer)
 	phase := c.phase.Load()
 	if phase > phaseHead {
-		c.received.Add(int64(n))
+		if phase == phaseBody && n > 0 {
+			c.comeOn(n)
+		}
 		return n, err
 	}
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -158,22 +162,34 @@
 		n, err = c.Conn.Read(buffer)
 	}
 	if n == 0 {
-		return n, err
+		if err != nil {
+			return 0, c.end()
+		}
+		return 0, nil
 	}
 	if phase != phaseHead {
 		c.begin(phaseHead)
-		c.headCost, c.headPaid = 0, freeHeadBytes
+		c.headBytes, c.headCost, c.headPaid = 0, 0, freeHeadBytes
 		c.readBy(c.account.headerTimeout())
 	}
 	if !c.receiveHead(buffer[:n]) {
-		return 0, errEnded
+		return 0, c.end()
 	}
 	return n, err
 }
 
+// end closes the connection before the HTTP server can answer the part of a head that it
+// has with 400, which would be final.
+func (c *Conn) end() error {
+	_ = c.Conn.Close()
+	return errEnded
+}
+
 // receiveHead counts and charges a part of a head, and reports whether it may go on.
 func (c *Conn) receiveHead(part []byte) bool {
-	if c.received.Add(int64(len(part))) > c.account.headerBytes()+headSlack {
+	c.comeOn(len(part))
+	c.headBytes += int64(len(part))
+	if c.headBytes > c.account.headerBytes()+headSlack {
 		c.refuseHead()
 		return false
 	}
@@ -211,7 +227,7 @@
 		return
 	}
 	c.since = c.account.Clock()
-	c.received.Store(0)
+	c.soundUntil.Store(c.since.Add(lagGrace).UnixNano())
 	c.phase.Store(phase)
 	if phase == phaseIdle {
 		c.account.empty(c)
@@ -224,16 +240,15 @@
 	return phase == phaseHead || phase == phaseBody
 }
 
-// rate returns the bytes a second since the phase began.
-func (c *Conn) rate(now time.Time) float64 {
-	return float64(c.received.Load()) / max(now.Sub(c.since).Seconds(), time.Millisecond.Seconds())
+// comeOn records that n bytes of a request have come.
+func (c *Conn) comeOn(n int) {
+	now := c.account.Clock()
+	until := max(c.soundUntil.Load(), now.UnixNano()) + int64(n)*int64(time.Second)/minBytesPerSecond
+	c.soundUntil.Store(min(until, now.Add(lagGrace).UnixNano()))
 }
 
 // lags reports whether a request comes on too slowly for times when memory is short.
-func (c *Conn) lags(now time.Time) bool {
-	elapsed := now.Sub(c.since) - lagGrace
-	return elapsed > 0 && float64(c.received.Load()) < elapsed.Seconds()*minBytesPerSecond
-}
+func (c *Conn) lags(now time.Time) bool { return now.UnixNano() > c.soundUntil.Load() }
 
 // interrupt ends the reading of a request. A head is closed, a body fails, so that its
 // request is refused.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -23,6 +23,7 @@
 type Metrics struct {
 	scope    tally.Scope
 	reporter promreporter.Reporter
+	registry *prometheus.Registry
 	closer   func() error
 }
 
@@ -43,6 +44,7 @@
 	return &Metrics{
 		scope:    scope,
 		reporter: reporter,
+		registry: registry,
 		closer:   closer.Close,
 	}
 }
@@ -53,6 +55,14 @@
 // Handler serves the metrics in the format of Prometheus.
 func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
 
+// AddGauge adds a gauge that is read when the metrics are.
+func (m *Metrics) AddGauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pomelospring_" + name,
+		Help: help,
+	}, read))
+}
+
 // Served counts a served request and records the time to its first output.
 func (m *Metrics) Served(team string, firstOutput time.Duration) {
 	scope := m.scope.Tagged(map[string]string{
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -70,12 +70,29 @@
 	}
 }
 
+// memory grants calls memory, unless it is taken.
+type memory struct {
+	taken atomic.Bool
+	held  atomic.Int64
+}
+
+func (m *memory) Reserve(bytes int64) bool {
+	if m.taken.Load() {
+		return false
+	}
+	m.held.Add(bytes)
+	return true
+}
+
+func (m *memory) Release(bytes int64) { m.held.Add(-bytes) }
+
 // instance is an instance that can relay.
 type instance struct {
 	board    *fleet.Board
 	server   *relay.Server
 	address  string
 	stopping atomic.Bool
+	memory   memory
 	// conns are the connections that it accepted.
 	mu    sync.Mutex
 	conns []net.Conn
@@ -126,6 +143,7 @@
 		Direct:   &relay.Backend{Direct: direct, Paths: &relay.Paths{Board: i.board, Logger: logger, Clock: time.Now}},
 		Notices:  notices(i.board),
 		Stopping: i.stopping.Load,
+		Memory:   &i.memory,
 		Logger:   logger,
 		Clock:    time.Now,
 	}
@@ -148,6 +166,9 @@
 		cancel()
 		i.kill()
 		<-done
+		if held := i.memory.held.Load(); held != 0 {
+			t.Errorf("%d bytes are held at the end", held)
+		}
 	})
 	return i
 }
@@ -248,6 +269,7 @@
 		// noted checks what the calling instance has learned.
 		noted func(e *entry) bool
 	}{
+		{name: "it has no memory for it", prepare: func(i *instance, _ pomelospring.FleetServer) { i.memory.taken.Store(true) }},
 		{name: "it stops", prepare: func(i *instance, _ pomelospring.FleetServer) { i.stopping.Store(true) }},
 		{name: "it can't connect either", prepare: func(i *instance, target pomelospring.FleetServer) { i.board.RecordPathFailure(target, time.Now()) }, noted: func(e *entry) bool {
 			return e.board.UnreachableElsewhere("i-1", time.Now())
--- a/relay/server.go
+++ b/relay/server.go
@@ -37,8 +37,10 @@
 	Notices fleet.Notices
 	// Stopping reports whether the instance stops, and accepts no attempts.
 	Stopping func() bool
-	Logger   log.Interface
-	Clock    pomelospring.Clock
+	// Memory is charged with the calls; nil grants all.
+	Memory Memory
+	Logger log.Interface
+	Clock  pomelospring.Clock
 
 	mu sync.Mutex
 	// running counts the attempts under way by calling instance, and total all of them.
@@ -46,6 +48,12 @@
 	total   int
 }
 
+// Memory grants a part of the instance's memory until it is released.
+type Memory interface {
+	Reserve(bytes int64) bool
+	Release(bytes int64)
+}
+
 var _ coordinationpb.DRPCRelayServer = (*Server)(nil)
 
 // Running returns the number of attempts under way.
@@ -82,6 +90,7 @@
 		return err
 	}
 	received, err := s.receiveInTime(stream)
+	defer s.free(received)
 	if err == nil && s.Clock().Sub(acceptedAt) > callTimeout {
 		err = errLateCall
 	}
@@ -194,42 +203,72 @@
 	case r := <-received:
 		return r.call, r.err
 	case <-timer.C:
+		// The stream ends with this RPC, and what is still received with it.
+		go func() { s.free((<-received).call) }()
 		return receivedCall{}, errLateCall
 	}
 }
 
+// free frees the memory of a call.
+func (s *Server) free(call receivedCall) {
+	if call.reserved > 0 {
+		s.Memory.Release(call.reserved)
+	}
+}
+
 // receivedCall is a call that was received whole.
 type receivedCall struct {
 	*coordinationpb.RelayCall
 	body []byte
 	// beganAt is when its first part was received, from which its remaining time counts.
 	beganAt time.Time
+	// reserved is the memory that it was granted, in bytes.
+	reserved int64
 }
 
-// receive receives a call and its body.
+// errNoMemory is why a call is not sent that found no memory.
+var errNoMemory = errors.New("the memory for callers is taken")
+
+// receive receives a call and its body. What it returns has to be freed also with an
+// error.
 func (s *Server) receive(stream coordinationpb.DRPCRelay_SendStream) (call receivedCall, err error) {
 	for {
 		part, err := stream.Recv()
 		if err != nil {
-			return receivedCall{}, err
+			return call, err
 		}
-		if part.Call != nil {
+		if part.Call != nil && call.RelayCall == nil {
 			call.RelayCall, call.beganAt = part.Call, s.Clock()
+			if err = s.reserveMemory(&call); err != nil {
+				return call, err
+			}
 		}
 		if call.RelayCall == nil || len(call.body)+len(part.Body) > maxCallBytes {
-			return receivedCall{}, errors.New("the call is malformed")
+			return call, errors.New("the call is malformed")
 		}
 		call.body = append(call.body, part.Body...)
 		if !part.Last {
 			continue
 		}
 		if int64(len(call.body)) != call.Length {
-			return receivedCall{}, fmt.Errorf("the body has %d bytes of %d", len(call.body), call.Length)
+			return call, fmt.Errorf("the body has %d bytes of %d", len(call.body), call.Length)
 		}
 		return call, nil
 	}
 }
 
+// reserveMemory reserves the memory of a call's body.
+func (s *Server) reserveMemory(call *receivedCall) error {
+	if s.Memory == nil || call.Length <= 0 {
+		return nil
+	}
+	if !s.Memory.Reserve(call.Length) {
+		return errNoMemory
+	}
+	call.reserved = call.Length
+	return nil
+}
+
 // relay sends a call to a server and its answer to the calling instance.
 func (s *Server) relay(stream coordinationpb.DRPCRelay_SendStream, server pomelospring.FleetServer, received receivedCall) error {
 	call, dispatch := callFromProto(received.RelayCall, received.body, server, received.beganAt)
--- a/wholepath/crowd_test.go
+++ b/wholepath/crowd_test.go
@@ -170,15 +170,12 @@
 			"peers":     freeAddress(t),
 			"metrics":   freeAddress(t),
 		},
+		"memoryMB":     machineMemory / 1_000_000,
 		"storeAddress": storeServer.Listener.Addr().String(),
 		"bounds": map[string]any{
 			"stopWithin": crowdStopWithin.String(),
 		},
 	}
-	// Builds that have no such setting refuse it.
-	if reference, err := exec.Command(daemonBinary, "reference").Output(); err == nil && bytes.Contains(reference, []byte("| memoryMB |")) {
-		config["memoryMB"] = machineMemory / 1_000_000
-	}
 	text, err := json.Marshal(config)
 	if err != nil {
 		t.Fatal(err)
@@ -526,6 +523,65 @@
 		crowd{connections: 200, send: sendNothing})
 }
 
+// Single requests inside the limits are served while nothing is short.
+func TestLargestRequestsAreServed(t *testing.T) {
+	f := startCrowdFront(t, machineDescriptors)
+	body := bytes.Repeat([]byte("b"), bodyLimit)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(body)/4, body[:len(body)/4])
+	scenarios := []struct {
+		name string
+		send func(c *crowdCaller)
+	}{
+		{name: "the largest body", send: func(c *crowdCaller) {
+			c.write(append(c.head(fmt.Sprintf("Content-Length: %d", len(body))), body...))
+		}},
+		{name: "the largest body in chunks", send: func(c *crowdCaller) {
+			c.write(append(c.head("Transfer-Encoding: chunked"), strings.Repeat(chunk, 4)+"0\r\n\r\n"...))
+		}},
+		{name: "a head of very many lines", send: func(c *crowdCaller) {
+			c.write(append(c.head(append(distinctLines(), "Content-Length: 1")...), 'x'))
+		}},
+		{name: "a head of one long line", send: func(c *crowdCaller) {
+			c.write(append(c.head("X-Long: "+strings.Repeat("a", 65_000), "Content-Length: 1"), 'x'))
+		}},
+		{name: "a slow head", send: func(c *crowdCaller) {
+			for _, letter := range append(c.head("Content-Length: 1"), 'x') {
+				c.write([]byte{letter})
+				time.Sleep(20 * time.Millisecond)
+			}
+		}},
+		{name: "a slow body", send: func(c *crowdCaller) {
+			c.write(c.head("Content-Length: 20"))
+			for range 20 {
+				c.write([]byte{'x'})
+				time.Sleep(200 * time.Millisecond)
+			}
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", f.callerAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			caller := &crowdCaller{
+				Conn:   conn,
+				reader: bufio.NewReader(conn),
+			}
+			s.send(caller)
+			response, err := http.ReadResponse(caller.reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			if response.StatusCode != http.StatusOK {
+				t.Errorf("status %s", response.Status)
+			}
+		})
+	}
+}
+
 // TestCrowdsDuringAStopStayWithinTheMachine stops the process while a crowd holds its
 // bodies open, and starts it again.
 func TestCrowdsDuringAStopStayWithinTheMachine(t *testing.T) {
