Close lagging bodies for new connections; keep the process's own memory limit

A front that starts again within one process took a part of the part of the memory.

Change: requests whose body lags are closed for new connections as well; the runtime's limit is read once.

--- a/intake/account.go
+++ b/intake/account.go
@@ -295,7 +295,7 @@
 }
 
 // mostDispensable returns the connection that is closed for a new one: the longest silent
-// new one, the longest idle one, or a head that lags; nil for none.
+// new one, the longest idle one, or a request that lags; nil for none.
 func (a *Account) mostDispensable(now time.Time) (victim *Conn) {
 	var victimRank int
 	for c := range a.conns {
@@ -305,7 +305,7 @@
 			rank = 3
 		case phaseIdle:
 			rank = 2
-		case phaseHead:
+		case phaseHead, phaseBody:
 			if c.lags(now) {
 				rank = 1
 			}
--- a/intake/machine.go
+++ b/intake/machine.go
@@ -14,6 +14,9 @@
 // the program itself and what the kernel holds for it.
 const runtimeMemoryShare = 0.7
 
+// startMemoryLimit is the runtime's limit that the process was started with.
+var startMemoryLimit = debug.SetMemoryLimit(-1)
+
 // NewMachine returns the given memory and descriptors, or for 0 those that the process
 // may use.
 func NewMachine(memoryMB, descriptors int64) Machine {
@@ -22,7 +25,7 @@
 		Descriptors: descriptors,
 	}
 	if machine.MemoryBytes == 0 {
-		machine.MemoryBytes = min(totalMemory(), debug.SetMemoryLimit(-1))
+		machine.MemoryBytes = min(totalMemory(), startMemoryLimit)
 	}
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil {
@@ -37,7 +40,7 @@
 // LimitRuntime has the runtime collect garbage in time to stay within the memory.
 func (m Machine) LimitRuntime() {
 	limit := int64(runtimeMemoryShare * float64(m.MemoryBytes))
-	debug.SetMemoryLimit(min(limit, debug.SetMemoryLimit(-1)))
+	debug.SetMemoryLimit(min(limit, startMemoryLimit))
 }
 
 // totalMemory returns the machine's memory, or the largest number if it can't be read.
