--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -171,7 +171,10 @@
 			whole(4*time.Second, 1),
 		}, want: []int{closed, unanswered, unanswered, unanswered, 200}},
 		{name: "a lagging request's connection is closed", requests: []request{
-			{length: 10, sent: 1}, {at: time.Second, length: 10, sent: 1}, {at: 2 * time.Second, length: 10, sent: 1}, {at: 3 * time.Second, length: 10, sent: 1},
+			{length: 10, sent: 1},
+			{at: time.Second, length: 10, sent: 1},
+			{at: 2 * time.Second, length: 10, sent: 1},
+			{at: 3 * time.Second, length: 10, sent: 1},
 			whole(8*time.Second, 1),
 		}, want: []int{closed, unanswered, unanswered, unanswered, 200}},
 		{name: "no running request's connection is closed", running: 10 * time.Second, requests: []request{
