Close callers that don't read their answers for new ones

Cause: callers that send a sound request and read nothing kept their connection and memory until their route's time and beyond; a crowd of them took all connections, or all memory for large requests (two new scenarios of TestWhoGivesWay, red before).

Change: while connections or memory are short, callers that have taken nothing of their answer for 10 s give way; answers are written in pieces of 64 KiB, so that slow but steady readers are told apart. Rates are kept on the monotonic clock.

--- a/intake/account.go
+++ b/intake/account.go
@@ -51,6 +51,8 @@
 	smallOnly   int64
 	connections int
 
+	createdAt time.Time
+
 	mu sync.Mutex
 	// held is the sum of what all connections and reservations hold, and leaving the part
 	// of connections that were told to give way.
@@ -95,11 +97,16 @@
 		bytes:       share,
 		smallOnly:   int64(smallShare * float64(share)),
 		connections: max(1, int(callerDescriptorShare*float64(machine.Descriptors))),
+		createdAt:   clock(),
 		conns:       map[*Conn]struct{}{},
 		freed:       make(chan struct{}),
 	}
 }
 
+// age returns the nanoseconds since shortly before the account was created, which don't
+// jump with the time of day.
+func (a *Account) age(now time.Time) int64 { return int64(now.Sub(a.createdAt)) + 1 }
+
 // Usage is what callers hold, and how many were refused.
 type Usage struct {
 	Bytes       int64
@@ -241,30 +248,28 @@
 }
 
 // candidates returns the connections that give way before c, in order: those that lag,
-// the longest first, and the newest of those that hold much.
-func (a *Account) candidates(c *Conn, n int64, now time.Time) (candidates []*Conn) {
+// the longest first, those whose answer isn't read, and the newest of those that hold much.
+func (a *Account) candidates(c *Conn, n int64, now time.Time) []*Conn {
+	var lagging, unread, large []*Conn
 	isSmall := c.held+n <= smallBytes
 	for other := range a.conns {
-		if other == c || other.held == 0 || other.gaveWay || !other.isRead() {
+		if other == c || other.held == 0 || other.gaveWay {
 			continue
 		}
-		if other.lags(now) || other.held > smallBytes && (isSmall || other.since.After(c.since)) {
-			candidates = append(candidates, other)
-		}
-	}
-	slices.SortFunc(candidates, func(x, y *Conn) int {
-		xLags, yLags := x.lags(now), y.lags(now)
 		switch {
-		case xLags && yLags:
-			return cmp.Compare(x.soundUntil.Load(), y.soundUntil.Load())
-		case xLags:
-			return -1
-		case yLags:
-			return 1
+		case other.isUnread(now):
+			unread = append(unread, other)
+		case !other.isRead():
+		case other.lags(now):
+			lagging = append(lagging, other)
+		case other.held > smallBytes && (isSmall || other.since.After(c.since)):
+			large = append(large, other)
 		}
-		return y.since.Compare(x.since)
-	})
-	return candidates
+	}
+	slices.SortFunc(lagging, func(x, y *Conn) int { return cmp.Compare(x.soundUntil.Load(), y.soundUntil.Load()) })
+	slices.SortFunc(unread, func(x, y *Conn) int { return cmp.Compare(x.writingSince.Load(), y.writingSince.Load()) })
+	slices.SortFunc(large, func(x, y *Conn) int { return y.since.Compare(x.since) })
+	return slices.Concat(lagging, unread, large)
 }
 
 // giveWay tells a connection to give way. Its request is refused if it has one, else it
@@ -295,7 +300,8 @@
 }
 
 // mostDispensable returns the connection that is closed for a new one: the longest silent
-// new one, the longest idle one, or a request that lags; nil for none.
+// new one, the longest idle one, or one whose request lags or whose answer isn't read; nil
+// for none.
 func (a *Account) mostDispensable(now time.Time) (victim *Conn) {
 	var victimRank int
 	for c := range a.conns {
@@ -309,6 +315,10 @@
 			if c.lags(now) {
 				rank = 1
 			}
+		case phaseRunning:
+			if c.isUnread(now) {
+				rank = 1
+			}
 		}
 		if rank > victimRank || rank > 0 && rank == victimRank && c.since.Before(victim.since) {
 			victim, victimRank = c, rank
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -33,6 +33,11 @@
 	// requestBytes is what a running request holds beside its body and a large head:
 	// buffers and stacks of both its connections.
 	requestBytes = 48 << 10
+	// unreadTime is how long nothing of an answer may be taken while callers hold too much.
+	unreadTime = 10 * time.Second
+	// writePiece is the part of an answer that is written at once, so that slow but steady
+	// readers are told from those that don't read.
+	writePiece = 64 << 10
 	// suspensionGrace is the time to read what arrived while the process was suspended.
 	suspensionGrace = 20 * time.Millisecond
 	// lingerTime is how long a refused connection stays open, so that the caller reads
@@ -68,9 +73,12 @@
 	account *Account
 
 	phase atomic.Int32
-	// soundUntil is until when the request comes on fast enough without another byte, in
-	// nanoseconds of Unix time.
+	// soundUntil is until what age of the account the request comes on fast enough without
+	// another byte.
 	soundUntil atomic.Int64
+	// writingSince is the age of the account when the write that is under way began; 0 for
+	// none.
+	writingSince atomic.Int64
 	// The account's lock guards those of these that change in several goroutines.
 	since   time.Time
 	held    int64
@@ -185,6 +193,25 @@
 	return errEnded
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(answer []byte) (n int, err error) {
+	defer c.writingSince.Store(0)
+	for {
+		c.writingSince.Store(c.account.age(c.account.Clock()))
+		written, err := c.Conn.Write(answer[n:min(len(answer), n+writePiece)])
+		n += written
+		if err != nil || n == len(answer) {
+			return n, err
+		}
+	}
+}
+
+// isUnread reports whether the caller has taken nothing of its answer for long.
+func (c *Conn) isUnread(now time.Time) bool {
+	since := c.writingSince.Load()
+	return since != 0 && c.account.age(now)-since > int64(unreadTime)
+}
+
 // receiveHead counts and charges a part of a head, and reports whether it may go on.
 func (c *Conn) receiveHead(part []byte) bool {
 	c.comeOn(len(part))
@@ -227,7 +254,7 @@
 		return
 	}
 	c.since = c.account.Clock()
-	c.soundUntil.Store(c.since.Add(lagGrace).UnixNano())
+	c.soundUntil.Store(c.account.age(c.since.Add(lagGrace)))
 	c.phase.Store(phase)
 	if phase == phaseIdle {
 		c.account.empty(c)
@@ -243,12 +270,12 @@
 // comeOn records that n bytes of a request have come.
 func (c *Conn) comeOn(n int) {
 	now := c.account.Clock()
-	until := max(c.soundUntil.Load(), now.UnixNano()) + int64(n)*int64(time.Second)/minBytesPerSecond
-	c.soundUntil.Store(min(until, now.Add(lagGrace).UnixNano()))
+	until := max(c.soundUntil.Load(), c.account.age(now)) + int64(n)*int64(time.Second)/minBytesPerSecond
+	c.soundUntil.Store(min(until, c.account.age(now.Add(lagGrace))))
 }
 
 // lags reports whether a request comes on too slowly for times when memory is short.
-func (c *Conn) lags(now time.Time) bool { return now.UnixNano() > c.soundUntil.Load() }
+func (c *Conn) lags(now time.Time) bool { return c.account.age(now) > c.soundUntil.Load() }
 
 // interrupt ends the reading of a request. A head is closed, a body fails, so that its
 // request is refused.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -91,8 +91,9 @@
 	sent   int
 	// perSecond is the rate, in bytes; 0 for all at once.
 	perSecond int
-	// isSilent callers send nothing.
+	// isSilent callers send nothing, and isUnread callers read nothing for most of a minute.
 	isSilent bool
+	isUnread bool
 }
 
 // closed is the status of a caller whose connection is closed without an answer, and
@@ -126,6 +127,9 @@
 			}
 		}
 	}()
+	if r.isUnread {
+		time.Sleep(50 * time.Second)
+	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	var timeout net.Error
 	switch {
@@ -177,6 +181,19 @@
 			{at: 3 * time.Second, length: 10, sent: 1},
 			whole(8*time.Second, 1),
 		}, want: []int{closed, unanswered, unanswered, unanswered, 200}},
+		{name: "a connection whose answer isn't read is closed", requests: []request{
+			{length: 1, sent: 1, isUnread: true},
+			{at: time.Second, length: 1, sent: 1, isUnread: true},
+			{at: 2 * time.Second, length: 1, sent: 1, isUnread: true},
+			{at: 3 * time.Second, length: 1, sent: 1, isUnread: true},
+			whole(15*time.Second, 1),
+		}, want: []int{closed, 200, 200, 200, 200}},
+		{name: "an answer that isn't read gives its memory away", requests: []request{
+			{length: large, sent: large, isUnread: true}, whole(15*time.Second, large),
+		}, want: []int{closed, 200}},
+		{name: "an answer that isn't read yet doesn't", requests: []request{
+			{length: large, sent: large, isUnread: true}, whole(5*time.Second, large),
+		}, want: []int{200, 503}},
 		{name: "no running request's connection is closed", running: 10 * time.Second, requests: []request{
 			whole(0, 1), whole(0, 1), whole(0, 1), whole(0, 1), whole(time.Second, 1),
 		}, want: []int{200, 200, 200, 200, closed}},
