--- a/fleet.go
+++ b/fleet.go
@@ -119,6 +119,8 @@
 	Deadline time.Time
 	// Homes are the regions that the call must not leave, once it is admitted.
 	Homes Homes
+	// Memory grants memory for what the call holds beside its body; nil grants all.
+	Memory Memory
 }
 
 // Model returns the base model of the call.
