--- a/intake/account.go
+++ b/intake/account.go
@@ -169,15 +169,17 @@
 	a.freed = make(chan struct{})
 }
 
-// fits reports whether one that holds some bytes may hold n more.
-func (a *Account) fits(holds, n int64) bool {
-	limit := a.bytes
-	if holds+n > smallBytes {
-		limit -= a.smallOnly
+// limit returns how much all may hold for one to go on that then holds some bytes itself.
+func (a *Account) limit(holds int64) int64 {
+	if holds > smallBytes {
+		return a.bytes - a.smallOnly
 	}
-	return a.held+n <= limit
+	return a.bytes
 }
 
+// fits reports whether one that holds some bytes may hold n more.
+func (a *Account) fits(holds, n int64) bool { return a.held+n <= a.limit(holds+n) }
+
 // grow charges a connection with n more bytes. While memory is short, others give way, or
 // the connection is refused.
 func (a *Account) grow(ctx context.Context, c *Conn, n int64) bool {
@@ -214,34 +216,26 @@
 	}
 }
 
-// makeRoom tells others to give way until n more bytes fit for c, and reports whether
+// makeRoom tells others to give way until n more bytes will fit for c, and reports whether
 // they will.
 func (a *Account) makeRoom(c *Conn, n int64) bool {
-	lacking := func() bool {
-		a.held -= a.leaving
-		defer func() { a.held += a.leaving }()
-		return !a.fits(c.held, n)
-	}
-	if !lacking() {
+	lacking := a.held - a.leaving + n - a.limit(c.held+n)
+	if lacking <= 0 {
 		return true
 	}
-	now := a.Clock()
-	candidates := a.candidates(c, n, now)
+	candidates := a.candidates(c, n, a.Clock())
 	var room int64
 	for _, other := range candidates {
 		room += other.held
 	}
-	limit := a.bytes
-	if c.held+n > smallBytes {
-		limit -= a.smallOnly
-	}
-	if a.held-a.leaving-room+n > limit {
+	if room < lacking {
 		return false
 	}
 	for _, other := range candidates {
-		if !lacking() {
+		if lacking <= 0 {
 			break
 		}
+		lacking -= other.held
 		a.giveWay(other)
 	}
 	return true
