Let copies that a queue asks for evict what a first copy may

Cause: a further copy evicted only adapters unused for 3 s; with thousands of adapters that are asked for once, slots held these, and popular adapters kept queues of 75,000 prompt tokens on three workers while others were idle (849 of 850 requests for copies refused within 6 s). A copy could also be planned on the worker that had the adapter. Change: only optional copies keep the longer time; a copy isn't loaded where the adapter is resident. Measured: TestEvictionForReplica, seen failing before.

--- a/loading/placement_table.go
+++ b/loading/placement_table.go
@@ -31,9 +31,9 @@
 	// defaultRecentUseWindow applies until the leader knows how often instances
 	// report their server load.
 	defaultRecentUseWindow = 700 * time.Millisecond
-	// replicaEvictionIdle is how long an adapter must be unused before it may
-	// be evicted for a further replica of another adapter.
-	replicaEvictionIdle = 3 * time.Second
+	// optionalEvictionIdle is how long an adapter must be unused before it may be
+	// evicted for a further replica of another adapter that no queue asks for.
+	optionalEvictionIdle = 3 * time.Second
 	// delayedLoadWindow is how long after the expected end of a load the load
 	// counts as delayed, and not as failed, if the worker still lacks the
 	// adapter.
@@ -330,7 +330,7 @@
 	s := &slot{
 		version:  version,
 		readyAt:  now,
-		lastUsed: now.Add(-replicaEvictionIdle),
+		lastUsed: now.Add(-optionalEvictionIdle),
 	}
 	if before != nil {
 		s.lastUsed = before.lastUsed
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -103,13 +103,13 @@
 // that can't load it now may soon.
 func (t *PlacementTable) cheapestWorker(request pomelospring.PlacementRequest, avoid map[string]bool, now time.Time) (best *worker, bestEvict string, busy bool) {
 	idle := t.RecentUseWindow
-	if request.Replica || request.Optional {
-		idle = max(idle, replicaEvictionIdle)
+	if request.Optional {
+		idle = max(idle, optionalEvictionIdle)
 	}
 	candidates := 0
 	var bestCost time.Duration
 	consider := func(w *worker) {
-		if t.paused(w, now) {
+		if t.paused(w, now) || request.Replica && w.slots[request.Adapter] != nil {
 			return
 		}
 		usable, retryable := w.canLoad(request.Adapter, avoid, now)
--- a/loading/replacement_test.go
+++ b/loading/replacement_test.go
@@ -54,3 +54,39 @@
 		})
 	}
 }
+
+// TestEvictionForReplica plays adapters that are asked for once and then keep the slots
+// of workers that a popular adapter needs.
+func TestEvictionForReplica(t *testing.T) {
+	queued := request("m/popular")
+	queued.Replica = true
+	optional := request("m/elsewhere")
+	optional.Optional, optional.OwnDomain, optional.AtOnce = true, true, true
+	scenarios := []struct {
+		name    string
+		request pomelospring.PlacementRequest
+		unused  time.Duration
+		want    loading.PlanKind
+	}{
+		{name: "a queue, no worker with an adapter that is out of use", request: queued, unused: 100 * time.Millisecond, want: loading.PlanWait},
+		{name: "a queue, adapters that were used lately", request: queued, unused: 1500 * time.Millisecond, want: loading.PlanLoad},
+		{name: "fewer bytes, adapters that were used lately", request: optional, unused: 1500 * time.Millisecond, want: loading.PlanWait},
+		{name: "fewer bytes, unused adapters", request: optional, unused: 4 * time.Second, want: loading.PlanLoad},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			table := loading.NewPlacementTable()
+			table.SetServers([]pomelospring.FleetServer{server("a"), server("b")}, limits(), 1)
+			table.ApplyReport("a", report(0, "m/popular", "m/x"), start)
+			table.ApplyReport("b", report(0, "m/once", "m/rare"), start)
+			used := start.Add(time.Minute)
+			table.SetServerLoad("a", 2, 0, map[string]int{"m/popular": 1, "m/x": 1}, used)
+			table.SetServerLoad("a", 0, 0, nil, used)
+			table.SetServerLoad("b", 2, 0, map[string]int{"m/once": 1, "m/rare": 1}, used)
+			table.SetServerLoad("b", 0, 0, nil, used)
+			if got := table.Plan(scenario.request, used.Add(scenario.unused)); got.Kind != scenario.want {
+				t.Errorf("plan %+v, want %s", got, scenario.want)
+			}
+		})
+	}
+}
