--- a/coordination/place.go
+++ b/coordination/place.go
@@ -93,7 +93,15 @@
 	if !l.lease.Holds(l.Uptime()) {
 		return loading.Plan{}, 0, false
 	}
+	expected := l.table.FullSpeedTime()
 	plan = l.table.Plan(request, now)
+	if learned := l.table.FullSpeedTime(); learned != expected {
+		events.Log(l.Logger, events.LoadTimeLearned, log.Fields{
+			"domain":     l.Domain,
+			"adapter":    request.Adapter,
+			"expectedMs": learned.Milliseconds(),
+		})
+	}
 	if plan.Kind != loading.PlanLoad {
 		return plan, 0, true
 	}
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -80,6 +80,7 @@
 	PlacementAnswered = define(321, "wishAnswered", log.InfoLevel, "The leader answered a placement request for an adapter; the fields give the model worker or the reason for none.")
 	PlacementFailed   = define(322, "wishFailed", log.WarnLevel, "A placement request for an adapter got no answer from the leader.")
 	ReportFailed      = define(323, "reportFailed", log.WarnLevel, "A model worker did not report its state.")
+	LoadTimeLearned   = define(363, "loadTimeLearned", log.InfoLevel, "Loads from the weight store take longer than the leader of a failure domain expected, with few in flight; expectedMs is what it expects now.")
 	ServersListed     = define(324, "serversListed", log.InfoLevel, "The list of backend servers changed: one was added, removed or set to drain.")
 	ServerQuiet       = define(340, "serverQuiet", log.InfoLevel, "A backend server left a call unanswered for too long and answered no other meanwhile; it gets single calls until it answers.")
 	ServerAnswered    = define(341, "serverAnswered", log.InfoLevel, "A backend server that counted as silent answers again.")
--- a/loading/load_window_test.go
+++ b/loading/load_window_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/dispatch"
 	"github.com/pomelospring/pomelospring/loading"
 )
 
@@ -100,6 +101,7 @@
 	// slowStoreLoadTime how long another one does.
 	fullSpeedLoadTime = 250 * time.Millisecond
 	slowStoreLoadTime = 290 * time.Millisecond
+	callSpread        = 30 * time.Millisecond
 )
 
 // weightStore simulates a weight store that serves some loads at full speed and
@@ -133,6 +135,8 @@
 	scenarios := []struct {
 		fullSpeed int
 		loadTime  time.Duration
+		// spread is by how much later some calls reach the worker than others.
+		spread time.Duration
 	}{
 		{fullSpeed: 3, loadTime: fullSpeedLoadTime},
 		{fullSpeed: 8, loadTime: fullSpeedLoadTime},
@@ -142,10 +146,13 @@
 		{fullSpeed: 8, loadTime: slowStoreLoadTime},
 		{fullSpeed: 24, loadTime: slowStoreLoadTime},
 		{fullSpeed: 72, loadTime: slowStoreLoadTime},
+		{fullSpeed: 8, loadTime: slowStoreLoadTime, spread: callSpread},
+		{fullSpeed: 24, loadTime: slowStoreLoadTime, spread: callSpread},
+		{fullSpeed: 72, loadTime: slowStoreLoadTime, spread: callSpread},
 	}
 	for _, scenario := range scenarios {
 		fullSpeed := scenario.fullSpeed
-		t.Run(fmt.Sprintf("%d loads at full speed, each of %s", fullSpeed, scenario.loadTime), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d loads at full speed, each of %s, calls up to %s later", fullSpeed, scenario.loadTime, scenario.spread), func(t *testing.T) {
 			table := tableOf(60, 40, 1)
 			store := &weightStore{
 				fullSpeed: fullSpeed,
@@ -161,7 +168,7 @@
 				store.advance()
 				table.MarkReady(now.Add(-storeStep), now)
 				for adapter, plan := range store.sent {
-					if now.Before(plan.At) {
+					if now.Before(plan.At.Add(time.Duration(dispatch.HashFraction(adapter) * float64(scenario.spread)))) {
 						continue
 					}
 					if store.remaining[adapter] > 0 {
--- a/loading/plan.go
+++ b/loading/plan.go
@@ -169,6 +169,10 @@
 	return true
 }
 
+// FullSpeedTime returns how long an adapter is expected to take to load from the weight
+// store at full speed.
+func (t *PlacementTable) FullSpeedTime() time.Duration { return t.fullSpeedTime }
+
 // recordLateLoad records that a load from the weight store takes longer than expected.
 // If it is a little late although few enough are in flight for any store, that is how
 // long loads take at full speed.
