--- a/loading/placement_table.go
+++ b/loading/placement_table.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// coldLoadTime is how long an adapter takes to load from the weight store,
-	// as documented by the platform.
-	coldLoadTime = 250 * time.Millisecond
+	// minFullSpeedTime and maxFullSpeedTime bound how long an adapter takes to load
+	// from the weight store at full speed. Deployments differ, and don't publish it.
+	minFullSpeedTime = 250 * time.Millisecond
+	maxFullSpeedTime = 300 * time.Millisecond
 	// warmLoadTime is how long an adapter that is still cached on the worker
-	// takes to load: a tenth of coldLoadTime.
+	// takes to load: a tenth of minFullSpeedTime.
 	warmLoadTime = 25 * time.Millisecond
 	// loadMargin covers timer granularity and the delivery of the order.
 	loadMargin = 20 * time.Millisecond
@@ -30,9 +31,9 @@
 	// defaultRecentUseWindow applies until the leader knows how often instances
 	// report their server load.
 	defaultRecentUseWindow = 700 * time.Millisecond
-	// replicaEvictionIdle is how long an adapter must be unused before it may
-	// be evicted for a further replica of another adapter.
-	replicaEvictionIdle = 3 * time.Second
+	// optionalEvictionIdle is how long an adapter must be unused before it may be
+	// evicted for a further replica of another adapter that no queue asks for.
+	optionalEvictionIdle = 3 * time.Second
 	// delayedLoadWindow is how long after the expected end of a load the load
 	// counts as delayed, and not as failed, if the worker still lacks the
 	// adapter.
@@ -82,8 +83,11 @@
 	modelsOnDisk map[string]bool
 	// domains is the number of domains whose workers share the weight store.
 	domains int
+	// fullSpeedTime is how long an adapter takes to load from the weight store while
+	// the store runs its loads at full speed.
+	fullSpeedTime time.Duration
 	// slowdown is the observed load time from the weight store, as a multiple
-	// of the time at full speed.
+	// of fullSpeedTime.
 	slowdown float64
 	// window limits the loads from the weight store, and coldLoads are those in
 	// flight, with some that have ended.
@@ -178,6 +182,7 @@
 func NewPlacementTable() *PlacementTable {
 	return &PlacementTable{
 		domains:         1,
+		fullSpeedTime:   minFullSpeedTime,
 		slowdown:        1,
 		RecentUseWindow: defaultRecentUseWindow,
 		workers:         map[string]*worker{},
@@ -323,7 +328,7 @@
 	}
 	for _, loading := range report.Loading {
 		s := newResidentSlot(before[loading.Adapter], loading.Version, now)
-		s.readyAt = now.Add(coldLoadTime)
+		s.readyAt = now.Add(t.fullSpeedTime)
 		s.replacing = w.slots[loading.Adapter] != nil
 		t.setSlot(w, loading.Adapter, s)
 	}
@@ -336,7 +341,7 @@
 	s := &slot{
 		version:  version,
 		readyAt:  now,
-		lastUsed: now.Add(-replicaEvictionIdle),
+		lastUsed: now.Add(-optionalEvictionIdle),
 	}
 	if before != nil {
 		s.lastUsed = before.lastUsed
