Leave an instance outside a call's homes without breaking its connection

Cause: an accepted offer that was dropped for its region was canceled, which closes the connection to that instance, with the exchanges on it; every call with homes asked again.

Change: the stream is ended in order, and the region remembered for 10 s.

--- a/front/evacuation_test.go
+++ b/front/evacuation_test.go
@@ -74,6 +74,7 @@
 	})
 	config := newConfig(t, fmt.Sprintf("front-%s-%d", domain, len(f.instances)), strings.TrimPrefix(server.URL, "http://"))
 	config.Domain, config.Domains = domain, evacuationDomains
+	config.Regions = map[string]string{"east": "asia", "north": "europe", "south": "africa"}
 	l := newLinks()
 	f.instances = append(f.instances, startPrepared(t, config, func(instance *front.Front) { instance.Dial = l.dial }))
 	f.links, f.proxies = append(f.links, l), append(f.proxies, proxy)
--- a/relay/client.go
+++ b/relay/client.go
@@ -36,14 +36,18 @@
 	relayListAge = time.Second
 	// closeTimeout bounds the wait for the other side to close a stream that ended.
 	closeTimeout = time.Second
+	// regionAge is how long the region of an instance is remembered: another build may be
+	// started there.
+	regionAge = 10 * time.Second
 	// chunkBytes is the size of the parts in which bodies are sent.
 	chunkBytes = 32 << 10
 )
 
-// errNoRelay and errUnreachable are why an attempt was not sent through another instance.
+// errNoRelay, errOutsideHomes and errUnreachable are why an attempt was not sent through another instance.
 var (
-	errNoRelay     = fmt.Errorf("%w: no instance to send through", pomelospring.ErrNotSent)
-	errUnreachable = fmt.Errorf("%w: other instances don't reach the server either", pomelospring.ErrNotSent)
+	errNoRelay      = fmt.Errorf("%w: no instance to send through", pomelospring.ErrNotSent)
+	errOutsideHomes = fmt.Errorf("%w: the instance is outside the call's homes", pomelospring.ErrNotSent)
+	errUnreachable  = fmt.Errorf("%w: other instances don't reach the server either", pomelospring.ErrNotSent)
 )
 
 // Client sends attempts through other instances.
@@ -72,6 +76,14 @@
 	avoided map[avoidance]time.Time
 	// refusedAt is when an instance last refused an attempt.
 	refusedAt map[string]time.Time
+	// regions has the regions of instances that accepted calls with homes.
+	regions map[string]knownRegion
+}
+
+// knownRegion is the region of an instance, as it said itself; empty if it didn't.
+type knownRegion struct {
+	name  string
+	until time.Time
 }
 
 type avoidance struct {
@@ -106,7 +118,7 @@
 // Send sends a call through another instance. An error that wraps
 // pomelospring.ErrNotSent guarantees that nothing reached the server.
 func (c *Client) Send(ctx context.Context, call *pomelospring.Call, dispatch pomelospring.Dispatch) (answer *pomelospring.BackendAnswer, err error) {
-	relays := c.choose(dispatch.Server.ID)
+	relays := c.choose(dispatch.Server.ID, call.Homes)
 	if len(relays) == 0 {
 		return nil, errNoRelay
 	}
@@ -142,7 +154,7 @@
 
 // choose returns the instances to ask: those that refused no attempt, or did so longest
 // ago, first, and of these those with the fewest attempts under way.
-func (c *Client) choose(server string) (relays []string) {
+func (c *Client) choose(server string, homes pomelospring.Homes) (relays []string) {
 	leaders := c.Leaders()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -152,6 +164,10 @@
 		relays = leaders
 	}
 	relays = slices.DeleteFunc(relays, func(relay string) bool {
+		region, known := c.regions[relay]
+		if known && now.Before(region.until) && !homes.Allow(region.name) {
+			return true
+		}
 		return relay == c.Address || now.Before(c.avoided[avoidance{relay: relay}]) || now.Before(c.avoided[avoidance{relay: relay, server: server}])
 	})
 	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
@@ -208,14 +224,18 @@
 		c.count(relay, -1)
 	})
 	defer func() {
-		if err != nil {
+		if err != nil && !errors.Is(err, errOutsideHomes) {
 			release()
 		}
 	}()
-	stream, err := c.offer(ctx, cancel, relay, call.Homes, dispatch)
+	stream, region, err := c.offer(ctx, cancel, relay, dispatch)
 	if err != nil {
 		return nil, err
 	}
+	if !c.allows(relay, region, call.Homes) {
+		go finish(stream, release)
+		return nil, errOutsideHomes
+	}
 	if err = connection.Check(ctx); err != nil {
 		return nil, fmt.Errorf("%w: %w", pomelospring.ErrNotSent, err)
 	}
@@ -240,9 +260,9 @@
 	return answer, nil
 }
 
-// offer offers an attempt to an instance, and returns once it is accepted. The offer says
-// nothing of the call, which must not leave its homes.
-func (c *Client) offer(ctx context.Context, cancel context.CancelFunc, relay string, homes pomelospring.Homes, dispatch pomelospring.Dispatch) (stream coordinationpb.DRPCRelay_SendClient, err error) {
+// offer offers an attempt to an instance, and returns its region once it is accepted. The
+// offer says nothing of the call, which must not leave its homes.
+func (c *Client) offer(ctx context.Context, cancel context.CancelFunc, relay string, dispatch pomelospring.Dispatch) (stream coordinationpb.DRPCRelay_SendClient, region string, err error) {
 	timer := time.AfterFunc(offerTimeout, cancel)
 	defer func() {
 		if !timer.Stop() && err == nil {
@@ -267,15 +287,30 @@
 	}
 	if err != nil {
 		c.avoid(relay, "")
-		return nil, fmt.Errorf("%w: %w", pomelospring.ErrNotSent, err)
+		return nil, "", fmt.Errorf("%w: %w", pomelospring.ErrNotSent, err)
 	}
 	if !reply.Accepted {
-		return nil, c.failure(relay, dispatch.Server, reply.Failure)
+		return nil, "", c.failure(relay, dispatch.Server, reply.Failure)
+	}
+	return stream, reply.Region, nil
+}
+
+// allows reports whether a call with homes may be sent to an instance in a region, which
+// it remembers.
+func (c *Client) allows(relay, region string, homes pomelospring.Homes) bool {
+	if homes == nil {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.regions == nil || len(c.regions) >= maxAvoided {
+		c.regions = map[string]knownRegion{}
 	}
-	if !homes.Allow(reply.Region) {
-		return nil, fmt.Errorf("%w: the instance is outside the call's homes", pomelospring.ErrNotSent)
+	c.regions[relay] = knownRegion{
+		name:  region,
+		until: c.Clock().Add(regionAge),
 	}
-	return stream, nil
+	return homes.Allow(region)
 }
 
 // failure returns the error for a failure that an instance reported.
@@ -345,7 +380,7 @@
 		b.ended = err
 	case reply.End:
 		b.ended = io.EOF
-		go b.finish()
+		go finish(b.stream, b.release)
 	case reply.Failure != nil:
 		b.ended = errors.New(reply.Failure.Reason)
 	default:
@@ -354,12 +389,12 @@
 }
 
 // finish lets a stream that has ended close, so that its connection can be used again.
-func (b *body) finish() {
-	timer := time.AfterFunc(closeTimeout, b.release)
+func finish(stream coordinationpb.DRPCRelay_SendClient, release func()) {
+	timer := time.AfterFunc(closeTimeout, release)
 	defer timer.Stop()
-	_ = b.stream.CloseSend()
-	_, _ = b.stream.Recv()
-	b.release()
+	_ = stream.CloseSend()
+	_, _ = stream.Recv()
+	release()
 }
 
 // Close implements io.Closer. It ends the attempt unless the answer is whole.
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -51,7 +51,7 @@
 func (c *Client) Report(ctx context.Context, server pomelospring.FleetServer) (report pomelospring.EngineReport, err error) {
 	c.awaitList(ctx)
 	err = errNoRelay
-	for _, relay := range c.choose("") {
+	for _, relay := range c.choose("", nil) {
 		reply, replyErr := c.report(ctx, relay, server)
 		switch {
 		case replyErr != nil:
