--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -53,9 +53,6 @@
 	// overdraftFraction is the fraction of a burst that the instances together may
 	// overdraw before they know of each other.
 	overdraftFraction = 0.5
-	// spareFraction is the fraction of a rate that is taken as free for refused callers
-	// who return.
-	spareFraction = 0.5
 	// returnIntervals is for how many exchange intervals after the return of instances
 	// their spending meanwhile is expected, and maxWithheldTime the longest time of their
 	// refill that is kept for it.
@@ -134,8 +131,6 @@
 	otherRanks map[int]float64
 	allOthers  float64
 	decayedAt  time.Time
-	// backlog are the tokens refused by all instances whose callers are likely to return.
-	backlog float64
 	// reported is set once a leader has reported on the team. withheld is the refill that
 	// was left since to instances that did not report, and returned what covers the
 	// spending of those that report again, until returnedUntil.
@@ -257,7 +252,6 @@
 		}
 	}
 	if !decision.Admitted {
-		a.backlog += request.Tokens
 		return decision
 	}
 	a.unasked += request.Tokens
@@ -278,9 +272,6 @@
 	}
 	l.refill(a, now)
 	decision, _ := l.decide(a, request, now)
-	if !decision.Admitted {
-		a.backlog += request.Tokens
-	}
 	return decision
 }
 
@@ -512,6 +503,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	leader := &l.leaders[index]
+	cutOff := l.activeLeader(now) == nil
 	fractions := make(map[string]float64, len(l.accounts))
 	for name, a := range l.accounts {
 		l.refill(a, now)
@@ -539,7 +531,11 @@
 		a.recordReturn(fractions[name], leader.refillFraction, now, now.Add(returnIntervals*report.Interval))
 		if sameLeader {
 			increase := report.Others[name].minus(before[name])
-			a.addOthers(a.coverReturned(increase, min(report.Interval, now.Sub(reportedAt)), now))
+			usual := a.recentOthers / demandWindow.Seconds() * min(report.Interval, now.Sub(reportedAt)).Seconds()
+			if cutOff {
+				usual = 0
+			}
+			a.addOthers(a.coverReturned(increase, usual, now))
 		}
 		a.unasked = 0
 		a.share = a.computeShare(leader)
@@ -592,8 +588,7 @@
 
 // coverReturned takes the part off an increase that instances spent while they did not
 // report: what is more than usual between reports, as far as their refill covers it.
-func (a *account) coverReturned(increase Spending, interval time.Duration, now time.Time) Spending {
-	usual := a.recentOthers / demandWindow.Seconds() * interval.Seconds()
+func (a *account) coverReturned(increase Spending, usual float64, now time.Time) Spending {
 	covered := min(a.returned, increase.Spent-usual)
 	if covered <= 0 || now.After(a.returnedUntil) {
 		return increase
@@ -605,7 +600,6 @@
 // addOthers applies an increase of the other instances' spending.
 func (a *account) addOthers(increase Spending) {
 	a.level -= increase.Spent
-	a.backlog += max(0, increase.Asked-increase.Spent)
 	a.recentOthers = max(0, a.recentOthers+increase.Asked)
 	a.allOthers = max(0, a.allOthers+increase.Asked)
 	for rank, tokens := range increase.ByRank {
@@ -626,7 +620,6 @@
 		if a.reported {
 			a.withheld = min(a.withheld+a.rate*(1-refillFraction)*passed.Seconds(), a.rate*maxWithheldTime.Seconds())
 		}
-		a.backlog = max(0, a.backlog-spareFraction*a.rate*refillFraction*passed.Seconds())
 		a.refilledAt = now
 	}
 	if passed := now.Sub(a.decayedAt); passed > 0 {
@@ -672,17 +665,19 @@
 }
 
 // retryAt returns when there is likely to be room for a request of which a fraction was
-// admitted: once the debt is paid and the fleet has worked off what it refused before.
-// Callers return over the second half of that time, in the order of their draws.
+// admitted: once the debt is paid, and what the fleet was asked for beyond the rate within
+// the rank window is worked off. Callers return over the second half of that time, in the
+// order of their draws. The smaller the fraction, the longer does it take to see an end.
 func (l *Ledger) retryAt(a *account, request Request, fraction float64, now time.Time) time.Time {
 	rate := max(minRefillRate, a.rate*l.refillFraction(a, now))
 	deficit := min(request.UsualTokens, maxReserveFraction*a.burst) - a.level
-	position := max(0, drawOf(request.Call)-fraction) / max(1-fraction, math.SmallestNonzeroFloat64)
-	seconds := max(deficit/rate, 0) + min(a.backlog/(spareFraction*rate), maxRetryDelay.Seconds())*(1+position)/2
-	if fraction < 1 {
-		// It takes as long to see that a flood has ended.
-		seconds += l.rankWindow(now).Seconds()
+	excess := -rate
+	for _, tokens := range l.askedByRank(a, now) {
+		excess += tokens
 	}
+	position := max(0, drawOf(request.Call)-fraction) / max(1-fraction, math.SmallestNonzeroFloat64)
+	beyond := 1 - fraction + max(0, excess)/rate*(1+position)/2
+	seconds := max(deficit/rate, 0) + beyond*l.rankWindow(now).Seconds()
 	retryDelay := time.Duration(min(seconds, maxRetryDelay.Seconds()) * float64(time.Second))
 	return now.Add(max(minRetryDelay, retryDelay))
 }
