Subtract spending once when a leader returns

What callers saw: a leader that was silent for seconds reports, when it is back, all that another leader had reported meanwhile; each instance subtracted it again.

Change: what is applied from one leader is added to what the others reported last. While a returning leader has not heard of all instances, its lower sums are kept to cover what it reports within the next intervals.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -511,6 +511,7 @@
 	}
 	sameLeader := leader.leaderID == report.Leader
 	before, reportedAt := leader.others, leader.reportedAt
+	silent := !now.Before(leader.expiresAt)
 	if report.Others == nil {
 		report.Others = map[string]Spending{}
 	}
@@ -531,6 +532,12 @@
 		a.recordReturn(fractions[name], leader.refillFraction, now, now.Add(returnIntervals*report.Interval))
 		if sameLeader {
 			increase := report.Others[name].minus(before[name])
+			l.addToBases(index, name, increase)
+			if silent && increase.Spent < 0 {
+				// Not all instances have reported to the leader again.
+				a.returned, a.returnedUntil = -increase.Spent, now.Add(returnIntervals*report.Interval)
+				increase = Spending{}
+			}
 			usual := a.recentOthers / demandWindow.Seconds() * min(report.Interval, now.Sub(reportedAt)).Seconds()
 			if cutOff {
 				usual = 0
@@ -553,7 +560,9 @@
 	}
 	if a := l.accounts[team]; a != nil {
 		l.refill(a, now)
-		a.addOthers(others.minus(leader.others[team]))
+		increase := others.minus(leader.others[team])
+		l.addToBases(index, team, increase)
+		a.addOthers(increase)
 		leader.others[team] = others
 	}
 	return true
@@ -571,6 +580,16 @@
 	return a.level
 }
 
+// addToBases adds an increase that was applied to what the other leaders reported last, so
+// that one which returns does not report it again.
+func (l *Ledger) addToBases(index int, team string, increase Spending) {
+	for i := range l.leaders {
+		if others := l.leaders[i].others; i != index && others != nil {
+			others[team] = others[team].plus(increase)
+		}
+	}
+}
+
 // recordReturn keeps the refill that was left to instances which report again.
 func (a *account) recordReturn(before, after float64, now, until time.Time) {
 	a.reported = true
--- a/quota/over_rate_test.go
+++ b/quota/over_rate_test.go
@@ -394,8 +394,7 @@
 	}
 }
 
-// A team below its rate is served on while a third of the instances is cut off from all
-// leaders, and after that.
+// A team below its rate is served at once after instances or leaders return.
 func TestTeamBelowItsRateIsServedAfterACut(t *testing.T) {
 	const (
 		rate      = 410_000.0
@@ -404,16 +403,27 @@
 		cutTo     = 14 * time.Second
 		minServed = 0.98
 	)
-	for _, factor := range []float64{0.4, 0.6} {
-		t.Run(fmt.Sprint(factor, " of the rate"), func(t *testing.T) {
+	third := func(instance, _ int) bool { return instance >= instances*2/3 }
+	firstLeader := func(_, leader int) bool { return leader == 0 }
+	scenarios := []struct {
+		name   string
+		factor float64
+		cut    func(instance, leader int) bool
+	}{
+		{name: "a third is cut off, 0.4 of the rate", factor: 0.4, cut: third},
+		{name: "a third is cut off, 0.6 of the rate", factor: 0.6, cut: third},
+		{name: "a leader is silent for some time", factor: 0.6, cut: firstLeader},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
 			f := newFleet(instances, 2, rate, rate, 1)
 			f.interval = exchangeInterval(instances)
 			f.late = true
-			f.unreachable = func(instance, _ int, at time.Duration) bool {
-				return instance >= instances*2/3 && at >= cutFrom && at < cutTo
+			f.unreachable = func(instance, leader int, at time.Duration) bool {
+				return scenario.cut(instance, leader) && at >= cutFrom && at < cutTo
 			}
 			counted := f.play(20*time.Second, cutTo, load{
-				factor: func(time.Duration) float64 { return factor },
+				factor: func(time.Duration) float64 { return scenario.factor },
 			}, rate, rand.New(rand.NewPCG(7, 7)))
 			var sum answers
 			for k, c := range counted {
