pomelospringctl check: what is wrong with a configuration

Change: check FILE [-against FILE|ADDRESS] [-json] prints findings by line and field and the differences from the configuration in a file or in a store; exit status 0, 1, 2 or 3. Completion also names explain.

--- a/cmd/pomelospringctl/help.go
+++ b/cmd/pomelospringctl/help.go
@@ -77,10 +77,10 @@
 	fmt.Print(`_pomelospringctl() {
   local word="${COMP_WORDS[COMP_CWORD]}"
   if [ "$COMP_CWORD" -eq 1 ]; then
-    COMPREPLY=($(compgen -W "run language completion token help flags" -- "$word"))
+    COMPREPLY=($(compgen -W "run language completion token explain check help flags" -- "$word"))
     return
   fi
-  COMPREPLY=($(compgen -W "-address -authority -format -dryRun -wait -madeAgainst set create withdraw allow deny drain undrain delete show status team adapter route server key usage by since" -- "$word"))
+  COMPREPLY=($(compgen -W "-address -authority -format -dryRun -wait -madeAgainst -against -json set create withdraw allow deny drain undrain delete show status team adapter route server key usage by since" -- "$word"))
 }
 complete -F _pomelospringctl pomelospringctl
 `)
--- a/cmd/pomelospringctl/main.go
+++ b/cmd/pomelospringctl/main.go
@@ -1,5 +1,5 @@
 // Command pomelospringctl is the command line for operators: it sends commands and
-// queries to a daemon and explains requests from logs.
+// queries to a daemon, explains requests from logs and checks configurations.
 package main
 
 import (
@@ -19,6 +19,7 @@
 	commander.Register(&completionCommand{}, "")
 	commander.Register(&tokenCommand{}, "")
 	commander.Register(&explainCommand{}, "")
+	commander.Register(&checkCommand{}, "")
 	flag.Parse()
 	os.Exit(int(commander.Execute(context.Background())))
 }
