Bound what urgent calls of a team spend unasked

Cause: calls of the first ranks never asked the leader. Each instance knew only its own part of a flood of them until the next report, so that 78 and 200 instances together spent more than the limit in the interval, in which the leader bounds all other calls. Change: urgent calls have an even part of their own, of the level and the reserve kept for them; beyond it they ask the leader as others do.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -143,8 +143,10 @@
 	withheld      float64
 	returned      float64
 	returnedUntil time.Time
-	// unasked are the tokens charged here since the last report without asking the leader.
-	unasked float64
+	// unasked are the tokens charged here since the last report without asking the leader,
+	// and unaskedUrgent those of urgent requests among them.
+	unasked       float64
+	unaskedUrgent float64
 	// share is the fraction of the team's rate that this instance may use while
 	// no leader's report is current.
 	share float64
@@ -250,7 +252,7 @@
 	l.countDemand(a, request, now)
 	// An instance that has just returned knows too little of what is left.
 	unsure := decision.Reason == ReasonEmpty && now.Before(a.returnedUntil) && l.grants(now)
-	if unsure || decision.Admitted && !urgent && l.mustAsk(a, request.Tokens, now) {
+	if unsure || decision.Admitted && l.mustAsk(a, request.Tokens, urgent, now) {
 		return Decision{
 			AskLeader: true,
 			Leader:    l.activeIndex(now),
@@ -261,6 +263,9 @@
 		return decision
 	}
 	a.unasked += request.Tokens
+	if urgent {
+		a.unaskedUrgent += request.Tokens
+	}
 	a.charge(request.Tokens)
 	return decision
 }
@@ -433,9 +438,16 @@
 	return rankWindow
 }
 
-// mustAsk reports whether the leader has to decide on tokens.
-func (l *Ledger) mustAsk(a *account, tokens float64, now time.Time) bool {
-	return a.rate > 0 && l.grants(now) && a.unasked+tokens > l.ownPart(a, now)
+// mustAsk reports whether the leader has to decide on tokens. Urgent requests have a part
+// of their own, so that others don't use it up.
+func (l *Ledger) mustAsk(a *account, tokens float64, urgent bool, now time.Time) bool {
+	if a.rate <= 0 || !l.grants(now) {
+		return false
+	}
+	if urgent {
+		return a.unaskedUrgent+tokens > l.part(a, urgentReserve, now)
+	}
+	return a.unasked+tokens > l.ownPart(a, now)
 }
 
 // grants reports whether there is a leader that decides for several instances.
@@ -447,11 +459,17 @@
 // ownPart returns the tokens that this instance may charge between two reports without
 // asking the leader.
 func (l *Ledger) ownPart(a *account, now time.Time) float64 {
+	return l.part(a, overdraftFraction, now)
+}
+
+// part returns this instance's even part of the level as of the last report and an overdraft,
+// a fraction of the burst.
+func (l *Ledger) part(a *account, overdraft float64, now time.Time) float64 {
 	instances := 1
 	if leader := l.activeLeader(now); leader != nil {
 		instances = leader.instances
 	}
-	return (a.level + a.unasked + overdraftFraction*a.burst) / float64(instances)
+	return (a.level + a.unasked + overdraft*a.burst) / float64(instances)
 }
 
 // activeLeader returns the first leader whose report is current; nil without
@@ -541,7 +559,7 @@
 			increase := report.Others[name].minus(before[name])
 			a.addOthers(a.coverReturned(increase, min(report.Interval, now.Sub(reportedAt)), now))
 		}
-		a.unasked = 0
+		a.unasked, a.unaskedUrgent = 0, 0
 		a.share = a.computeShare(leader)
 	}
 }
