Keep the whole window of a server's pace under many answers

Cause: of a server's observations the last 32 were kept, which at 100 answers a second are 0.3 s: noise of half a second was the majority, against docs/design/server-speeds.md. Change: while the oldest one is within the window, the two neighbours that stand for the fewest answers become one, instead of the oldest being dropped. Result: go test -race ./fleet -run Pace: the two scenarios "many answers" fail before (a pace of 2.50 known, 1 wanted) and pass after; go test -race ./fleet passes.

--- a/fleet/paces.go
+++ b/fleet/paces.go
@@ -15,7 +15,7 @@
 	minPaceObservations = 5
 	maxPaceAge          = 10 * time.Second
 	// maxPaceObservations bounds the observations kept for a server, and maxPaceWeight the
-	// weight of one that stands for several.
+	// weight of one that is reported.
 	maxPaceObservations = 32
 	maxPaceWeight       = 8
 	// saidQuantile and measuredQuantile are where among the observations the pace is. Times
@@ -235,18 +235,37 @@
 	observation.Factor = min(maxPace, max(minPace, observation.Factor))
 	observation.Weight = min(maxPaceWeight, max(1, observation.Weight))
 	p.observations = append(p.observations, observation)
-	if extra := len(p.observations) - maxPaceObservations; extra > 0 {
-		p.observations = slices.Delete(p.observations, 0, extra)
-	}
 	if observation.At.After(p.knownAt) {
 		p.knownAt = observation.At
 	}
+	if len(p.observations) > maxPaceObservations && p.knownAt.Sub(p.observations[0].At) <= paceWindow {
+		p.observations = thin(p.observations)
+	}
+	if extra := len(p.observations) - maxPaceObservations; extra > 0 {
+		p.observations = slices.Delete(p.observations, 0, extra)
+	}
 	if observation.Said && observation.At.After(p.saidAt) {
 		p.saidAt = observation.At
 	}
 	p.known = p.current()
 }
 
+// thin has one of two successive observations of a kind stand for both, those two that stand
+// for the fewest, so that many observations still span paceWindow.
+func thin(observations []PaceObservation) []PaceObservation {
+	lightest, least := 0, math.MaxInt
+	for i, next := range observations[1:] {
+		if weight := observations[i].Weight + next.Weight; next.Said == observations[i].Said && weight < least {
+			lightest, least = i, weight
+		}
+	}
+	if least == math.MaxInt {
+		return observations
+	}
+	observations[lightest+1].Weight = least
+	return slices.Delete(observations, lightest, lightest+1)
+}
+
 // at returns the pace at a time: without observations it returns to 1.
 func (p *pace) at(now time.Time) float64 {
 	idle := now.Sub(p.knownAt) - paceWindow
--- a/fleet/paces_test.go
+++ b/fleet/paces_test.go
@@ -35,6 +35,8 @@
 		{name: "slow", every: 200 * time.Millisecond, lasting: func(time.Duration) float64 { return 1.3 }, moment: steady},
 		{name: "slow, in its answers' times", every: 200 * time.Millisecond, lasting: func(time.Duration) float64 { return 2 }, moment: steady, measured: true},
 		{name: "with noise", every: 200 * time.Millisecond, lasting: steady, moment: noise},
+		{name: "with noise, many answers", every: 10 * time.Millisecond, lasting: steady, moment: noise},
+		{name: "four times slower and back, with noise, many answers", every: 10 * time.Millisecond, lasting: slowFrom(10 * time.Second), moment: noise},
 		{name: "slow, with noise", every: 100 * time.Millisecond, lasting: func(time.Duration) float64 { return 1.2 }, moment: noise},
 		{name: "four times slower and back", every: 200 * time.Millisecond, lasting: slowFrom(10 * time.Second), moment: steady},
 		{name: "four times slower and back, with noise", every: 100 * time.Millisecond, lasting: slowFrom(10 * time.Second), moment: noise},
