Tell that the pace of a restarted server is usual

Cause: a leader that saw a restart forgot what it had told of the server. An instance that saw the restart first, and then heard of the pace of the earlier start, kept it as long as the leader led. Change: what was told is kept until the next update tells the usual pace. Result: TestRestartEndsTheLeadersPace fails before (a pace of 4.0) and passes after; go test -race ./fleet passes.

--- a/fleet/differing_servers_test.go
+++ b/fleet/differing_servers_test.go
@@ -385,3 +385,35 @@
 		t.Errorf("the leader tells %v once more", changed)
 	}
 }
+
+// TestRestartEndsTheLeadersPace guards against the pace of an earlier start that stays at an
+// instance which saw the restart before the leader did.
+func TestRestartEndsTheLeadersPace(t *testing.T) {
+	p := play{}
+	p.started = start
+	leader, member := p.newBoard(), p.newBoard()
+	now, restarted := start.Add(time.Second), start.Add(time.Second)
+	exchange := func() {
+		leader.Paces("north", now)
+		known := member.LeaderPaceVersion("north", now)
+		changed, version := leader.PaceChanges("north", known)
+		member.SetLeaderPaces("north", changed, known == 0, version, now)
+	}
+	exchange()
+	for range 4 {
+		leader.RecordLoadReport("3", pomelospring.ServerLoadReport{Slots: 8, TimeFactor: 4}, now)
+	}
+	p.started = restarted
+	member.SetServers(p.list(), now)
+	exchange()
+	leader.SetServers(p.list(), now)
+	for range 5 {
+		now = now.Add(time.Second)
+		exchange()
+	}
+	for _, candidate := range member.Candidates("llm", &pomelospring.Call{Adapter: "m"}, nil, now) {
+		if candidate.Pace != 1 {
+			t.Errorf("server %s has the pace %.1f of its earlier start", candidate.Server.ID, candidate.Pace)
+		}
+	}
+}
--- a/fleet/paces.go
+++ b/fleet/paces.go
@@ -150,11 +150,11 @@
 	return known != nil && now.Sub(known.saidAt) < paceTrust
 }
 
-// Forget drops what is known of a server.
+// Forget drops what is known of a server. Others are told by the next Update, as they may
+// have heard of its pace after they forgot it.
 func (p *Paces) Forget(server string) {
 	delete(p.servers, server)
 	delete(p.unreported, server)
-	delete(p.told, server)
 }
 
 // TakeReport returns this instance's observations of a server since the last report as
