Log the rooms of a server at most once in 5 s

Cause: when a server was as usual, the time of its last line was forgotten, so that one with few slots, whose room is known and unknown by turns, gave a line each time; and the line that it is usual again was left out if it came within 5 s. Change: what was logged is kept until another line is due. Result: TestChangingRoomIsLoggedSeldom: 20 lines in a minute before (fails), at most 13 after; go test -race ./fleet passes.

--- a/fleet/speed_reporter.go
+++ b/fleet/speed_reporter.go
@@ -103,16 +103,29 @@
 		r.logRoom(speed.Server, speed.Room, now)
 	}
 	for id := range r.reported {
+		if listed[id] {
+			continue
+		}
+		r.Metrics.ServerSpeed(id, 1, r.Board.SlotsOf(id))
+		delete(r.reported, id)
+	}
+	r.logUsual(listed, now)
+}
+
+// logUsual logs the rooms that are usual again, and forgets them once they may be logged
+// anew.
+func (r *SpeedReporter) logUsual(listed map[string]bool, now time.Time) {
+	for id := range r.logged {
 		if listed[id] {
 			continue
 		}
 		slots := r.Board.SlotsOf(id)
-		r.Metrics.ServerSpeed(id, 1, slots)
 		if slots > 0 {
 			r.logRoom(id, slots, now)
 		}
-		delete(r.reported, id)
-		delete(r.logged, id)
+		if now.Sub(r.logged[id].at) >= minRoomLogInterval {
+			delete(r.logged, id)
+		}
 	}
 }
 
--- a/fleet/speed_reporter_test.go
+++ b/fleet/speed_reporter_test.go
@@ -52,3 +52,32 @@
 		t.Errorf("%d lines, want one for each change of a room", lines)
 	}
 }
+
+// TestChangingRoomIsLoggedSeldom guards against a log line for each time at which a server
+// with few slots is as usual, and is not.
+func TestChangingRoomIsLoggedSeldom(t *testing.T) {
+	const (
+		played   = time.Minute
+		maxLines = 13
+	)
+	board := fleet.NewBoard("north")
+	board.SetServers(map[string]pomelospring.FleetServer{
+		"s": {ID: "s", Service: "app", Domain: "north", Slots: 3, Started: start},
+	}, start)
+	handler, now := memory.New(), start
+	reporter := fleet.SpeedReporter{
+		Board:   board,
+		Metrics: gauges{},
+		Logger:  &log.Logger{Handler: handler, Level: log.InfoLevel},
+		Clock:   func() time.Time { return now },
+	}
+	for now.Sub(start) < played {
+		board.RecordRejection("s", 1, now)
+		reporter.Report()
+		now = now.Add(3 * time.Second)
+		reporter.Report()
+	}
+	if lines := len(handler.Entries); lines > maxLines {
+		t.Errorf("%d lines in %s, want one in 5 s at most", lines, played)
+	}
+}
