Log that a server's pace is usual again

Cause: a leader logged changes of the paces that differ from usual only, so that the last line of a server that was slow for a while stayed that it is slow, and "before" was wrong next time. Change: paces that were logged and no longer differ are logged as 1. Result: TestLeaderLogsUsualPaces fails before (4 alone is logged) and passes after (-race, 5 times); go test ./coordination passes.

--- a/coordination/paces.go
+++ b/coordination/paces.go
@@ -30,30 +30,37 @@
 func (l *Leader) updatePaces(now time.Time) {
 	l.table.Paces = l.Board.Paces(l.Domain, now)
 	for id, factor := range l.table.Paces {
-		logged, found := l.loggedPaces[id]
-		if !found {
-			logged.factor = 1
-		}
-		if factor < logged.factor*loggedPaceStep && logged.factor < factor*loggedPaceStep || now.Sub(logged.at) < minPaceLogInterval {
-			continue
-		}
-		l.loggedPaces[id] = loggedPace{
-			factor: factor,
-			at:     now,
-		}
-		events.Log(l.Logger, events.ServerPaceChanged, log.Fields{
-			"server": id,
-			"before": logged.factor,
-			"pace":   factor,
-		})
+		l.logPace(id, factor, now)
 	}
 	for id := range l.loggedPaces {
 		if _, listed := l.slots[id]; !listed {
 			delete(l.loggedPaces, id)
+		} else if _, differs := l.table.Paces[id]; !differs {
+			l.logPace(id, 1, now)
 		}
 	}
 }
 
+// logPace logs the pace of a server if it changed enough.
+func (l *Leader) logPace(server string, factor float64, now time.Time) {
+	logged, found := l.loggedPaces[server]
+	if !found {
+		logged.factor = 1
+	}
+	if factor < logged.factor*loggedPaceStep && logged.factor < factor*loggedPaceStep || now.Sub(logged.at) < minPaceLogInterval {
+		return
+	}
+	l.loggedPaces[server] = loggedPace{
+		factor: factor,
+		at:     now,
+	}
+	events.Log(l.Logger, events.ServerPaceChanged, log.Fields{
+		"server": server,
+		"before": logged.factor,
+		"pace":   factor,
+	})
+}
+
 // changedPaces lists the paces that changed since a version.
 func (l *Leader) changedPaces(since int64) (list []*coordinationpb.ServerPace, version int64) {
 	changed, version := l.Board.PaceChanges(l.Domain, since)
--- a/coordination/paces_test.go
+++ b/coordination/paces_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/google/go-cmp/cmp"
 	"github.com/pomelospring/pomelospring/coordination"
 	"github.com/pomelospring/pomelospring/coordination/coordinationpb"
@@ -78,3 +80,42 @@
 		}
 	})
 }
+
+// TestLeaderLogsUsualPaces guards against a log that leaves out that a server is as usual
+// again.
+func TestLeaderLogsUsualPaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		leader := startLeader(ctx, &singleWorker{})
+		handler := memory.New()
+		synctest.Wait()
+		leader.Logger = &log.Logger{Handler: handler, Level: log.InfoLevel}
+		server := &coordination.Server{
+			Leaders:    map[string]*coordination.Leader{"north": leader},
+			Quarantine: quarantine.NewRegister(),
+		}
+		for _, percent := range []int32{400, 100} {
+			for range 30 {
+				_, err := server.Exchange(ctx, &coordinationpb.ExchangeRequest{
+					Domain:   "north",
+					Instance: "observer",
+					Paces:    []*coordinationpb.ServerPace{{Server: "a", Percent: percent, Weight: 5, Said: true}},
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		}
+		var logged []any
+		for _, entry := range handler.Entries {
+			if entry.Fields["pace"] != nil {
+				logged = append(logged, entry.Fields["pace"])
+			}
+		}
+		if diff := cmp.Diff([]any{4.0, 1.0}, logged); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
