Take only full servers as having no room

Cause: each call that a server turned away set its room to the calls that it had, also a 429 over a limit and a 503 that asks for a pause, although the server had free slots; its calls then cost more for as many seconds as it has slots. Change: only a 503 without a pause, of a server that doesn't leave, tells the room.

--- a/entry/run.go
+++ b/entry/run.go
@@ -461,12 +461,18 @@
 	}
 }
 
+// isFull reports whether a server turned a call away for lack of room: not for a limit, for a
+// pause or because it leaves.
+func isFull(answer *pomelospring.BackendAnswer) bool {
+	return answer.Status == http.StatusServiceUnavailable && !answer.Notice.Leaving && answer.Notice.PausedUntil.IsZero()
+}
+
 // handleRejection handles the answer of a backend server that did not run the
 // call, and reports whether the call has ended.
 func (a *attempt) handleRejection(ctx context.Context, answer *pomelospring.BackendAnswer) (done bool) {
 	c, server := a.session, a.server
 	a.end(!answer.Misdirected)
-	if !answer.Misdirected && !answer.Notice.Leaving {
+	if isFull(answer) {
 		c.service.Board.RecordRejection(server.ID, max(answer.Notice.Load.Running, a.choice.Candidate.Running), c.service.Clock())
 	}
 	c.avoid[server.ID] = true
