Count calls that a leader decided on once in the time to return

Cause: refused tokens, after which callers are told when to return, are the increase of what was asked less that of what was spent. A leader counted what it granted as spent at once, and as asked with the next report, as if it had been refused; what it refused it counted at once and with the report; and the instance that had asked didn't count it at all. Change: a leader counts asked and spent together, and the asking instance what was refused. Result: TestLeaderCountsOnce fails before (a caller of 900 tokens at 1,000 a second is to return after 1.55 s, wanted 650 ms; 2.55 s, wanted 1.65 s) and passes after. go test ./quota and go test -race ./coordination pass.

--- a/coordination/tokens.go
+++ b/coordination/tokens.go
@@ -27,9 +27,7 @@
 		return quota.Decision{}, false
 	}
 	decision = l.Ledger.Grant(request, now)
-	if decision.Admitted {
-		l.totals.Add(instance, request.Team, request.Tokens)
-	}
+	l.totals.Add(instance, request.Team, request.Tokens, decision.Admitted)
 	return decision, true
 }
 
@@ -83,6 +81,8 @@
 	}
 	if decision.Admitted {
 		m.Ledger.Charge(request.Team, request.Tokens, now)
+	} else {
+		m.Ledger.CountRefused(request.Team, request.Tokens, now)
 	}
 	return decision
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -271,7 +271,7 @@
 }
 
 // Grant decides on a request for which another instance asked its leader, with the
-// ledger of the leader's instance. It charges nothing.
+// ledger of the leader's instance. It counts nothing.
 func (l *Ledger) Grant(request Request, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -283,9 +283,6 @@
 	}
 	l.refill(a, now)
 	decision, _ := l.decide(a, request, now)
-	if !decision.Admitted {
-		a.backlog += request.Tokens
-	}
 	return decision
 }
 
@@ -299,6 +296,16 @@
 	}
 }
 
+// CountRefused counts the tokens of a request that the leader refused.
+func (l *Ledger) CountRefused(team string, tokens float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.accounts[team]; a != nil {
+		l.refill(a, now)
+		a.backlog += tokens
+	}
+}
+
 // AdmitUnanswered decides on a request for which the leader was asked without an answer:
 // it is admitted with the probability that the level covers what the fleet is expected to
 // ask until the next report, or the rest of this instance's part the request.
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -110,9 +110,11 @@
 		return f.ledgers[instance].AdmitUnanswered(request, f.now)
 	}
 	decision = f.ledgers[leader].Grant(request, f.now)
+	totals.Add(fmt.Sprint(instance), team, request.Tokens, decision.Admitted)
 	if decision.Admitted {
-		totals.Add(fmt.Sprint(instance), team, request.Tokens)
 		f.ledgers[instance].Charge(team, request.Tokens, f.now)
+	} else {
+		f.ledgers[instance].CountRefused(team, request.Tokens, f.now)
 	}
 	return decision
 }
--- a/quota/over_rate_test.go
+++ b/quota/over_rate_test.go
@@ -464,3 +464,51 @@
 		t.Errorf("served %d of %d", served, count)
 	}
 }
+
+// Calls that a leader decides on are counted once: what it grants is not expected to return,
+// and what it refuses returns once.
+func TestLeaderCountsOnce(t *testing.T) {
+	const tokens = 900.0
+	request := quota.Request{
+		Team:        team,
+		Tokens:      tokens,
+		UsualTokens: tokens,
+		Call:        "another",
+	}
+	// retryDelay returns how long a refused caller is to wait after a call at instance 1 that
+	// the leader decided on, or that the instance decided on by itself.
+	retryDelay := func(askLeader, granted bool) time.Duration {
+		f := newFleet(2, 1, 1000, 1000, 1)
+		f.exchange(0, 0)
+		f.exchange(1, 0)
+		f.now = f.now.Add(10 * time.Second)
+		f.exchange(0, 0)
+		f.exchange(1, 0)
+		leader, totals := f.ledgers[0], f.totals[0]
+		spending := quota.Spending{Asked: tokens}
+		if granted {
+			spending.Spent = tokens
+		} else {
+			leader.Charge(team, 1000, f.now)
+		}
+		if askLeader {
+			if decision := leader.Grant(request, f.now); decision.Admitted != granted {
+				t.Fatal(decision)
+			}
+			totals.Add("1", team, request.Tokens, granted)
+			leader.ApplySpending(0, "leader0", team, totals.OthersOfTeam("0", team), f.now)
+		}
+		totals.Report("1", map[string]quota.Spending{team: spending})
+		leader.ApplySpending(0, "leader0", team, totals.OthersOfTeam("0", team), f.now)
+		decision := leader.Grant(request, f.now)
+		if decision.Admitted {
+			t.Fatal(decision)
+		}
+		return decision.RetryAt.Sub(f.now)
+	}
+	for _, granted := range []bool{true, false} {
+		if asked, alone := retryDelay(true, granted), retryDelay(false, granted); asked != alone {
+			t.Errorf("granted %t: callers are to return after %s, and after %s if no leader was asked", granted, asked, alone)
+		}
+	}
+}
--- a/quota/totals.go
+++ b/quota/totals.go
@@ -58,11 +58,14 @@
 // Knows reports whether an instance has reported to this leader.
 func (t *Totals) Knows(instance string) bool { return t.lastReported[instance] != nil }
 
-// Add counts tokens that the leader granted an instance that it knows, until its next
-// report.
-func (t *Totals) Add(instance, team string, granted float64) {
+// Add counts the tokens of a request on which the leader decided, of an instance that it
+// knows, until the instance's next report.
+func (t *Totals) Add(instance, team string, tokens float64, granted bool) {
 	increase := Spending{
-		Spent: granted,
+		Asked: tokens,
+	}
+	if granted {
+		increase.Spent = tokens
 	}
 	t.sums[team] = t.sums[team].plus(increase)
 	t.contributions[instance][team] = t.contributions[instance][team].plus(increase)
