Learn no speed from a server's errors

Cause: the times of answers from 400 to 499 entered the speed of a service without a model and the pace of the server, so that one which wrongly answers 404 at once counted as fast. Change: only answers below 400 are measured. Result: TestErrorsTellNoSpeed, row Not Found, fails before and passes after; go test ./entry passes.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -140,7 +140,7 @@
 	if len(body) <= maxBodyBytes {
 		a.recordWhole(answer)
 	}
-	if !failed && c.limits == nil {
+	if answer.Status < http.StatusBadRequest && !failed && c.limits == nil {
 		a.recordPlainAnswer()
 	}
 	a.end(answer.Status >= http.StatusInternalServerError)
--- a/entry/full_server_test.go
+++ b/entry/full_server_test.go
@@ -58,3 +58,29 @@
 		})
 	}
 }
+
+// TestErrorsTellNoSpeed guards against servers that count as fast as they answer with errors
+// at once.
+func TestErrorsTellNoSpeed(t *testing.T) {
+	scenarios := []struct {
+		status int
+		want   bool
+	}{
+		{status: http.StatusOK, want: true},
+		{status: http.StatusNotFound},
+		{status: http.StatusInternalServerError},
+	}
+	for _, scenario := range scenarios {
+		t.Run(http.StatusText(scenario.status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service := newLimitedFleet(1, &limitedBackend{answer: func(string, int) script {
+					return script{status: scenario.status}
+				}})[0]
+				service.Serve(t.Context(), call("/lookup/1"), &refusedResponder{})
+				if learned := service.Board.Speeds("app").PlainCall > 0; learned != scenario.want {
+					t.Errorf("a speed was learned: %t, want %t", learned, scenario.want)
+				}
+			})
+		})
+	}
+}
