Take no server as late whose callers read slowly

Cause: a server is late if the longest pause of a stream was over the route's target. That pause was the whole stream's: it had the time in which the caller didn't read, and for a stream that was taken over the time in which the server before was silent. Change: each attempt has its longest pause, from when an event was forwarded to the next one.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -59,6 +59,11 @@
 	// lateAfter is how long the first output, or the whole of another answer, may take
 	// before it is late.
 	lateAfter time.Duration
+	// longestPause is the longest time that the server let pass between two events, and
+	// awaitedSince when the last one had been forwarded: a caller that reads slowly and
+	// another server's pause don't count.
+	longestPause time.Duration
+	awaitedSince time.Time
 	// resumes is set if the server was asked to go on after the last event.
 	resumes bool
 	// outcome is how the call ended for the server's permit.
@@ -328,18 +333,23 @@
 		c.countServed()
 	}
 	c.recordEventTimes()
+	if !a.awaitedSince.IsZero() {
+		a.longestPause = max(a.longestPause, c.lastEventAt.Sub(a.awaitedSince))
+	}
 	if c.attemptsExecuted > 1 {
 		c.logResumed(a.server)
 	}
-	return c.write(complete)
+	written := c.write(complete)
+	a.awaitedSince = c.service.Clock()
+	return written
 }
 
 // finishStream ends a stream that is complete, with the bytes after its last event.
 func (a *attempt) finishStream(answer *pomelospring.BackendAnswer, rest []byte) (done bool) {
 	c := a.session
 	a.recordWhole(answer)
-	if c.longestPause > 0 {
-		a.recordTime(c.longestPause, c.route.PauseTarget)
+	if a.longestPause > 0 {
+		a.recordTime(a.longestPause, c.route.PauseTarget)
 	}
 	a.end(false)
 	if !c.forwarded {
