--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -138,8 +138,10 @@
 	withheld      float64
 	returned      float64
 	returnedUntil time.Time
-	// unasked are the tokens charged here since the last report without asking the leader.
-	unasked float64
+	// unasked are the tokens charged here since the last report without asking the leader,
+	// and unaskedUrgent those of urgent requests among them.
+	unasked       float64
+	unaskedUrgent float64
 	// share is the fraction of the team's rate that this instance may use while
 	// no leader's report is current.
 	share float64
@@ -245,7 +247,7 @@
 	l.countDemand(a, request, now)
 	// An instance that has just returned knows too little of what is left.
 	unsure := decision.Reason == ReasonEmpty && now.Before(a.returnedUntil) && l.grants(now)
-	if unsure || decision.Admitted && !urgent && l.mustAsk(a, request.Tokens, now) {
+	if unsure || decision.Admitted && l.mustAsk(a, request.Tokens, urgent, now) {
 		return Decision{
 			AskLeader: true,
 			Leader:    l.activeIndex(now),
@@ -255,12 +257,15 @@
 		return decision
 	}
 	a.unasked += request.Tokens
+	if urgent {
+		a.unaskedUrgent += request.Tokens
+	}
 	a.charge(request.Tokens)
 	return decision
 }
 
 // Grant decides on a request for which another instance asked its leader, with the
-// ledger of the leader's instance. It charges nothing.
+// ledger of the leader's instance. It counts nothing.
 func (l *Ledger) Grant(request Request, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -285,6 +290,16 @@
 	}
 }
 
+// CountRefused counts the tokens of a request that the leader refused.
+func (l *Ledger) CountRefused(team string, tokens float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.accounts[team]; a != nil {
+		l.refill(a, now)
+		a.backlog += tokens
+	}
+}
+
 // AdmitUnanswered decides on a request for which the leader was asked without an answer:
 // it is admitted with the probability that the level covers what the fleet is expected to
 // ask until the next report, or the rest of this instance's part the request.
@@ -424,9 +439,16 @@
 	return rankWindow
 }
 
-// mustAsk reports whether the leader has to decide on tokens.
-func (l *Ledger) mustAsk(a *account, tokens float64, now time.Time) bool {
-	return a.rate > 0 && l.grants(now) && a.unasked+tokens > l.ownPart(a, now)
+// mustAsk reports whether the leader has to decide on tokens. Urgent requests have a part
+// of their own, so that others don't use it up.
+func (l *Ledger) mustAsk(a *account, tokens float64, urgent bool, now time.Time) bool {
+	if a.rate <= 0 || !l.grants(now) {
+		return false
+	}
+	if urgent {
+		return a.unaskedUrgent+tokens > l.part(a, urgentReserve, now)
+	}
+	return a.unasked+tokens > l.ownPart(a, now)
 }
 
 // grants reports whether there is a leader that decides for several instances.
@@ -438,11 +460,17 @@
 // ownPart returns the tokens that this instance may charge between two reports without
 // asking the leader.
 func (l *Ledger) ownPart(a *account, now time.Time) float64 {
+	return l.part(a, overdraftFraction, now)
+}
+
+// part returns this instance's even part of the level as of the last report and an overdraft,
+// a fraction of the burst.
+func (l *Ledger) part(a *account, overdraft float64, now time.Time) float64 {
 	instances := 1
 	if leader := l.activeLeader(now); leader != nil {
 		instances = leader.instances
 	}
-	return (a.level + a.unasked + overdraftFraction*a.burst) / float64(instances)
+	return (a.level + a.unasked + overdraft*a.burst) / float64(instances)
 }
 
 // activeLeader returns the first leader whose report is current; nil without
@@ -544,7 +572,7 @@
 			}
 			a.addOthers(a.coverReturned(increase, usual, now))
 		}
-		a.unasked = 0
+		a.unasked, a.unaskedUrgent = 0, 0
 		a.share = a.computeShare(leader)
 	}
 }
