Servers aren't cold because a clock was set back

Cause: an entry that says that its server isn't cold gave the server's start as the end of its cold time.

Change: NotCold, a time before any that a clock shows, stands for it instead, on arrival from the store and from leaders; the wire is as before. A cold time that counts from the start of the server becomes a time on the instance's steady clock on arrival.

--- a/coordination/cold.go
+++ b/coordination/cold.go
@@ -113,7 +113,7 @@
 	case entry.ColdMilliseconds == 0:
 		return time.Time{}
 	case entry.ColdMilliseconds < 0:
-		return time.UnixMilli(entry.Started)
+		return pomelospring.NotCold
 	}
 	return now.Add(time.Duration(entry.ColdMilliseconds) * time.Millisecond)
 }
--- a/fleet.go
+++ b/fleet.go
@@ -44,7 +44,7 @@
 	// Software is the version of the server's software; empty if its entry names none.
 	Software string
 	// ColdUntil is when the server stops being cold, as far as its entry says; zero if it
-	// says nothing, and not after Started if it says that it isn't cold.
+	// says nothing, and NotCold if it says that it isn't.
 	ColdUntil time.Time
 	// Draining servers get no new requests.
 	Draining bool
@@ -66,6 +66,10 @@
 	return false
 }
 
+// NotCold is until when a server is cold whose entry says that it isn't. It lies before
+// whatever an instance's clock may be set to.
+var NotCold = time.Unix(0, 0)
+
 // Equivalent reports whether two entries are equal apart from their adapters.
 func (f *FleetServer) Equivalent(other *FleetServer) bool {
 	return f.ID == other.ID &&
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -151,10 +151,8 @@
 	sameStart := before.ID == server.ID && before.Started.Equal(server.Started)
 	isSaid := !server.ColdUntil.IsZero()
 	if coldFor, _ := l.Board.coldTerms(server.Service); coldFor > 0 && (server.ColdUntil.After(now) || !isSaid) && (!sameStart || isSaid || before.ColdUntil.IsZero()) {
-		fromStart := server.Started.Add(coldFor)
-		if latest := now.Add(coldFor); fromStart.After(latest) {
-			fromStart = latest
-		}
+		// From now on, clocks that are set don't matter.
+		fromStart := now.Add(min(coldFor, server.Started.Add(coldFor).Sub(now)))
 		if fromStart.After(server.ColdUntil) {
 			server.ColdUntil = fromStart
 		}
