Instances ask a leader again that answers after it did not

Cause: without the leader's answer an instance takes turns of its own part of a server's bound, and remembers the next of these, which is many seconds away where many instances divide: with 60 instances and 6.5 calls a second, 15 s. Until then its calls kept from the server, or were refused, although the leader gave out turns again; after a change of the leader of a cold server nearly all instances were in this state for the rest of its cold time.

Change: the leader's next reply to an exchange forgets these times, so that the next call asks the leader.

The tests of cold servers and limits in coordination pass.

--- a/coordination/cold_test.go
+++ b/coordination/cold_test.go
@@ -372,3 +372,47 @@
 		})
 	}
 }
+
+// TestLeaderThatAnswersAgainIsNotAsked guards against an instance that waits for a turn of
+// its own part of a cold server although the leader gives out turns again.
+func TestLeaderThatAnswersAgainIsNotAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newColdFleet(ctx, 60, 6.5)
+		f.exchange(ctx)
+		member := f.members[0]
+		coordinator := &coordination.PlacementCoordinator{
+			Board:   member.Board,
+			Members: []*coordination.Member{member},
+		}
+		now := time.Now()
+		server := pomelospring.FleetServer{
+			ID:        "a",
+			Service:   "llm",
+			Domain:    "north",
+			Started:   now,
+			ColdUntil: now.Add(12 * time.Second),
+		}
+		for _, board := range []*fleet.Board{f.leader.Board, member.Board} {
+			board.SetServers(map[string]pomelospring.FleetServer{"a": server}, now)
+		}
+		// Its part is one call in 15 s.
+		member.SetLeader("")
+		for range 2 {
+			coordinator.Reserve(ctx, server, "shop", time.Now().Add(coldPatience))
+		}
+		if wait := member.Board.NextTurn("a", now).Sub(now); wait < 3*time.Second {
+			t.Fatalf("the next turn of its part is in %s", wait)
+		}
+		member.SetLeader("instance")
+		time.Sleep(3 * time.Second)
+		now = time.Now()
+		if wait := member.Board.NextTurn("a", now).Sub(now); wait > 0 {
+			t.Errorf("the leader is asked again in %s", wait)
+		}
+		if !coordinator.Reserve(ctx, server, "shop", now.Add(coldPatience)).Granted {
+			t.Error("the leader gives it no turn")
+		}
+	})
+}
--- a/coordination/limits.go
+++ b/coordination/limits.go
@@ -98,6 +98,10 @@
 	})
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.divided == nil {
+		m.divided = map[string]bool{}
+	}
+	m.divided[server.ID] = true
 	if bound.ColdPerSecond > 0 {
 		return m.reserveColdPart(bound, latest, m.Clock())
 	}
@@ -108,6 +112,18 @@
 	return reserve(&m.pacing, server.ID, team, bound.Limit.PerSecond/float64(instances), latest, m.Clock())
 }
 
+// askAgain lets calls ask the leader, which has just replied, for turns of the servers of
+// which this instance used its own part: its next turn of these may be far away.
+func (m *Member) askAgain() {
+	m.mu.Lock()
+	divided := m.divided
+	m.divided = nil
+	m.mu.Unlock()
+	for id := range divided {
+		m.Board.ForgetNextTurn(id)
+	}
+}
+
 // reserveAtLeader asks the domain's leader for a turn.
 func (m *Member) reserveAtLeader(ctx context.Context, bound fleet.Bound, team string, latest time.Time) (reservation pomelospring.Reservation, err error) {
 	address, now := m.Known(), m.Clock()
--- a/coordination/member.go
+++ b/coordination/member.go
@@ -128,6 +128,9 @@
 	coldPart    pacing.Part
 	division    division
 	randomPhase float64
+	// divided has the servers of which this instance used its own part since the leader's
+	// last reply.
+	divided map[string]bool
 	// permits are those for the domain's brittle servers that this instance has, and
 	// ownPermits gives out its part of their room while the leader does not answer.
 	permits    heldPermits
@@ -482,6 +485,7 @@
 	m.operatorAge = operatorAge
 	m.serverAge = serverAge
 	m.mu.Unlock()
+	m.askAgain()
 	interval := m.interval()
 	m.Board.SetResidency(m.Domain, residencyFromProto(reply.Residency), full, reply.ResidencyVersion)
 	if m.Board.RecordContact(m.Domain, now) {
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -161,6 +161,13 @@
 	b.nextTurns[server] = at
 }
 
+// ForgetNextTurn lets the next call to a server with a bound ask for a reservation.
+func (b *Board) ForgetNextTurn(server string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.nextTurns, server)
+}
+
 // NextTurn returns the earliest time for which a call to a server may get a reservation.
 func (b *Board) NextTurn(server string, now time.Time) time.Time {
 	b.mu.Lock()
