Instances don't divide a cold server by a new leader's first counts

Cause: a new leader counts the instances as they report: it told the first one that there is 1 instance, the next that there are 2, and so on. Instances that had not heard from a leader before, as after all were killed together, divided the rate of a cold server by these numbers, so that their parts added up to several times the rate, while the leader gave out no turns yet. Besides, the turns of instances that know no rank fall at random, and those of a fleet as large as the assumed one fall together often enough to pass the bound with the leader's.

Change: a new leader tells the rank -1 for the second in which it gives out no turns, and instances then keep the division that they have. An instance that knows no division divides by 1000 instances rather than 500.

The simulated instances now exchange with the leader that they follow, not with the first one.

--- a/coordination/cold.go
+++ b/coordination/cold.go
@@ -22,8 +22,9 @@
 	// coldHorizon is how far ahead the turns of a cold server are given out.
 	coldHorizon = time.Second
 	// assumedColdInstances is the number of instances by which one divides the rate of a
-	// cold server that has not heard from a leader yet.
-	assumedColdInstances = 500
+	// cold server that has not heard from a leader yet: well over those of any fleet, as
+	// turns at random fall together.
+	assumedColdInstances = 1000
 	// divisionTime is how long an instance divides by the number of instances that a leader
 	// told it although one that may not know all of them yet tells it a smaller one.
 	divisionTime = 10 * time.Second
@@ -80,9 +81,23 @@
 	return m.randomPhase
 }
 
+// notCounted is the rank that a new leader tells which has not heard from all instances.
+const notCounted = -1
+
+// rank returns the rank of an instance among the live ones. The lock is held.
+func (l *Leader) rank(instance string, now time.Time) int {
+	if now.Before(l.coldFrom) {
+		return notCounted
+	}
+	return l.ranks[instance]
+}
+
 // setDivision records the number of instances and this one's rank that a leader told. The
 // lock is held.
 func (m *Member) setDivision(instances, rank int, now time.Time) {
+	if rank == notCounted {
+		return
+	}
 	if instances < m.division.instances && now.Before(m.division.until) {
 		return
 	}
--- a/coordination/cold_test.go
+++ b/coordination/cold_test.go
@@ -44,6 +44,8 @@
 	learnsAt []time.Time
 	knows    []bool
 	random   *rand.Rand
+	// run runs the instances' exchanges.
+	run func()
 }
 
 // newColdFleet starts instances and a leader.
@@ -54,13 +56,7 @@
 	}
 	setColdTerms(f.leader.Board, perSecond)
 	logger := &log.Logger{Handler: discard.New()}
-	local := &coordination.Server{
-		Leaders:    map[string]*coordination.Leader{"north": f.leader},
-		Known:      func() map[string]string { return nil },
-		AddRecords: func([]pomelospring.KeyedRecord) {},
-		Quarantine: quarantine.NewRegister(),
-		Eras:       f.leader.Eras,
-	}
+	local := serverOf(f.leader)
 	for n := range count {
 		board := fleet.NewBoard("north")
 		setColdTerms(board, perSecond)
@@ -82,15 +78,31 @@
 		}
 		f.members = append(f.members, member)
 	}
+	f.run = func() {
+		for _, member := range f.members {
+			go func() { _ = member.Run(ctx) }()
+		}
+	}
 	return f
 }
 
+// serverOf serves the exchanges with a leader.
+func serverOf(leader *coordination.Leader) *coordination.Server {
+	return &coordination.Server{
+		Leaders:    map[string]*coordination.Leader{"north": leader},
+		Known:      func() map[string]string { return nil },
+		AddRecords: func([]pomelospring.KeyedRecord) {},
+		Quarantine: quarantine.NewRegister(),
+		Eras:       leader.Eras,
+	}
+}
+
 // exchange lets the instances exchange with the leader.
-func (f *coldFleet) exchange(ctx context.Context) {
+func (f *coldFleet) exchange() {
 	for _, member := range f.members {
 		member.SetLeader("instance")
-		go func() { _ = member.Run(ctx) }()
 	}
+	f.run()
 	time.Sleep(2 * time.Second)
 }
 
@@ -130,8 +142,9 @@
 
 // follow lets all instances use another leader.
 func (f *coldFleet) follow(leader *coordination.Leader) {
+	local := serverOf(leader)
 	for _, member := range f.members {
-		member.Leader = leader
+		member.Leader, member.Local = leader, local
 		member.SetLeader("instance")
 	}
 }
@@ -160,7 +173,7 @@
 	other := startLeaderIn(ctx, &singleWorker{}, standby)
 	setColdTerms(other.Board, r.perSecond)
 	if !r.alone {
-		f.exchange(ctx)
+		f.exchange()
 	}
 	began := time.Now()
 	server := pomelospring.FleetServer{
@@ -232,10 +245,19 @@
 			f.follow(other)
 		}
 	}
+	starts := func(f *coldFleet, other *coordination.Leader, after time.Duration) {
+		if after == 0 {
+			f.run()
+		}
+		if f.members[0].Known() == "" && other.Leading() {
+			f.follow(other)
+		}
+	}
 	scenarios := []struct {
 		name string
 		run  coldRun
 	}{
+		{name: "all instances and the leader are new", run: coldRun{alone: true, during: starts}},
 		{name: "a leader", run: coldRun{}},
 		{name: "through other instances", run: coldRun{delay: 150 * time.Millisecond}},
 		{name: "no leader from the start", run: coldRun{during: loses(0, all)}},
@@ -380,7 +402,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		f := newColdFleet(ctx, 60, 6.5)
-		f.exchange(ctx)
+		f.exchange()
 		member := f.members[0]
 		coordinator := &coordination.PlacementCoordinator{
 			Board:   member.Board,
--- a/coordination/server.go
+++ b/coordination/server.go
@@ -171,7 +171,7 @@
 	}
 	reply.Paces, reply.PaceVersion = l.changedPaces(pacesSince)
 	reply.Instances, reply.Known = l.countInstances(now)
-	reply.Rank = int32(l.ranks[request.Instance])
+	reply.Rank = int32(l.rank(request.Instance, now))
 	if request.Relay {
 		l.addRelay(pomelospring.TopicPosition{
 			Era:    request.OperatorEra,
