--- a/fleet/evacuations_test.go
+++ b/fleet/evacuations_test.go
@@ -118,6 +118,15 @@
 			},
 			returned: []string{"south"},
 		},
+		{
+			name: "a removal that the leader doesn't know, read after its relay",
+			play: func(e *evacuee) {
+				e.read(false, 0, 5, inEra(0, 4, put("evacuate/south", "{}")))
+				e.AddRecords(records{inEra(0, 8, put("config", "2"))})
+				e.read(false, 0, 9, inEra(0, 7, put("evacuate/south", "")), inEra(0, 8, put("config", "2")))
+			},
+			returned: []string{"south"},
+		},
 		{
 			name: "a full read that ends before the evacuation",
 			play: func(e *evacuee) {
