Free the bodies of refused requests at once

A request that gave way kept its charge until net/http closed its connection, half a second after the refusal if more than 256 KiB of its body were missing: as long as the one for which it gave way waits (grantWait), so that was refused too. The charge of a request that isn't run ends now with the reading of its body.

Seen first on the code before: 'a stalled request of which much is missing gives way' got 503, 503 instead of 503, 200 (go test -race ./intake); green after.

--- a/intake/account.go
+++ b/intake/account.go
@@ -327,17 +327,17 @@
 		return
 	}
 	delete(a.conns, c)
-	a.empty(c)
+	a.shrink(c, 0)
 }
 
-// empty frees all that a connection holds.
-func (a *Account) empty(c *Conn) {
+// shrink frees what a connection holds over some bytes.
+func (a *Account) shrink(c *Conn, holds int64) {
+	freed := max(0, c.held-holds)
 	if c.gaveWay {
-		a.leaving -= c.held
+		a.leaving -= freed
 	}
-	held := c.held
-	c.held = 0
-	a.free(held)
+	c.held -= freed
+	a.free(freed)
 }
 
 // count counts refusals, and logs the first of a while.
--- a/intake/body.go
+++ b/intake/body.go
@@ -18,6 +18,7 @@
 		return content, nil, err
 	}
 	c.begin(phaseBody)
+	before := c.holds()
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	g := grant{
 		ctx:  ctx,
@@ -27,20 +28,31 @@
 		return nil, nil, pomelospring.ErrNoMemory
 	}
 	if content, err = pomelospring.ReadGranted(g, body, length); err != nil {
-		if c.hasGivenWay() {
+		if c.drop(before) {
 			err = pomelospring.ErrNoMemory
 		}
 		return nil, nil, err
 	}
 	if !c.run() {
+		c.drop(before)
 		return nil, nil, pomelospring.ErrNoMemory
 	}
 	return content, g, nil
 }
 
-func (c *Conn) hasGivenWay() bool {
+func (c *Conn) holds() int64 {
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
+	return c.held
+}
+
+// drop frees what a request that isn't run holds more than before its body, as the HTTP
+// server keeps its connection open for a while. It reports whether the request was told to
+// give way.
+func (c *Conn) drop(before int64) (gaveWay bool) {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.account.shrink(c, before)
 	return c.gaveWay
 }
 
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -257,7 +257,7 @@
 	c.soundUntil.Store(c.account.age(c.since.Add(lagGrace)))
 	c.phase.Store(phase)
 	if phase == phaseIdle {
-		c.account.empty(c)
+		c.account.shrink(c, 0)
 	}
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -163,6 +163,7 @@
 		{name: "a large request alone", requests: []request{whole(0, large)}, want: []int{200}},
 		{name: "one that is larger than the memory", requests: []request{whole(0, 2*large)}, want: []int{503}},
 		{name: "a stalled request gives way", requests: []request{{length: large, sent: large - 1}, whole(5*time.Second, large)}, want: []int{503, 200}},
+		{name: "a stalled request of which much is missing gives way", requests: []request{{length: large, sent: large - 300_000}, whole(5*time.Second, large)}, want: []int{503, 200}},
 		{name: "a stalled request stays while there is room", requests: []request{{length: large, sent: large - 1}, whole(5*time.Second, 1000)}, want: []int{unanswered, 200}},
 		{name: "the newest gives way to a steady one", requests: []request{{length: large, sent: large, perSecond: 100_000}, whole(time.Second, large)}, want: []int{200, 503}},
 		{name: "a small request goes beside a large one", requests: []request{{length: large, sent: large - 1}, whole(time.Second, 1000)}, want: []int{unanswered, 200}},
