End the answer's direction of refused callers first

The listener's connections hid CloseWrite of TCP ones, so net/http closed those of callers that were still sending with bytes unread: the caller got a reset, by which a refusal that it hasn't read yet can be lost (503 and 413 of ingress).

Seen first on the code before: TestRefusalReachesASendingCaller, 'connection reset by peer' after the 503; green after (go test -race ./intake).

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -140,6 +140,15 @@
 // NetConn returns the connection itself.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// CloseWrite ends the direction to the caller, as the HTTP server does before it closes a
+// connection of which it hasn't read all.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // readBy sets the time by which the next bytes must arrive.
 func (c *Conn) readBy(timeout time.Duration) {
 	c.readUntil = time.Now().Add(timeout)
@@ -240,9 +249,7 @@
 	if _, err := c.Write([]byte(headRefusal)); err != nil {
 		return
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
+	_ = c.CloseWrite()
 	time.Sleep(lingerTime)
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -224,6 +224,46 @@
 	}
 }
 
+// Guards against refusals that callers lose who are still sending: the HTTP server ends only
+// its own direction first if the connection can.
+func TestRefusalReachesASendingCaller(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	account := intake.NewAccount(intake.Machine{
+		MemoryBytes: 100_000_000,
+		Descriptors: 100,
+	}, noLimits, &log.Logger{
+		Handler: discard.New(),
+	}, time.Now)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}),
+	}
+	go func() {
+		_ = server.Serve(&intake.Listener{
+			Listener: tcp,
+			Account:  account,
+		})
+	}()
+	defer func() { _ = server.Close() }()
+	conn, err := net.Dial("tcp", tcp.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 100_000)); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(conn)
+	if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 503") {
+		t.Errorf("the answer is %q, %v", answer, err)
+	}
+}
+
 // Guards against limits that only hold from the next start.
 func TestLimitsFollowTheConfiguration(t *testing.T) {
 	head := func(bytes int) string {
