Raised times of callers hold for connections that wait

A connection kept the deadline of the configuration that was known when its wait began: after idle-timeout-ms or header-timeout-ms was raised, idle connections and slow heads within the new limits were closed. The limits are asked again when a deadline passes. A read that the HTTP server ends itself no longer closes the connection (OPTIONS * on a kept connection).

Seen first on the code before: TestRaisedTimesHoldForConnectionsThatWait, both rows (unexpected EOF); green after (go test -race ./intake).

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -83,7 +83,8 @@
 	since   time.Time
 	held    int64
 	gaveWay bool
-	// Of the goroutine that reads heads:
+	// Of the goroutine that reads heads. Reads wait from readSince until readUntil.
+	readSince time.Time
 	readUntil time.Time
 	headBytes int64
 	headCost  int64
@@ -151,10 +152,26 @@
 
 // readBy sets the time by which the next bytes must arrive.
 func (c *Conn) readBy(timeout time.Duration) {
-	c.readUntil = time.Now().Add(timeout)
+	c.readSince = time.Now()
+	c.readUntil = c.readSince.Add(timeout)
 	_ = c.Conn.SetReadDeadline(c.readUntil)
 }
 
+// extend has reads go on if their time is up by a limit that was raised since.
+func (c *Conn) extend(phase int32) (isLonger bool) {
+	timeout := c.account.idleTimeout()
+	if phase == phaseHead {
+		timeout = c.account.headerTimeout()
+	}
+	until := c.readSince.Add(timeout)
+	if !until.After(c.readUntil) {
+		return false
+	}
+	c.readUntil = until
+	_ = c.Conn.SetReadDeadline(until)
+	return true
+}
+
 // SetReadDeadline implements net.Conn. Until a request runs, the limits of the
 // configuration hold instead of the HTTP server's.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
@@ -174,9 +191,19 @@
 		}
 		return n, err
 	}
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(suspensionGrace))
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if time.Now().Before(c.readUntil) {
+			// The HTTP server ended this read, not a limit.
+			return 0, err
+		}
+		isLonger := c.extend(phase)
+		if !isLonger {
+			_ = c.Conn.SetReadDeadline(time.Now().Add(suspensionGrace))
+		}
 		n, err = c.Conn.Read(buffer)
+		if !isLonger {
+			break
+		}
 	}
 	if n == 0 {
 		if err != nil {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -264,6 +265,59 @@
 	}
 }
 
+// Guards against connections that are closed by a limit that no longer holds.
+func TestRaisedTimesHoldForConnectionsThatWait(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	scenarios := []struct {
+		name string
+		// before is sent before the times are raised, and after long after that.
+		before string
+		after  string
+	}{
+		{name: "a new connection", after: head},
+		{name: "a head under way", before: head[:8], after: head[8:]},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var seconds atomic.Int64
+				seconds.Store(5)
+				l, _, stop := serve(intake.Machine{
+					MemoryBytes: 100_000_000,
+					Descriptors: 100,
+				}, func() pomelospring.CallerLimits {
+					timeout := time.Duration(seconds.Load()) * time.Second
+					return pomelospring.CallerLimits{
+						HeaderTimeout: timeout,
+						IdleTimeout:   timeout,
+					}
+				}, 0)
+				conn := l.dial()
+				defer func() {
+					_ = conn.Close()
+					stop()
+					time.Sleep(time.Second)
+				}()
+				go func() {
+					_, _ = io.WriteString(conn, s.before)
+					time.Sleep(time.Second)
+					seconds.Store(60)
+					time.Sleep(40 * time.Second)
+					_, _ = io.WriteString(conn, s.after)
+				}()
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = response.Body.Close()
+				if response.StatusCode != http.StatusOK {
+					t.Errorf("status %d", response.StatusCode)
+				}
+			})
+		})
+	}
+}
+
 // Guards against limits that only hold from the next start.
 func TestLimitsFollowTheConfiguration(t *testing.T) {
 	head := func(bytes int) string {
