Read content of the largest length

The step to the end of content of math.MaxInt64 bytes overflowed: a server's answer with that Content-Length, or a body where the configuration allows it, panicked (makeslice: cap out of range): in a call that closes its connection, in a takeover (checkWatchdog, its own goroutine without recover) it would end the process. io.ReadAll, which it replaced, did not.

Seen first on the code before: TestReadGranted, 'the largest length' panics; green after (go test -race . -run TestReadGranted).

--- a/memory.go
+++ b/memory.go
@@ -27,7 +27,7 @@
 		if length < 0 || int64(len(read)) > length {
 			return size
 		}
-		return min(size, length+1)
+		return min(size-1, length) + 1
 	}
 	size := next(firstPart)
 	for {
--- a/memory_test.go
+++ b/memory_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
 	"testing"
 	"testing/iotest"
 
@@ -43,6 +44,7 @@
 		{name: "byte by byte", content: iotest.OneByteReader(content(1000)), length: 1000, want: result{Read: 1000, Granted: 1001}},
 		{name: "less than its length", content: content(10), length: 500_000, want: result{Read: 10, Granted: 64 << 10}},
 		{name: "more than its length", content: content(10), length: 5, want: result{Read: 10, Granted: 12}},
+		{name: "the largest length", content: content(10), length: math.MaxInt64, want: result{Read: 10, Granted: 64 << 10}},
 		{name: "a long one of known length", content: content(300_000), length: 300_000, want: result{Read: 300_000, Granted: 300_001}},
 		{name: "a long one of unknown length", content: content(300_000), length: -1, want: result{Read: 300_000, Granted: 512 << 10}},
 		{name: "one that finds no memory", content: content(2 * memory), length: -1, want: result{Read: memory, Granted: memory, Err: pomelospring.ErrNoMemory}},
