Keep the phase of a running request

net/http reads a byte beside the handler of a request without a body, to see its caller leave. For a pipelined request whose head came with the one before, that byte counted as the beginning of a head. If the handler began to run just between the look at the phase and its change, the running request was one that is still being read, and its connection could be closed for others after its work was sent.

Found by reading; the moment is too short for a test. go test -race ./intake is green.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -212,7 +212,10 @@
 		return 0, nil
 	}
 	if phase != phaseHead {
-		c.begin(phaseHead)
+		if !c.begin(phaseHead) {
+			// A byte behind a pipelined request that runs meanwhile.
+			return n, err
+		}
 		c.headBytes, c.headCost, c.headPaid = 0, 0, freeHeadBytes
 		c.readBy(c.account.headerTimeout())
 	}
@@ -280,12 +283,13 @@
 	time.Sleep(lingerTime)
 }
 
-// begin begins a phase.
-func (c *Conn) begin(phase int32) {
+// begin begins a phase, and reports whether it did. A head can only begin before a request
+// runs: the HTTP server reads a byte beside the handler to see a caller leave.
+func (c *Conn) begin(phase int32) (begun bool) {
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
-	if c.phase.Load() == phaseClosed {
-		return
+	if before := c.phase.Load(); before == phaseClosed || phase == phaseHead && before > phaseHead {
+		return false
 	}
 	c.since = c.account.Clock()
 	c.soundUntil.Store(c.account.age(c.since.Add(lagGrace)))
@@ -293,6 +297,7 @@
 	if phase == phaseIdle {
 		c.account.shrink(c, 0)
 	}
+	return true
 }
 
 // isRead reports whether a request is still being read.
