Bound callers' connections by the memory too

Only the descriptors bounded them, and up to 16 KiB of a head's cost are free: with 20,000 descriptors, 8,000 connections with a small open head took 191 MB of 144. Now at most as many are admitted as have 16 KiB each in 0.2 of the memory (1,757 of 144 MB; the 1,230 of 3,075 descriptors stay). 0.35 for callers and 0.2 together are under the runtime's 0.7. The crowd tests also fail if the process was never measured.

go test ./wholepath -run TestManyShortHeadsStayWithinTheMemory: before 191 MB, red; after 62 and 63 MB, green. Green too: TestManySilentConnectionsStayWithinTheMachine (38 MB), TestLargestRequestsAreServed, TestCrowdsDuringAStopStayWithinTheMachine (117 MB).

--- a/intake/account.go
+++ b/intake/account.go
@@ -23,6 +23,10 @@
 	// callerDescriptorShare is the part of the descriptors that callers' connections may
 	// take. Each running request takes another one.
 	callerDescriptorShare = 0.4
+	// connectionMemoryShare is the part of the machine's memory for what connections hold
+	// that isn't charged: connectionBytes each for buffers, a stack and a small head.
+	connectionMemoryShare = 0.2
+	connectionBytes       = 16 << 10
 	// minBytesPerSecond is the rate at which a request must come on while memory is short.
 	// It may stay behind it by lagGrace.
 	minBytesPerSecond = 16 << 10
@@ -90,13 +94,15 @@
 // NewAccount returns an account of the callers' share of a machine.
 func NewAccount(machine Machine, limits func() pomelospring.CallerLimits, logger log.Interface, clock pomelospring.Clock) *Account {
 	share := int64(callerMemoryShare * float64(machine.MemoryBytes))
+	connections := min(callerDescriptorShare*float64(machine.Descriptors),
+		connectionMemoryShare*float64(machine.MemoryBytes)/connectionBytes)
 	return &Account{
 		Limits:      limits,
 		Logger:      logger,
 		Clock:       clock,
 		bytes:       share,
 		smallOnly:   int64(smallShare * float64(share)),
-		connections: max(1, int(callerDescriptorShare*float64(machine.Descriptors))),
+		connections: max(1, int(connections)),
 		createdAt:   clock(),
 		conns:       map[*Conn]struct{}{},
 		freed:       make(chan struct{}),
--- a/wholepath/crowd_test.go
+++ b/wholepath/crowd_test.go
@@ -316,6 +316,9 @@
 	close(watched)
 	watching.Wait()
 	f.t.Logf("peak %d MB, %d descriptors", f.peakMemory.Load()/1e6, f.peakDescriptors.Load())
+	if f.peakMemory.Load() == 0 || f.peakDescriptors.Load() == 0 {
+		f.t.Error("the process was never measured")
+	}
 	if peak := f.peakMemory.Load(); peak >= machineMemory {
 		f.t.Errorf("peak memory %d MB, the machine has %d", peak/1e6, machineMemory/1000000)
 	}
@@ -429,6 +432,14 @@
 	playCrowds(t, machineDescriptors, crowd{connections: 5000, send: sendNothing})
 }
 
+// A machine may have far more descriptors than its memory serves connections.
+func TestManyShortHeadsStayWithinTheMemory(t *testing.T) {
+	const raised = 20_000
+	playCrowds(t, raised, crowd{connections: 8000, send: func(c *crowdCaller) {
+		c.write([]byte("POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n" + strings.Repeat("a: b\r\n", 30) + "X-Long: " + strings.Repeat("a", 1800)))
+	}})
+}
+
 func TestManyHeadsOfShortLinesStayWithinTheMachine(t *testing.T) {
 	playCrowds(t, machineDescriptors, crowd{connections: 800, send: sendShortLines})
 }
