--- a/intake/account.go
+++ b/intake/account.go
@@ -23,6 +23,10 @@
 	// callerDescriptorShare is the part of the descriptors that callers' connections may
 	// take. Each running request takes another one.
 	callerDescriptorShare = 0.4
+	// connectionMemoryShare is the part of the machine's memory for what connections hold
+	// that isn't charged: connectionBytes each for buffers, a stack and a small head.
+	connectionMemoryShare = 0.2
+	connectionBytes       = 16 << 10
 	// minBytesPerSecond is the rate at which a request must come on while memory is short.
 	// It may stay behind it by lagGrace.
 	minBytesPerSecond = 16 << 10
@@ -90,13 +94,15 @@
 // NewAccount returns an account of the callers' share of a machine.
 func NewAccount(machine Machine, limits func() pomelospring.CallerLimits, logger log.Interface, clock pomelospring.Clock) *Account {
 	share := int64(callerMemoryShare * float64(machine.MemoryBytes))
+	connections := min(callerDescriptorShare*float64(machine.Descriptors),
+		connectionMemoryShare*float64(machine.MemoryBytes)/connectionBytes)
 	return &Account{
 		Limits:      limits,
 		Logger:      logger,
 		Clock:       clock,
 		bytes:       share,
 		smallOnly:   int64(smallShare * float64(share)),
-		connections: max(1, int(callerDescriptorShare*float64(machine.Descriptors))),
+		connections: max(1, int(connections)),
 		createdAt:   clock(),
 		conns:       map[*Conn]struct{}{},
 		freed:       make(chan struct{}),
@@ -327,17 +333,17 @@
 		return
 	}
 	delete(a.conns, c)
-	a.empty(c)
+	a.shrink(c, 0)
 }
 
-// empty frees all that a connection holds.
-func (a *Account) empty(c *Conn) {
+// shrink frees what a connection holds over some bytes.
+func (a *Account) shrink(c *Conn, holds int64) {
+	freed := max(0, c.held-holds)
 	if c.gaveWay {
-		a.leaving -= c.held
+		a.leaving -= freed
 	}
-	held := c.held
-	c.held = 0
-	a.free(held)
+	c.held -= freed
+	a.free(freed)
 }
 
 // count counts refusals, and logs the first of a while.
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -83,7 +83,8 @@
 	since   time.Time
 	held    int64
 	gaveWay bool
-	// Of the goroutine that reads heads:
+	// Of the goroutine that reads heads. Reads wait from readSince until readUntil.
+	readSince time.Time
 	readUntil time.Time
 	headBytes int64
 	headCost  int64
@@ -140,12 +141,37 @@
 // NetConn returns the connection itself.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// CloseWrite ends the direction to the caller, as the HTTP server does before it closes a
+// connection of which it hasn't read all.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // readBy sets the time by which the next bytes must arrive.
 func (c *Conn) readBy(timeout time.Duration) {
-	c.readUntil = time.Now().Add(timeout)
+	c.readSince = time.Now()
+	c.readUntil = c.readSince.Add(timeout)
 	_ = c.Conn.SetReadDeadline(c.readUntil)
 }
 
+// extend has reads go on if their time is up by a limit that was raised since.
+func (c *Conn) extend(phase int32) (isLonger bool) {
+	timeout := c.account.idleTimeout()
+	if phase == phaseHead {
+		timeout = c.account.headerTimeout()
+	}
+	until := c.readSince.Add(timeout)
+	if !until.After(c.readUntil) {
+		return false
+	}
+	c.readUntil = until
+	_ = c.Conn.SetReadDeadline(until)
+	return true
+}
+
 // SetReadDeadline implements net.Conn. Until a request runs, the limits of the
 // configuration hold instead of the HTTP server's.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
@@ -165,9 +191,19 @@
 		}
 		return n, err
 	}
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(suspensionGrace))
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if time.Now().Before(c.readUntil) {
+			// The HTTP server ended this read, not a limit.
+			return 0, err
+		}
+		isLonger := c.extend(phase)
+		if !isLonger {
+			_ = c.Conn.SetReadDeadline(time.Now().Add(suspensionGrace))
+		}
 		n, err = c.Conn.Read(buffer)
+		if !isLonger {
+			break
+		}
 	}
 	if n == 0 {
 		if err != nil {
@@ -176,7 +212,10 @@
 		return 0, nil
 	}
 	if phase != phaseHead {
-		c.begin(phaseHead)
+		if !c.begin(phaseHead) {
+			// A byte behind a pipelined request that runs meanwhile.
+			return n, err
+		}
 		c.headBytes, c.headCost, c.headPaid = 0, 0, freeHeadBytes
 		c.readBy(c.account.headerTimeout())
 	}
@@ -240,25 +279,25 @@
 	if _, err := c.Write([]byte(headRefusal)); err != nil {
 		return
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
+	_ = c.CloseWrite()
 	time.Sleep(lingerTime)
 }
 
-// begin begins a phase.
-func (c *Conn) begin(phase int32) {
+// begin begins a phase, and reports whether it did. A head can only begin before a request
+// runs: the HTTP server reads a byte beside the handler to see a caller leave.
+func (c *Conn) begin(phase int32) (begun bool) {
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
-	if c.phase.Load() == phaseClosed {
-		return
+	if before := c.phase.Load(); before == phaseClosed || phase == phaseHead && before > phaseHead {
+		return false
 	}
 	c.since = c.account.Clock()
 	c.soundUntil.Store(c.account.age(c.since.Add(lagGrace)))
 	c.phase.Store(phase)
 	if phase == phaseIdle {
-		c.account.empty(c)
+		c.account.shrink(c, 0)
 	}
+	return true
 }
 
 // isRead reports whether a request is still being read.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,6 +95,8 @@
 	// isSilent callers send nothing, and isUnread callers read nothing for most of a minute.
 	isSilent bool
 	isUnread bool
+	// isChunked callers don't tell the length.
+	isChunked bool
 }
 
 // closed is the status of a caller whose connection is closed without an answer, and
@@ -113,6 +116,10 @@
 		if r.isSilent {
 			return
 		}
+		if r.isChunked {
+			_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", r.length, make([]byte, r.length))
+			return
+		}
 		_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", r.length)
 		piece := r.sent
 		if r.perSecond > 0 {
@@ -163,9 +170,11 @@
 		{name: "a large request alone", requests: []request{whole(0, large)}, want: []int{200}},
 		{name: "one that is larger than the memory", requests: []request{whole(0, 2*large)}, want: []int{503}},
 		{name: "a stalled request gives way", requests: []request{{length: large, sent: large - 1}, whole(5*time.Second, large)}, want: []int{503, 200}},
+		{name: "a stalled request of which much is missing gives way", requests: []request{{length: large, sent: large - 300_000}, whole(5*time.Second, large)}, want: []int{503, 200}},
 		{name: "a stalled request stays while there is room", requests: []request{{length: large, sent: large - 1}, whole(5*time.Second, 1000)}, want: []int{unanswered, 200}},
 		{name: "the newest gives way to a steady one", requests: []request{{length: large, sent: large, perSecond: 100_000}, whole(time.Second, large)}, want: []int{200, 503}},
 		{name: "a small request goes beside a large one", requests: []request{{length: large, sent: large - 1}, whole(time.Second, 1000)}, want: []int{unanswered, 200}},
+		{name: "a small one of unknown length too", requests: []request{{length: large, sent: large - 1}, {at: time.Second, length: 1000, isChunked: true}}, want: []int{unanswered, 200}},
 		{name: "a running request gives way to none", running: 10 * time.Second, requests: []request{whole(0, large), whole(5*time.Second, large)}, want: []int{200, 503}},
 		{name: "the longest silent connection is closed", requests: []request{
 			{isSilent: true},
@@ -223,6 +232,99 @@
 	}
 }
 
+// Guards against refusals that callers lose who are still sending: the HTTP server ends only
+// its own direction first if the connection can.
+func TestRefusalReachesASendingCaller(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	account := intake.NewAccount(intake.Machine{
+		MemoryBytes: 100_000_000,
+		Descriptors: 100,
+	}, noLimits, &log.Logger{
+		Handler: discard.New(),
+	}, time.Now)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}),
+	}
+	go func() {
+		_ = server.Serve(&intake.Listener{
+			Listener: tcp,
+			Account:  account,
+		})
+	}()
+	defer func() { _ = server.Close() }()
+	conn, err := net.Dial("tcp", tcp.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 100_000)); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(conn)
+	if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 503") {
+		t.Errorf("the answer is %q, %v", answer, err)
+	}
+}
+
+// Guards against connections that are closed by a limit that no longer holds.
+func TestRaisedTimesHoldForConnectionsThatWait(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	scenarios := []struct {
+		name string
+		// before is sent before the times are raised, and after long after that.
+		before string
+		after  string
+	}{
+		{name: "a new connection", after: head},
+		{name: "a head under way", before: head[:8], after: head[8:]},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var seconds atomic.Int64
+				seconds.Store(5)
+				l, _, stop := serve(intake.Machine{
+					MemoryBytes: 100_000_000,
+					Descriptors: 100,
+				}, func() pomelospring.CallerLimits {
+					timeout := time.Duration(seconds.Load()) * time.Second
+					return pomelospring.CallerLimits{
+						HeaderTimeout: timeout,
+						IdleTimeout:   timeout,
+					}
+				}, 0)
+				conn := l.dial()
+				defer func() {
+					_ = conn.Close()
+					stop()
+					time.Sleep(time.Second)
+				}()
+				go func() {
+					_, _ = io.WriteString(conn, s.before)
+					time.Sleep(time.Second)
+					seconds.Store(60)
+					time.Sleep(40 * time.Second)
+					_, _ = io.WriteString(conn, s.after)
+				}()
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = response.Body.Close()
+				if response.StatusCode != http.StatusOK {
+					t.Errorf("status %d", response.StatusCode)
+				}
+			})
+		})
+	}
+}
+
 // Guards against limits that only hold from the next start.
 func TestLimitsFollowTheConfiguration(t *testing.T) {
 	head := func(bytes int) string {
