Serve the share of a rate at instances without a leader

What callers saw: an instance that had not heard from a leader refused all calls of its teams as over their rate, those that a leader would rank first included.

Cause: the aims of a bucket's level were parts of the whole burst, also where the bucket only holds this instance's share of it, so that it always was too low.

Change: levels are compared with the part of the burst that the instance fills.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -331,8 +331,9 @@
 
 // contended reports whether the team asks for nearly more than its rate.
 func (l *Ledger) contended(a *account, now time.Time) bool {
-	rate := a.rate * l.refillFraction(a, now)
-	return a.level < contendedLevel*a.burst || (a.recentOwn+a.recentOthers)/demandWindow.Seconds() > contendedFraction*rate
+	refillFraction := l.refillFraction(a, now)
+	rate := a.rate * refillFraction
+	return a.level < contendedLevel*a.burst*refillFraction || (a.recentOwn+a.recentOthers)/demandWindow.Seconds() > contendedFraction*rate
 }
 
 // decide decides on a request without charging it, and says whether it is urgent.
@@ -342,13 +343,13 @@
 			Admitted: true,
 		}, false
 	}
-	fraction := 1.0
-	if a.level < rankedLevel*a.burst {
+	fraction, burst := 1.0, a.burst*l.refillFraction(a, now)
+	if a.level < rankedLevel*burst {
 		fraction, urgent = l.admittedFraction(a, Rank(request.Priority, request.UsualTokens), now)
 	}
 	reserve := min(request.UsualTokens, maxReserveFraction*a.burst)
 	if urgent {
-		reserve = -urgentReserve * a.burst
+		reserve = -urgentReserve * burst
 	}
 	switch {
 	case a.level <= reserve:
@@ -374,12 +375,13 @@
 			upTo += tokens
 		}
 	}
-	rate := a.rate * l.refillFraction(a, now)
+	refillFraction := l.refillFraction(a, now)
+	rate, burst := a.rate*refillFraction, a.burst*refillFraction
 	if total > rate && upTo <= urgentFraction*rate {
 		return 1, true
 	}
 	span := l.reportSpan(now)
-	aim := min(urgentReserve*a.burst+rate*span.Seconds(), maxLevelAim*a.burst)
+	aim := min(urgentReserve*burst+rate*span.Seconds(), maxLevelAim*burst)
 	flow := rate + (a.level-aim)/max(span, levelTime).Seconds()
 	fraction, known := pour(flow, asked)[rank]
 	if !known {
