Case 7: a planned stop accepts streams that it then cuts

Cause: calls that may outlast the instance are refused only from 4.7 s after SIGTERM on, while those sent later than 3 s after it are not excused. Connections on which nothing was sent yet stay open until then.

Change: a script with the project's fronts, a store and model workers as stand-ins, and its claim.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -33,6 +33,7 @@
 var cases = map[string]func(ctx context.Context, r *rig, trouble bool) (verdict, error){
 	"deadly":  playDeadly,
 	"upgrade": playUpgrade,
+	"stop":    playStop,
 }
 
 func main() {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -53,6 +53,8 @@
 	readiness string
 	command   *exec.Cmd
 	ended     chan struct{}
+	// isStopped is set if the case has stopped it.
+	isStopped bool
 }
 
 func newRig(record *record) (r *rig, err error) {
@@ -187,6 +189,9 @@
 // checkFronts returns an error if a front has ended by itself.
 func (r *rig) checkFronts() error {
 	for _, f := range r.fronts {
+		if f.isStopped {
+			continue
+		}
 		select {
 		case <-f.ended:
 			return fmt.Errorf("%s has ended", f.name)
--- a/review/rig/upgrade.go
+++ b/review/rig/upgrade.go
@@ -42,14 +42,38 @@
 			return found, err
 		}
 	}
-	if err = r.configure([]route{{
+	if err = r.configureModels(true); err != nil {
+		return found, err
+	}
+	if err = r.start(ctx); err != nil {
+		return found, err
+	}
+	pause(ctx, 3*time.Second)
+	results := make([][]string, streamCount)
+	var clients sync.WaitGroup
+	for n := range results {
+		clients.Go(func() { results[n] = readStream(ctx, r, n+1) })
+		pause(ctx, 40*time.Millisecond)
+	}
+	if trouble {
+		pause(ctx, 600*time.Millisecond)
+		r.upgrade(ctx)
+	}
+	clients.Wait()
+	return judgeStreams(results), nil
+}
+
+// configureModels writes a configuration with a model service, whose streams may be resumed or
+// not.
+func (r *rig) configureModels(resumable bool) error {
+	return r.configure([]route{{
 		name:      "agent-reply",
 		prefix:    "/lohu930/",
 		kind:      "streaming",
 		service:   "dele69a",
 		timeout:   streamDeadline,
 		target:    time.Second,
-		resumable: true,
+		resumable: resumable,
 	}}, []any{map[string]any{
 		"name": "dele69a",
 		"engine": map[string]any{
@@ -64,25 +88,7 @@
 				"adapter-mb":  40,
 			}},
 		},
-	}}); err != nil {
-		return found, err
-	}
-	if err = r.start(ctx); err != nil {
-		return found, err
-	}
-	pause(ctx, 3*time.Second)
-	results := make([][]string, streamCount)
-	var clients sync.WaitGroup
-	for n := range results {
-		clients.Go(func() { results[n] = readStream(ctx, r, n+1) })
-		pause(ctx, 40*time.Millisecond)
-	}
-	if trouble {
-		pause(ctx, 600*time.Millisecond)
-		r.upgrade(ctx)
-	}
-	clients.Wait()
-	return judgeStreams(results), nil
+	}})
 }
 
 // upgrade ends all workers at once and starts them again with another software version.
