Case 8: streams can't be taken up after their worker was away for a second

Cause: the start of a stream counts as unknown if its worker started again less than two seconds after it, also where it began before the crash and where only one software version has ever served.

--- a/review/rig/deadly.go
+++ b/review/rig/deadly.go
@@ -68,12 +68,13 @@
 		}
 	}
 	if err = r.configure([]route{{
-		name:    "service-order",
-		prefix:  "/puxa403/",
-		kind:    "non_idempotent",
-		service: "xano55b",
-		timeout: 1500 * time.Millisecond,
-		target:  300 * time.Millisecond,
+		name:     "service-order",
+		prefix:   "/puxa403/",
+		kind:     "non_idempotent",
+		service:  "xano55b",
+		timeout:  1500 * time.Millisecond,
+		target:   300 * time.Millisecond,
+		attempts: 2,
 	}}, []any{map[string]any{"name": "xano55b"}}); err != nil {
 		return found, err
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -34,6 +34,7 @@
 	"deadly":  playDeadly,
 	"upgrade": playUpgrade,
 	"stop":    playStop,
+	"takeup":  playTakeUp,
 }
 
 func main() {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -233,6 +233,7 @@
 	timeout   time.Duration
 	target    time.Duration
 	resumable bool
+	attempts  int
 }
 
 // configure writes the configuration.
@@ -249,7 +250,7 @@
 			"gap-target-ms":     250,
 			"priority":          1,
 			"service":           route.service,
-			"max-attempts":      2,
+			"max-attempts":      route.attempts,
 			"resumable":         route.resumable,
 			"sticky":            route.kind == "streaming",
 		})
--- a/review/rig/stop.go
+++ b/review/rig/stop.go
@@ -55,7 +55,7 @@
 			return found, err
 		}
 	}
-	if err = r.configureModels(false); err != nil {
+	if err = r.configureModels(false, 2); err != nil {
 		return found, err
 	}
 	if err = r.start(ctx); err != nil {
--- a/review/rig/upgrade.go
+++ b/review/rig/upgrade.go
@@ -42,7 +42,7 @@
 			return found, err
 		}
 	}
-	if err = r.configureModels(true); err != nil {
+	if err = r.configureModels(true, 2); err != nil {
 		return found, err
 	}
 	if err = r.start(ctx); err != nil {
@@ -64,8 +64,8 @@
 }
 
 // configureModels writes a configuration with a model service, whose streams may be resumed or
-// not.
-func (r *rig) configureModels(resumable bool) error {
+// not, and that are sent to a number of workers at most.
+func (r *rig) configureModels(resumable bool, attempts int) error {
 	return r.configure([]route{{
 		name:      "agent-reply",
 		prefix:    "/lohu930/",
@@ -74,6 +74,7 @@
 		timeout:   streamDeadline,
 		target:    time.Second,
 		resumable: resumable,
+		attempts:  attempts,
 	}}, []any{map[string]any{
 		"name": "dele69a",
 		"engine": map[string]any{
