Refuse calls that may outlast a planned stop once the listener is closed

Callers of streams that were sent 3.2 to 4.6 s after SIGTERM, on connections that were open by then, got most of their events and then a closed connection at 7.2 s, when the instance ends what is left.

Cause: calls were refused for their deadline only in the last 2.5 s before that, so from 4.7 s on. In between, a stream that lasts longer than what is left was accepted. The bound was made for calls without a stream that end within 2.5 s.

Change: from the moment at which the listener closes, 2.5 s after SIGTERM, a call whose deadline is beyond the end is refused at once as not run, and its caller goes to another instance, which has the time. How long a stream lasts can't be known before.

Calls sent in the first 2.4 s are served as before.

--- a/front/front.go
+++ b/front/front.go
@@ -58,8 +58,6 @@
 	// lastAnswersTime is the part of the stop time before that in which calls that are
 	// still running are answered.
 	lastAnswersTime = 200 * time.Millisecond
-	// lateCallTime is the time before that in which calls are refused that may last longer.
-	lateCallTime = 2500 * time.Millisecond
 	// leaderGroupPrefix is the prefix of the names of the groups, one for each
 	// failure domain, in the platform's group service. The holder of a group's
 	// partitions leads that domain.
@@ -696,8 +694,9 @@
 }
 
 // drain fails the readiness check, keeps serving until the load balancer has
-// removed the instance, and then waits for the requests in flight and those that still
-// come on open connections.
+// removed the instance, and then waits for the requests in flight. Those that still come on
+// open connections are served if their deadline is before the end: how long a stream lasts
+// isn't known, and other instances have the time.
 func (f *Front) drain(server *http.Server, listener net.Listener) error {
 	deadline := f.clock().Add(f.settings.Bounds.StopWithin - stopMargin)
 	events.Log(f.logger, events.Stopping, log.Fields{})
@@ -706,8 +705,7 @@
 	time.Sleep(deregistrationTime)
 	_ = listener.Close()
 	callsEndAt := deadline.Add(-lastAnswersTime)
-	refuseBeyond := time.AfterFunc(callsEndAt.Add(-lateCallTime).Sub(f.clock()), func() { f.service.Stop.RefuseBeyond(callsEndAt) })
-	defer refuseBeyond.Stop()
+	f.service.Stop.RefuseBeyond(callsEndAt)
 	// A shutdown closes connections on which it finds a request, without an answer.
 	for server.SetKeepAlivesEnabled(false); f.callers.Usage().Connections > 0 && f.clock().Before(callsEndAt); server.SetKeepAlivesEnabled(false) {
 		time.Sleep(drainPoll)
--- a/front/planned_stop_test.go
+++ b/front/planned_stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -13,53 +14,97 @@
 	"github.com/pomelospring/pomelospring/standin"
 )
 
-// lateCall is a call whose head a caller begins before a planned stop and ends after it.
+// lateCall is a call that a caller sends around a planned stop.
 type lateCall struct {
 	id   string
 	path string
-	// begun says that a part of the head is sent before the stop; otherwise the connection
-	// is only opened, just before it.
-	begun bool
+	// kept says that the connection serves another call before, and begun that a part of the
+	// head, or of a body in chunks, is sent before the stop; otherwise the connection is only
+	// opened, just before it.
+	kept   bool
+	begun  bool
+	chunks bool
 	// after is the time from the stop to the rest of the call.
 	after    time.Duration
 	deadline time.Duration
 
 	status int
 	header http.Header
+	body   string
+	// whole says that the answer ended as its framing demands, and endedAfter how long after
+	// the stop it ended.
+	whole      bool
+	endedAfter time.Duration
 }
 
-// send sends the call on a connection that is opened before the stop, and reads the status
-// of the answer, 0 for none.
-func (l *lateCall) send(address string, stopped <-chan struct{}) {
+// send sends the call on a connection that is opened before the stop, which is closed at
+// stopped and came at stoppedAt, and reads the answer; its status is 0 for none.
+func (l *lateCall) send(address string, stopped <-chan struct{}, stoppedAt *time.Time) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\n%s: 100,10\r\nContent-Length: 0\r\n",
-		l.path, standin.HeaderRequestID, l.id, standin.HeaderTokenCount)
-	if l.deadline > 0 {
-		head += fmt.Sprintf("%s: %d\r\n", standin.HeaderDeadline, l.deadline.Milliseconds())
+	reader := bufio.NewReader(conn)
+	if l.kept && !l.warm(conn, reader) {
+		return
 	}
-	head += "\r\n"
+	text, begun := l.request()
 	sent := 0
 	if l.begun {
-		sent = len(head) / 2
+		sent = begun
 	}
-	if _, err = conn.Write([]byte(head[:sent])); err != nil {
+	if _, err = io.WriteString(conn, text[:sent]); err != nil {
 		return
 	}
 	<-stopped
-	time.Sleep(l.after)
-	if _, err = conn.Write([]byte(head[sent:])); err != nil {
+	time.Sleep(time.Until(stoppedAt.Add(l.after)))
+	defer func() { l.endedAfter = time.Since(*stoppedAt) }()
+	if _, err = io.WriteString(conn, text[sent:]); err != nil {
 		return
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
-	l.status, l.header = response.StatusCode, response.Header
+	body, err := io.ReadAll(response.Body)
+	l.status, l.header, l.body, l.whole = response.StatusCode, response.Header, string(body), err == nil
+}
+
+// request returns the call as text, and how much of it is sent before the stop if it begins
+// there.
+func (l *lateCall) request() (text string, begun int) {
+	text = fmt.Sprintf("POST %s HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\n%s: 100,10\r\n%s: m\r\n",
+		l.path, standin.HeaderRequestID, l.id, standin.HeaderTokenCount, standin.HeaderAdapter)
+	if l.deadline > 0 {
+		text += fmt.Sprintf("%s: %d\r\n", standin.HeaderDeadline, l.deadline.Milliseconds())
+	}
+	if !l.chunks {
+		text += "Content-Length: 0\r\n\r\n"
+		return text, len(text) / 2
+	}
+	text += "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
+	return text + "1\r\ny\r\n0\r\n\r\n", len(text)
+}
+
+// warm sends another call on the connection and reports whether it was answered.
+func (l *lateCall) warm(conn net.Conn, reader *bufio.Reader) bool {
+	warm := &lateCall{
+		id:   "warm-" + l.id,
+		path: "/order/",
+	}
+	text, _ := warm.request()
+	if _, err := io.WriteString(conn, text); err != nil {
+		return false
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
 }
 
 // newConnectionTime is how long connections that were opened just before the stop stay open
@@ -101,6 +146,7 @@
 				got, _ := i.call(client, scenario.path, "warm")
 				return got.Status == http.StatusOK
 			})
+			var began time.Time
 			stopped := make(chan struct{})
 			calls := make([]*lateCall, 0, 2*lateSteps)
 			var group sync.WaitGroup
@@ -115,11 +161,11 @@
 						deadline: scenario.deadline,
 					}
 					calls = append(calls, l)
-					group.Go(func() { l.send(i.config.Listen.Callers, stopped) })
+					group.Go(func() { l.send(i.config.Listen.Callers, stopped, &began) })
 				}
 			}
 			time.Sleep(300 * time.Millisecond)
-			began := time.Now()
+			began = time.Now()
 			i.stop()
 			close(stopped)
 			if err := <-i.done; err != nil {
@@ -149,3 +195,104 @@
 		})
 	}
 }
+
+const (
+	// cutExcusedBefore is until when after the stop a call may be sent that is cut when the
+	// instance ends, and cutsFrom the first moment at which it may be.
+	cutExcusedBefore = 3 * time.Second
+	cutsFrom         = 8 * time.Second * 5 / 6
+)
+
+// writeStream writes a stream of events, with a pause after the tenth.
+func writeStream(e *exchange, events int, interval, pause time.Duration) {
+	e.head(eventStream)
+	for n := range events {
+		e.write(fmt.Sprintf("id: %d\ndata: x\n\n", n+1))
+		time.Sleep(interval)
+		if n == 10 {
+			time.Sleep(pause)
+		}
+	}
+	e.end()
+}
+
+// TestLateStreamsAreCutByAPlannedStop guards against streams that begin late in a planned stop
+// and are cut in the middle when the instance ends.
+func TestLateStreamsAreCutByAPlannedStop(t *testing.T) {
+	const interval = 60 * time.Millisecond
+	scenarios := []struct {
+		name   string
+		events int
+		// pause is how long the server is silent after the tenth event.
+		pause time.Duration
+		call  lateCall
+	}{
+		{name: "new connections", events: 73},
+		{name: "new connections, with a deadline", events: 73, call: lateCall{deadline: 6 * time.Second}},
+		{name: "new connections, silent servers", events: 33, pause: 1200 * time.Millisecond},
+		{name: "kept connections", events: 73, call: lateCall{kept: true}},
+		{name: "kept connections, silent servers", events: 33, pause: 1200 * time.Millisecond, call: lateCall{kept: true}},
+		{name: "heads that have begun", events: 73, call: lateCall{begun: true}},
+		{name: "bodies in chunks", events: 73, call: lateCall{begun: true, chunks: true}},
+		{name: "bodies in chunks on kept connections", events: 33, call: lateCall{begun: true, chunks: true, kept: true}},
+		{name: "longer than the stop", events: 150},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			t.Parallel()
+			servers := &rawServers{attempts: map[string]int{}, wait: func() {}}
+			servers.play = func(e *exchange) {
+				if strings.HasPrefix(e.id, "late") {
+					writeStream(e, scenario.events, interval, scenario.pause)
+					return
+				}
+				e.answered("200 OK", length("done"), "done")
+			}
+			i := startWithRawServers(t, servers)
+			client := &http.Client{Transport: &http.Transport{}}
+			eventually(t, "serves", func() bool {
+				got, _ := i.call(client, "/order/", "warm")
+				return got.Status == http.StatusOK
+			})
+			var began time.Time
+			stopped := make(chan struct{})
+			calls := make([]*lateCall, lateSteps)
+			var group sync.WaitGroup
+			for step := range calls {
+				l := scenario.call
+				l.id, l.path, l.after = fmt.Sprintf("late-%d", step), "/brief/", time.Duration(step)*200*time.Millisecond
+				calls[step] = &l
+				group.Go(func() { l.send(i.config.Listen.Callers, stopped, &began) })
+			}
+			time.Sleep(300 * time.Millisecond)
+			began = time.Now()
+			i.stop()
+			close(stopped)
+			if err := <-i.done; err != nil {
+				t.Error(err)
+			}
+			group.Wait()
+			counts := map[string]int{}
+			servers.mu.Lock()
+			defer servers.mu.Unlock()
+			for _, l := range calls {
+				ran := servers.attempts[l.id] > 0
+				isWhole := l.whole && strings.Count(l.body, "\n\n") == scenario.events
+				counts[fmt.Sprintf("status %d, passed on %t, whole %t", l.status, ran, isWhole)]++
+				if ran && !isWhole && (l.after > cutExcusedBefore || l.endedAfter < cutsFrom) {
+					t.Errorf("%s, sent %s after the stop, was cut %s after it", l.id, l.after, l.endedAfter)
+				}
+				if !ran && l.status != http.StatusServiceUnavailable && (l.status != 0 || l.begun && l.after < newConnectionTime) {
+					t.Errorf("%s, sent %s after the stop, got status %d", l.id, l.after, l.status)
+				}
+				if l.status == http.StatusServiceUnavailable && (l.header.Get("Retry-After") == "" || ran) {
+					t.Errorf("%s was refused, passed on %t, with Retry-After %q", l.id, ran, l.header.Get("Retry-After"))
+				}
+			}
+			t.Log(counts)
+			if counts["status 200, passed on true, whole true"] == 0 && scenario.events < 100 && !scenario.call.kept {
+				t.Error("no late stream was served")
+			}
+		})
+	}
+}
