Refuse calls that still wait when a planned stop begins to refuse long ones

Calls that were accepted before, and wait for a placement, a turn, a permit or another server after a rejection, were sent to a server afterwards and could be cut at the end of the stop.

A permit that was given meanwhile is returned.

TestCallThatWaitedBeginsInAPlannedStop: three of six rows failed before (placement, permit, rejection), all pass now; streams that go on and calls that may have run are tried on as before.

--- a/entry/run.go
+++ b/entry/run.go
@@ -74,11 +74,19 @@
 	if refusal = c.checkQuarantine(ctx, now); refusal != nil {
 		return dispatch.Choice{}, refusal
 	}
+	if refusal = c.stopRefusal(now); refusal != nil {
+		return dispatch.Choice{}, refusal
+	}
 	choice, candidates, refusal := c.pickWithPermit(ctx)
 	if refusal != nil {
 		return dispatch.Choice{}, refusal
 	}
 	now = s.Clock()
+	// The choice may have waited for a placement, a turn or a permit.
+	if refusal = c.stopRefusal(now); refusal != nil {
+		c.returnPermit(choice, pomelospring.PermitUnsent)
+		return dispatch.Choice{}, refusal
+	}
 	if c.limits != nil && c.call.NeedsAdapter() {
 		s.requestCopies(c.call, choice, now)
 	}
@@ -86,6 +94,15 @@
 	return choice, nil
 }
 
+// stopRefusal refuses a call that no server has run yet if the instance stops before its
+// deadline.
+func (c *session) stopRefusal(now time.Time) *pomelospring.Refusal {
+	if c.attemptsExecuted > 0 || c.forwarded {
+		return nil
+	}
+	return c.service.Stop.refusal(c.deadline, now)
+}
+
 // pick picks a backend server among a number of candidates. If none has the call's
 // adapter, or those that have it can't take a call soon because of the limits that they
 // name, it first asks the leader to place it.
