Let streams go on after their server came back under its ID at the same version

Callers whose streams broke off as their server ended got 503 originUnknown at each try to take them up, if the server was back under its ID within two seconds, though servers of their software version served all the while.

Cause: a start counts as unknown if the server's entry names a later process, and the stream began later than two seconds before that one started, as it may have begun there while the old entry was still listed. That both entries have the same software version was not looked at, so it was refused although either process leaves no doubt.

Change: a start is unknown only if the newer entry has another software version.

--- a/front/software_version_test.go
+++ b/front/software_version_test.go
@@ -27,6 +27,8 @@
 	streamEvents   = 12
 	eventsTillLeft = 3
 	streamsPerTest = 40
+	// listedWithin is how long after a change all instances have the list of servers.
+	listedWithin = 1500 * time.Millisecond
 	// maxMixedStreams is how many streams may hold events of two software versions.
 	maxMixedStreams = 0
 )
@@ -70,6 +72,14 @@
 	v.born++
 }
 
+// comeBack starts the worker again under its ID and address, now, with its entry written.
+func (v *versionedWorker) comeBack(store *standin.Store) {
+	v.mu.Lock()
+	v.born = time.Now().UnixMilli()
+	v.mu.Unlock()
+	v.register(store)
+}
+
 func (v *versionedWorker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	v.mu.Lock()
 	software, born, breaksOff, stalls := v.software, v.born, v.breaksOff, v.stalls
@@ -264,6 +274,12 @@
 			f.store.SetDown(true, false)
 			return []*instance{instances[1], instances[0]}
 		}},
+		{name: "taken up after servers came back under their IDs", complete: 0.95, between: func(_ *testing.T, f *versionFleet, instances []*instance) []*instance {
+			f.workers[0].comeBack(f.store)
+			f.workers[1].comeBack(f.store)
+			time.Sleep(listedWithin)
+			return []*instance{instances[1], instances[0]}
+		}},
 		{name: "taken up after servers came back under their IDs at another version", complete: 0, between: func(_ *testing.T, f *versionFleet, instances []*instance) []*instance {
 			f.workers[2].restart("v1.1")
 			f.workers[1].restart("v1")
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -230,7 +230,7 @@
 		}
 	default:
 		origin = pomelospring.StreamOrigin{
-			Known:    !start.Ambiguous && !k.startedAnew(&start),
+			Known:    !start.Ambiguous && !k.otherVersionBegan(&start),
 			Service:  start.Service,
 			Software: start.Software,
 		}
@@ -319,11 +319,14 @@
 	return "", false
 }
 
-// startedAnew reports whether the server of a start may have been started anew before, so
-// that its software version was another one than its entry said.
-func (k *Keeper) startedAnew(start *pomelospring.StreamStart) bool {
+// otherVersionBegan reports whether the server of a start may have been started anew before
+// at another software version than its entry said.
+func (k *Keeper) otherVersionBegan(start *pomelospring.StreamStart) bool {
 	server, listed := k.Board.Server(start.Server)
-	return listed && server.Started.After(start.ServerStarted) && start.At.After(server.Started.Add(-restartMargin))
+	if !listed || server.Software == start.Software {
+		return false
+	}
+	return server.Started.After(start.ServerStarted) && start.At.After(server.Started.Add(-restartMargin))
 }
 
 // historyRead is a read of the starts in the store, which several calls wait for.
