Let no call begin on a version that is replaced while the call waits

Callers could get answers of an adapter's older version more than 5 s after a newer one was declared, where the leader of the server's domain had not replaced the copy.

Cause: servers are chosen by the version that may serve at that moment, for two seconds after a declaration. Calls begin later: they wait for a turn at a server with a limit, up to 0.6 of the time until the caller leaves, and in the server's queue.

Change: a server whose version may not serve any more when the call is expected to begin is no candidate (choices, takeovers and permits alike), and the version is looked at again after a wait for a turn.

--- a/entry/brittle_server.go
+++ b/entry/brittle_server.go
@@ -62,7 +62,7 @@
 // a turn.
 func (c *session) brittleCandidates(choice dispatch.Choice, avoid map[string]bool, now time.Time) (candidates []dispatch.Candidate) {
 	candidates = append(candidates, choice.Candidate)
-	for _, other := range c.service.Board.Candidates(c.targetService, c.call, c.withOtherSoftware(avoid), now) {
+	for _, other := range c.candidates(avoid, now) {
 		if other.Server.ID != choice.Candidate.Server.ID && other.Server.Domain == choice.Candidate.Server.Domain && other.Brittle && !other.Limited {
 			candidates = append(candidates, other)
 		}
@@ -136,7 +136,7 @@
 
 // othersThan reports whether there are other servers that have what the call needs.
 func (c *session) othersThan(excluded []dispatch.Candidate) bool {
-	candidates := c.service.Board.Candidates(c.targetService, c.call, c.withOtherSoftware(c.avoid), c.service.Clock())
+	candidates := c.candidates(c.avoid, c.service.Clock())
 	return len(candidates) > len(excluded)
 }
 
--- a/entry/limited_server.go
+++ b/entry/limited_server.go
@@ -69,8 +69,8 @@
 }
 
 // reserve reserves a turn of the chosen server if it names a limit, and waits for it.
-// It reports false if there is none within patience of the expected time, or if the
-// server accepts no calls any more.
+// It reports false if there is none within patience of the expected time, or if the server
+// accepts no calls any more, or none at its version of the adapter.
 func (c *session) reserve(ctx context.Context, choice dispatch.Choice, patience time.Duration) (reserved bool) {
 	if !choice.Candidate.Limited {
 		return true
@@ -91,7 +91,7 @@
 		return false
 	}
 	now = s.Clock()
-	return now.Sub(reservation.At) <= turnLapse && s.Board.Accepts(server.ID, now)
+	return now.Sub(reservation.At) <= turnLapse && s.Board.Accepts(server.ID, now) && c.mayBegin(choice.Candidate, now)
 }
 
 // limitRefusal returns the refusal of a call whose servers have no turn before turnAt.
--- a/entry/run.go
+++ b/entry/run.go
@@ -131,11 +131,29 @@
 
 // chooseAmongCandidates chooses a server among those that have what the call needs.
 func (c *session) chooseAmongCandidates() (choice dispatch.Choice, count int) {
-	s := c.service
-	candidates := s.Board.Candidates(c.targetService, c.call, c.withOtherSoftware(c.avoid), s.Clock())
+	candidates := c.candidates(c.avoid, c.service.Clock())
 	return dispatch.Choose(candidates, c.requirements()), len(candidates)
 }
 
+// candidates lists the servers other than those to avoid that can take the call. The version
+// of its adapter that a server has must serve until the call begins there.
+func (c *session) candidates(avoid map[string]bool, now time.Time) []dispatch.Candidate {
+	candidates := c.service.Board.Candidates(c.targetService, c.call, c.withOtherSoftware(avoid), now)
+	if !c.call.NeedsAdapter() {
+		return candidates
+	}
+	requirements := c.requirements()
+	return slices.DeleteFunc(candidates, func(candidate dispatch.Candidate) bool {
+		return !c.mayBegin(candidate, now.Add(dispatch.Wait(candidate, requirements)))
+	})
+}
+
+// mayBegin reports whether the version of the call's adapter that a server has may still
+// serve at a time.
+func (c *session) mayBegin(candidate dispatch.Candidate, at time.Time) bool {
+	return !c.call.NeedsAdapter() || c.service.Board.MayServe(c.call.Adapter, candidate.Version, at)
+}
+
 // startsTooLate reports whether the caller would have left before a call starts at a
 // model worker.
 func (c *session) startsTooLate(startsAt time.Time) bool {
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -237,7 +237,7 @@
 	if s.Quarantine.Blocked(c.team, c.suspects(), now) || !c.maySendAgain(a.brokenSends()) {
 		return choice, 0, "backend servers end under the call"
 	}
-	candidates := s.Board.Candidates(c.targetService, c.call, c.withOtherSoftware(avoid), now)
+	candidates := c.candidates(avoid, now)
 	choice = dispatch.Choose(candidates, c.requirements())
 	if !choice.Found && c.call.NeedsAdapter() {
 		outcome, err := s.Coordinator.Place(ctx, c.placementRequest(avoid, missing, now.Add(takeoverPlacementTimeout), now))
@@ -248,7 +248,7 @@
 			// The adapter was still loading there, which the leader knows.
 			delete(avoid, outcome.Server)
 		}
-		candidates = s.Board.Candidates(c.targetService, c.call, c.withOtherSoftware(avoid), s.Clock())
+		candidates = c.candidates(avoid, s.Clock())
 		choice = dispatch.Choose(candidates, c.requirements())
 	}
 	if !choice.Found {
--- a/fleet/adapter_version.go
+++ b/fleet/adapter_version.go
@@ -56,6 +56,18 @@
 	return d.required
 }
 
+// requiredAt returns the oldest version that may serve at a time, as far as is declared.
+func (d *declaredVersions) requiredAt(at time.Time) (version int64) {
+	version = d.required
+	for _, pending := range d.pending {
+		if at.Before(pending.requiredAt) {
+			break
+		}
+		version = pending.version
+	}
+	return version
+}
+
 // DeclareVersion records the version of an adapter that operators declared, whose grace
 // period begins at a time, unless the known version is at least as new, and reports
 // whether it did.
@@ -100,6 +112,15 @@
 	return versions
 }
 
+// MayServe reports whether a version of an adapter may serve at a time, as far as is
+// declared now.
+func (b *Board) MayServe(adapter string, version int64, at time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	declared := b.declared[adapter]
+	return declared == nil || version >= declared.requiredAt(at)
+}
+
 // minVersion returns the oldest version of an adapter that may serve now. The caller
 // holds the lock.
 func (b *Board) minVersion(adapter string, now time.Time) int64 {
