--- a/coordination/replaced_version_test.go
+++ b/coordination/replaced_version_test.go
@@ -135,6 +135,13 @@
 	leaderless bool
 }
 
+// declarationTimes are the time from the trouble to the first declaration, and from that to
+// the second one.
+type declarationTimes struct {
+	lead time.Duration
+	gap  time.Duration
+}
+
 // TestOutdatedVersionServesWithoutALeader guards against old copies that serve because no
 // leader replaces them.
 func TestOutdatedVersionServesWithoutALeader(t *testing.T) {
@@ -185,23 +192,55 @@
 			lasts: 20 * time.Second,
 			end:   func(f *restoredFleet, north, _ int) { f.nodes[north].cut.Store(false) },
 		},
+		{
+			name: "the leader is lost, and other instances are cut off from the store",
+			trouble: func(f *restoredFleet, north, south int) []*node {
+				for i, n := range f.nodes {
+					n.cut.Store(i != north && i != south)
+				}
+				return []*node{f.lose(north)}
+			},
+			lasts: 2 * time.Second,
+			end:   func(f *restoredFleet, north, _ int) { f.replace(north, "n8") },
+		},
+		{
+			name: "the leader is lost, and the store doesn't answer the others of its domain",
+			trouble: func(f *restoredFleet, north, _ int) []*node {
+				for _, n := range f.nodes {
+					n.silent.Store(n.domain == "north")
+				}
+				return []*node{f.lose(north)}
+			},
+			lasts: 4 * time.Second,
+			end: func(f *restoredFleet, north, _ int) {
+				for _, n := range f.nodes {
+					n.silent.Store(false)
+				}
+				f.replace(north, "n8")
+			},
+		},
+	}
+	times := []declarationTimes{
+		{lead: 2 * time.Second, gap: 8 * time.Second},
+		{lead: 2 * time.Second, gap: 8 * time.Second},
+		{lead: 0, gap: time.Second},
+		{lead: 4 * time.Second, gap: 6 * time.Second},
 	}
 	for _, scenario := range scenarios {
-		for seed := uint64(1); seed <= 2; seed++ {
-			t.Run(fmt.Sprint(scenario.name, ", seed ", seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { playDeclarations(t, scenario, seed) })
+		for i, at := range times {
+			seed := uint64(i + 1)
+			t.Run(fmt.Sprint(scenario.name, ", ", at.lead, " and ", at.gap, ", seed ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { playDeclarations(t, scenario, at, seed) })
 			})
 		}
 	}
 }
 
-// playDeclarations declares two versions, eight seconds apart.
-func playDeclarations(t *testing.T, scenario leaderTrouble, seed uint64) {
-	const (
-		firstDeclaration  = 20 * time.Second
-		secondDeclaration = firstDeclaration + 8*time.Second
-		troubleBegins     = firstDeclaration - 2*time.Second
-	)
+// playDeclarations declares two versions around the trouble.
+func playDeclarations(t *testing.T, scenario leaderTrouble, times declarationTimes, seed uint64) {
+	const firstDeclaration = 20 * time.Second
+	secondDeclaration := firstDeclaration + times.gap
+	troubleBegins := firstDeclaration - times.lead
 	f := newRestoredFleet(t, seed)
 	for _, w := range f.workers {
 		w.Resident = []pomelospring.ResidentAdapter{{Adapter: "m/a0", Version: 1}}
