Test of planned stops that overlap, and the postmortem of cut streams

TestStopsInTurnCutStreams plays it as real processes meet it: three instances stop 1.5 s apart, callers use their connections until the process is gone, some with bodies in chunks, servers are silent for a second, and the configuration changes each 0.4 s.

--- a/front/answer_framing_test.go
+++ b/front/answer_framing_test.go
@@ -128,7 +128,22 @@
 // application workers and model workers.
 func startWithRawServers(t *testing.T, servers *rawServers) *instance {
 	t.Helper()
-	store := standin.NewStore()
+	_, address := newStoreWithRawServers(t, servers)
+	i := startBeforeRawServers(t, "a", address)
+	eventually(t, "ready", i.ready)
+	return i
+}
+
+// startBeforeRawServers starts a front that finds them in a store.
+func startBeforeRawServers(t *testing.T, name, store string) *instance {
+	config := newConfig(t, name, store)
+	config.Bounds.RetrySlack = retrySlack
+	return start(t, config)
+}
+
+// newStoreWithRawServers returns a store that lists two raw servers.
+func newStoreWithRawServers(t *testing.T, servers *rawServers) (store *standin.Store, address string) {
+	store = standin.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -142,11 +157,7 @@
 				`{"service":%q,"address":%q,"zone":"north","slots":64,"state":"ready","born":1000,"models":[{"name":"m","version":1,"adapters":[]}],"seq":0}`, service, address))
 		}
 	}
-	config := newConfig(t, "a", strings.TrimPrefix(server.URL, "http://"))
-	config.Bounds.RetrySlack = retrySlack
-	i := start(t, config)
-	eventually(t, "ready", i.ready)
-	return i
+	return store, strings.TrimPrefix(server.URL, "http://")
 }
 
 // received is what a caller got for one request.
--- a/front/planned_stop_test.go
+++ b/front/planned_stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/pomelospring/pomelospring"
+	"github.com/pomelospring/pomelospring/platform"
 	"github.com/pomelospring/pomelospring/standin"
 )
 
@@ -296,3 +299,160 @@
 		})
 	}
 }
+
+// keptCaller sends streams one after another over a connection that it keeps as long as it can.
+type keptCaller struct {
+	id int
+	// cut lists the streams that were passed on and not answered whole, and that a planned stop
+	// doesn't excuse; whole and refused count the others.
+	cut     []string
+	whole   int
+	refused int
+}
+
+// run sends streams of a number of events to an instance until connections to it fail.
+func (k *keptCaller) run(address string, events int, stoppedAt *time.Time, stopped <-chan struct{}, ran func(id string) bool) {
+	for n := 0; ; n++ {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(conn)
+		// Pools open connections before they need them.
+		time.Sleep(time.Duration(k.id*7%20) * 230 * time.Millisecond)
+		for again := 0; ; again++ {
+			l := &lateCall{
+				id:     fmt.Sprintf("late-%d-%d-%d", k.id, n, again),
+				path:   "/brief/",
+				chunks: k.id%3 == 0,
+			}
+			sentAt := time.Now()
+			l.exchange(conn, reader, time.Duration(k.id%4)*300*time.Millisecond)
+			isWhole := l.whole && strings.Count(l.body, "\n\n") == events
+			switch {
+			case isWhole:
+				k.whole++
+			case l.status == http.StatusServiceUnavailable:
+				k.refused++
+			case ran(l.id):
+				k.judge(l.id, sentAt, stoppedAt, stopped)
+			}
+			if !isWhole || l.header.Get("Connection") == "close" {
+				break
+			}
+		}
+		_ = conn.Close()
+	}
+}
+
+// judge records a stream that was cut, unless it was sent early in the stop and the instance had
+// little time left.
+func (k *keptCaller) judge(id string, sentAt time.Time, stoppedAt *time.Time, stopped <-chan struct{}) {
+	now := time.Now()
+	select {
+	case <-stopped:
+		if sentAt.Sub(*stoppedAt) <= cutExcusedBefore && now.Sub(*stoppedAt) >= cutsFrom {
+			return
+		}
+		k.cut = append(k.cut, fmt.Sprintf("%s, sent %s and cut %s after the stop", id, sentAt.Sub(*stoppedAt), now.Sub(*stoppedAt)))
+	default:
+		k.cut = append(k.cut, id+", cut before the stop")
+	}
+}
+
+// exchange sends the call, its body in chunks with a pause inside, and reads the answer.
+func (l *lateCall) exchange(conn net.Conn, reader *bufio.Reader, pause time.Duration) {
+	text, begun := l.request()
+	if l.chunks {
+		if _, err := io.WriteString(conn, text[:begun]); err != nil {
+			return
+		}
+		time.Sleep(pause)
+		text = text[begun:]
+	}
+	if _, err := io.WriteString(conn, text); err != nil {
+		return
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	l.status, l.header, l.body, l.whole = response.StatusCode, response.Header, string(body), err == nil
+}
+
+// TestStopsInTurnCutStreams guards against streams that are cut around planned stops that
+// overlap, while the configuration changes, servers fall silent for a second and callers use
+// their connections until the process is gone.
+func TestStopsInTurnCutStreams(t *testing.T) {
+	const (
+		events      = 73
+		interval    = 60 * time.Millisecond
+		instances   = 3
+		perInstance = 40
+		pause       = 1500 * time.Millisecond
+		// lead is the time before the first stop, over which callers begin.
+		lead = 6 * time.Second
+	)
+	servers := &rawServers{attempts: map[string]int{}, wait: func() {}}
+	servers.play = func(e *exchange) { writeStream(e, events, interval, time.Second) }
+	store, address := newStoreWithRawServers(t, servers)
+	ran := func(id string) bool {
+		servers.mu.Lock()
+		defer servers.mu.Unlock()
+		return servers.attempts[id] > 0
+	}
+	var callers []*keptCaller
+	var group sync.WaitGroup
+	stops := make([]chan struct{}, instances)
+	stoppedAt := make([]time.Time, instances)
+	var all []*instance
+	for n := range instances {
+		all = append(all, startBeforeRawServers(t, fmt.Sprint("i", n), address))
+	}
+	for n, i := range all {
+		eventually(t, "ready", i.ready)
+		stops[n] = make(chan struct{})
+		for range perInstance {
+			k := &keptCaller{id: len(callers)}
+			callers = append(callers, k)
+			group.Go(func() {
+				time.Sleep(time.Duration(k.id%perInstance) * lead / perInstance)
+				k.run(i.config.Listen.Callers, events, &stoppedAt[n], stops[n], ran)
+			})
+		}
+	}
+	changes, endChanges := context.WithCancel(t.Context())
+	group.Go(func() {
+		for version := 2; pomelospring.Sleep(changes, 400*time.Millisecond) == nil; version++ {
+			changed := strings.Replace(framingPolicy, `"version":1`, fmt.Sprintf(`"version":%d`, version), 1)
+			store.Put(platform.OperatorTopic, platform.PolicyKey, []byte(strings.ReplaceAll(changed, "20000", fmt.Sprint(20000-version))))
+		}
+	})
+	time.Sleep(lead)
+	for n, i := range all {
+		stoppedAt[n] = time.Now()
+		close(stops[n])
+		i.stop()
+		time.Sleep(pause)
+	}
+	for _, i := range all {
+		if err := <-i.done; err != nil {
+			t.Error(err)
+		}
+	}
+	endChanges()
+	group.Wait()
+	whole, refused := 0, 0
+	for _, k := range callers {
+		whole, refused = whole+k.whole, refused+k.refused
+		for _, cut := range k.cut {
+			t.Error(cut)
+		}
+	}
+	t.Logf("%d streams whole, %d refused", whole, refused)
+	if whole < len(callers) || refused == 0 {
+		t.Errorf("%d streams whole, %d refused: the stops met few", whole, refused)
+	}
+}
