Tell a reset of a server's connection from its end while a call is still written

Callers got a part of an answer as a whole one: a server answered a long upload at once, without a length, and reset its connection while the upload was still written.

Cause: the system reports a reset once. The write gets it, and the read then ends as if the connection had been closed in order, which ends an answer that has neither a length nor chunks.

Change: package framing wraps the transports of all HTTP clients (calls, orders and reports, the store, and the daemon of serve). A read that ends on a connection which is ended in both directions, or on which a write failed, is an error.

TestResetAnswerIsTakenForAWholeOne keeps answers whole whose server reads the upload, or closes one direction only.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/pomelospring/pomelospring/engine"
 	"github.com/pomelospring/pomelospring/events"
 	"github.com/pomelospring/pomelospring/failuredomain"
+	"github.com/pomelospring/pomelospring/framing"
 	"github.com/pomelospring/pomelospring/intent"
 	"github.com/pomelospring/pomelospring/lending"
 	"github.com/pomelospring/pomelospring/metrics"
@@ -187,14 +188,14 @@
 		Timeout: connectTimeout,
 	}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: framing.NewTransport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			TLSClientConfig:     config,
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     time.Minute,
 			DisableKeepAlives:   singleUse,
 			DisableCompression:  true,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/front/answer_framing_test.go
+++ b/front/answer_framing_test.go
@@ -73,6 +73,9 @@
 	conns int
 	play  func(e *exchange)
 	wait  func()
+	// answersEarly is the start of the IDs of requests whose first attempt is played once the
+	// head is read.
+	answersEarly string
 }
 
 func (r *rawServers) listen(t *testing.T) (address string) {
@@ -101,8 +104,13 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
 		id := request.Header.Get(standin.HeaderRequestID)
+		r.mu.Lock()
+		isEarly := r.answersEarly != "" && strings.HasPrefix(id, r.answersEarly) && r.attempts[id] == 0
+		r.mu.Unlock()
+		if !isEarly {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
 		if id == "" {
 			_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 			continue
@@ -172,7 +180,12 @@
 
 // call sends a request and returns what the caller got of the answer.
 func (i *instance) call(client *http.Client, path, id string) (got received, reused bool) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+i.config.Listen.Callers+path, strings.NewReader("x"))
+	return i.upload(client, path, id, strings.NewReader("x"))
+}
+
+// upload is call with a body.
+func (i *instance) upload(client *http.Client, path, id string, content io.Reader) (got received, reused bool) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+i.config.Listen.Callers+path, content)
 	if err != nil {
 		return received{}, false
 	}
