Take no answer whose head HTTP doesn't allow

Callers got answers of servers in trouble whose head had a blank in the name of a field, with a body that was not the server's where that field was the length or the framing, or whose status was 600 or 999; one with status 000 and the header that says so counted as "not run".

Cause: net/http takes blanks in names and any three digits, and overlooks the framing in a field whose name has a blank; what it gave was taken.

Change: package framing refuses heads, interim answers and trailers with malformed names, statuses outside 200 to 599 and other major versions of HTTP before anything in them is believed, and closes their connection.

--- a/framing/transport.go
+++ b/framing/transport.go
@@ -4,12 +4,27 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+	"sync/atomic"
 )
 
-// Transport sends requests over an HTTP transport. An answer without a length that ends with
-// its connection is whole only if the connection was closed in order.
+// errNoFinalStatus reports an answer whose status is none of HTTP, or none that ends an
+// exchange.
+var errNoFinalStatus = errors.New("the status is not that of a final answer")
+
+// errOtherProtocol reports an answer in another version of HTTP than the request.
+var errOtherProtocol = errors.New("the answer is not in HTTP/1")
+
+// Transport sends requests over an HTTP transport. An answer that HTTP/1 doesn't allow is an
+// error, and its connection serves no other request. An answer without a length that ends
+// with its connection is whole only if the connection was closed in order.
 type Transport struct{ transport *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -39,5 +54,74 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (response *http.Response, err error) {
-	return t.transport.RoundTrip(request)
+	var used atomic.Pointer[httptrace.GotConnInfo]
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { used.Store(&info) },
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkNames(http.Header(header)) },
+	})
+	response, err = t.transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err = checkHead(response); err != nil {
+		// Closing the body may leave the connection for the next request.
+		_ = used.Load().Conn.Close()
+		_ = response.Body.Close()
+		return nil, err
+	}
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &trailedBody{
+			ReadCloser: response.Body,
+			response:   response,
+		}
+	}
+	return response, nil
+}
+
+// checkHead checks what net/http doesn't check of a head.
+func checkHead(response *http.Response) error {
+	switch {
+	case response.ProtoMajor != 1:
+		return fmt.Errorf("%w: %s", errOtherProtocol, response.Proto)
+	case response.StatusCode < http.StatusOK || response.StatusCode > maxStatus:
+		return fmt.Errorf("%w: %03d", errNoFinalStatus, response.StatusCode)
+	}
+	return checkNames(response.Header)
+}
+
+// maxStatus is the highest status that HTTP has.
+const maxStatus = 599
+
+// checkNames checks the names of the fields of a head or a trailer. net/http accepts blanks in
+// them, and overlooks so written fields that frame the answer.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if name == "" || strings.ContainsFunc(name, isNoTokenCharacter) {
+			return fmt.Errorf("the name of the field %q is malformed", name)
+		}
+	}
+	return nil
+}
+
+// isNoTokenCharacter reports whether a character can't be part of a field's name.
+func isNoTokenCharacter(r rune) bool {
+	return r <= ' ' || r > '~' || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r)
+}
+
+// trailedBody is a body in chunks, which a trailer may follow.
+type trailedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *trailedBody) Read(buffer []byte) (n int, err error) {
+	n, err = b.ReadCloser.Read(buffer)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if malformed := checkNames(b.response.Trailer); malformed != nil {
+		err = malformed
+	}
+	return n, err
 }
--- a/framing/transport_test.go
+++ b/framing/transport_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,8 +15,9 @@
 )
 
 const (
-	body   = "01234567890"
-	okHead = "HTTP/1.1 200 OK\r\n"
+	body     = "01234567890"
+	okHead   = "HTTP/1.1 200 OK\r\n"
+	withSize = "Content-Length: 11\r\n"
 	// uploadBytes is more than a connection holds of an upload.
 	uploadBytes = 8 << 20
 )
@@ -69,6 +71,43 @@
 	return received{Body: string(content)}
 }
 
+func TestMalformedHeadIsTakenForAnAnswer(t *testing.T) {
+	whole := received{Body: body}
+	failed := received{Failed: true}
+	scenarios := []struct {
+		name   string
+		answer string
+		want   received
+	}{
+		{name: "a length", answer: okHead + withSize + "\r\n" + body, want: whole},
+		{name: "chunks and a trailer", answer: okHead + "Transfer-Encoding: chunked\r\n\r\nb\r\n" + body + "\r\n0\r\nX-A: b\r\n\r\n", want: whole},
+		{name: "the end of the connection", answer: okHead + "\r\n" + body, want: whole},
+		{name: "an interim answer before", answer: "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n" + okHead + withSize + "\r\n" + body, want: whole},
+		{name: "a name with all characters of names", answer: okHead + withSize + "X!#$%&'*+-.^_`|~9a: 1\r\n\r\n" + body, want: whole},
+		{name: "a folded value", answer: okHead + "X-A: b\r\n c\r\n" + withSize + "\r\n" + body, want: whole},
+		{name: "an earlier version of HTTP/1", answer: "HTTP/1.0 200 OK\r\n" + withSize + "\r\n" + body, want: whole},
+		{name: "status 000", answer: "HTTP/1.1 000 Odd\r\n" + withSize + "\r\n" + body, want: failed},
+		{name: "a change of the protocol", answer: "HTTP/1.1 101 Odd\r\n" + withSize + "\r\n" + body, want: failed},
+		{name: "status 600", answer: "HTTP/1.1 600 Odd\r\n" + withSize + "\r\n" + body, want: failed},
+		{name: "a blank in a name", answer: okHead + withSize + "X Odd: 1\r\n\r\n" + body, want: failed},
+		{name: "a framing with a blank behind its name", answer: okHead + "Transfer-Encoding : chunked\r\n\r\nb\r\n" + body + "\r\n0\r\n\r\n", want: failed},
+		{name: "a blank in a name of an interim answer", answer: "HTTP/1.1 103 Early Hints\r\nX Odd: b\r\n\r\n" + okHead + withSize + "\r\n" + body, want: failed},
+		{name: "a blank in a name of a trailer", answer: okHead + "Transfer-Encoding: chunked\r\n\r\nb\r\n" + body + "\r\n0\r\nX Odd: b\r\n\r\n", want: failed},
+		{name: "another version of HTTP", answer: "HTTP/2.0 200 OK\r\n" + withSize + "\r\n" + body, want: failed},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			address := serve(t, func(conn *net.TCPConn, request *http.Request) {
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, scenario.answer)
+			})
+			if diff := cmp.Diff(scenario.want, post(t, address, 1)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // TestResetAnswerIsTakenForAWholeOne guards against a part of an answer that seems whole, and
 // against whole ones that seem broken, while the request is still written.
 func TestResetAnswerIsTakenForAWholeOne(t *testing.T) {
@@ -108,3 +147,29 @@
 		})
 	}
 }
+
+// TestConnectionOfAMalformedAnswerServesAnother guards against another request on a connection
+// whose server sent a malformed head.
+func TestConnectionOfAMalformedAnswerServesAnother(t *testing.T) {
+	connections := make(chan struct{}, 10)
+	address := serve(t, func(conn *net.TCPConn, _ *http.Request) {
+		connections <- struct{}{}
+		for range 2 {
+			_, _ = io.WriteString(conn, strings.Replace(okHead, "\r\n", "\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n", 1))
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	client := &http.Client{
+		Transport: framing.NewTransport(&http.Transport{}),
+	}
+	for range 3 {
+		response, err := client.Get("http://" + address)
+		if err == nil {
+			_ = response.Body.Close()
+			t.Errorf("status %d", response.StatusCode)
+		}
+	}
+	if diff := cmp.Diff(3, len(connections)); diff != "" {
+		t.Errorf("connections: %s", diff)
+	}
+}
