--- a/framing/transport_test.go
+++ b/framing/transport_test.go
@@ -53,7 +53,7 @@
 	Failed bool
 }
 
-func post(t *testing.T, address string, upload int) (got received) {
+func post(address string, upload int) (got received) {
 	client := &http.Client{
 		Transport: framing.NewTransport(&http.Transport{}),
 		Timeout:   10 * time.Second,
@@ -101,7 +101,7 @@
 				_, _ = io.Copy(io.Discard, request.Body)
 				_, _ = io.WriteString(conn, scenario.answer)
 			})
-			if diff := cmp.Diff(scenario.want, post(t, address, 1)); diff != "" {
+			if diff := cmp.Diff(scenario.want, post(address, 1)); diff != "" {
 				t.Error(diff)
 			}
 		})
@@ -140,7 +140,7 @@
 				scenario.play(conn, request)
 			})
 			for n := range tries {
-				if diff := cmp.Diff(scenario.want, post(t, address, uploadBytes)); diff != "" {
+				if diff := cmp.Diff(scenario.want, post(address, uploadBytes)); diff != "" {
 					t.Errorf("try %d: %s", n, diff)
 				}
 			}
--- a/front/early_answer_test.go
+++ b/front/early_answer_test.go
@@ -46,7 +46,9 @@
 		{name: "a lookup that another server answers", path: "/lookup/", part: "01234567", later: func(e *exchange) { e.answered("200 OK", "Connection: close\r\n"+length("whole"), "whole") }, want: received{Status: 200, Body: "whole", Complete: true}},
 		{name: "a lookup on a connection that served others", path: "/lookup/", pooled: true, part: "01234567", want: received{Status: 502, Complete: true}},
 		{name: "a stream", path: "/brief/", part: firstEvent, want: received{Status: 200, Body: firstEvent}},
-		{name: "a stream that another server goes on with", path: "/proof/", part: firstEvent, later: func(e *exchange) { e.answered("200 OK", "Connection: close\r\n"+eventStream+length(laterEvents), laterEvents) }, want: received{Status: 200, Body: firstEvent + laterEvents, Complete: true}},
+		{name: "a stream that another server goes on with", path: "/proof/", part: firstEvent, later: func(e *exchange) {
+			e.answered("200 OK", "Connection: close\r\n"+eventStream+length(laterEvents), laterEvents)
+		}, want: received{Status: 200, Body: firstEvent + laterEvents, Complete: true}},
 	}
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
--- a/front/planned_stop_test.go
+++ b/front/planned_stop_test.go
@@ -219,6 +219,22 @@
 	e.end()
 }
 
+// check checks what a caller got of a stream of a number of events, and returns it. ran says that
+// it was passed on.
+func (l *lateCall) check(t *testing.T, ran bool, events int) (result string) {
+	isWhole := l.whole && strings.Count(l.body, "\n\n") == events
+	if ran && !isWhole && (l.after > cutExcusedBefore || l.endedAfter < cutsFrom) {
+		t.Errorf("%s, sent %s after the stop, was cut %s after it", l.id, l.after, l.endedAfter)
+	}
+	if !ran && l.status != http.StatusServiceUnavailable && (l.status != 0 || l.begun && l.after < newConnectionTime) {
+		t.Errorf("%s, sent %s after the stop, got status %d", l.id, l.after, l.status)
+	}
+	if l.status == http.StatusServiceUnavailable && (l.header.Get("Retry-After") == "" || ran) {
+		t.Errorf("%s was refused, passed on %t, with Retry-After %q", l.id, ran, l.header.Get("Retry-After"))
+	}
+	return fmt.Sprintf("status %d, passed on %t, whole %t", l.status, ran, isWhole)
+}
+
 // TestLateStreamsAreCutByAPlannedStop guards against streams that begin late in a planned stop
 // and are cut in the middle when the instance ends.
 func TestLateStreamsAreCutByAPlannedStop(t *testing.T) {
@@ -279,18 +295,7 @@
 			servers.mu.Lock()
 			defer servers.mu.Unlock()
 			for _, l := range calls {
-				ran := servers.attempts[l.id] > 0
-				isWhole := l.whole && strings.Count(l.body, "\n\n") == scenario.events
-				counts[fmt.Sprintf("status %d, passed on %t, whole %t", l.status, ran, isWhole)]++
-				if ran && !isWhole && (l.after > cutExcusedBefore || l.endedAfter < cutsFrom) {
-					t.Errorf("%s, sent %s after the stop, was cut %s after it", l.id, l.after, l.endedAfter)
-				}
-				if !ran && l.status != http.StatusServiceUnavailable && (l.status != 0 || l.begun && l.after < newConnectionTime) {
-					t.Errorf("%s, sent %s after the stop, got status %d", l.id, l.after, l.status)
-				}
-				if l.status == http.StatusServiceUnavailable && (l.header.Get("Retry-After") == "" || ran) {
-					t.Errorf("%s was refused, passed on %t, with Retry-After %q", l.id, ran, l.header.Get("Retry-After"))
-				}
+				counts[l.check(t, servers.attempts[l.id] > 0, scenario.events)]++
 			}
 			t.Log(counts)
 			if counts["status 200, passed on true, whole true"] == 0 && scenario.events < 100 && !scenario.call.kept {
@@ -403,11 +408,11 @@
 		defer servers.mu.Unlock()
 		return servers.attempts[id] > 0
 	}
-	var callers []*keptCaller
+	callers := make([]*keptCaller, 0, instances*perInstance)
 	var group sync.WaitGroup
 	stops := make([]chan struct{}, instances)
 	stoppedAt := make([]time.Time, instances)
-	var all []*instance
+	all := make([]*instance, 0, instances)
 	for n := range instances {
 		all = append(all, startBeforeRawServers(t, fmt.Sprint("i", n), address))
 	}
