Take no chunks in an answer of HTTP/1.0

Callers got the lines of the chunks as the body where a server answered in HTTP/1.0 with Transfer-Encoding: chunked, with or without a length.

Cause: HTTP/1.0 has no transfer codings; net/http drops the field before it can be seen, and reads the body by the length or to the end of the connection.

Change: package framing keeps the head of an answer in HTTP/1.0 as it is read from the connection, and refuses one that names a coding. Of other answers the first bytes are compared only.

--- a/framing/conn.go
+++ b/framing/conn.go
@@ -20,11 +20,13 @@
 type watchedConn struct {
 	net.Conn
 	writeFailed atomic.Bool
+	head        oldHead
 }
 
 // Read implements net.Conn.
 func (c *watchedConn) Read(buffer []byte) (n int, err error) {
 	n, err = c.Conn.Read(buffer)
+	c.head.add(buffer[:n])
 	// A write that failed may have closed the connection before its state is looked at.
 	if errors.Is(err, io.EOF) && (!endsInOrder(c.Conn) || c.writeFailed.Load()) {
 		err = errReset
--- a/framing/transport.go
+++ b/framing/transport.go
@@ -22,6 +22,9 @@
 // errOtherProtocol reports an answer in another version of HTTP than the request.
 var errOtherProtocol = errors.New("the answer is not in HTTP/1")
 
+// errOldCoding reports an answer whose framing its version of HTTP doesn't have.
+var errOldCoding = errors.New("the answer is in HTTP/1.0 and names a transfer coding")
+
 // Transport sends requests over an HTTP transport. An answer that HTTP/1 doesn't allow is an
 // error, and its connection serves no other request. An answer without a length that ends
 // with its connection is whole only if the connection was closed in order.
@@ -56,14 +59,19 @@
 func (t *Transport) RoundTrip(request *http.Request) (response *http.Response, err error) {
 	var used atomic.Pointer[httptrace.GotConnInfo]
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { used.Store(&info) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			used.Store(&info)
+			if watched, ok := info.Conn.(*watchedConn); ok {
+				watched.head.begin()
+			}
+		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkNames(http.Header(header)) },
 	})
 	response, err = t.transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if err = checkHead(response); err != nil {
+	if err = checkHead(response, used.Load().Conn); err != nil {
 		// Closing the body may leave the connection for the next request.
 		_ = used.Load().Conn.Close()
 		_ = response.Body.Close()
@@ -78,9 +86,12 @@
 	return response, nil
 }
 
-// checkHead checks what net/http doesn't check of a head.
-func checkHead(response *http.Response) error {
+// checkHead checks what net/http doesn't check of a head that was read from a connection.
+func checkHead(response *http.Response, conn net.Conn) error {
+	watched, isWatched := conn.(*watchedConn)
 	switch {
+	case isWatched && !response.ProtoAtLeast(1, 1) && watched.head.namesCoding():
+		return errOldCoding
 	case response.ProtoMajor != 1:
 		return fmt.Errorf("%w: %s", errOtherProtocol, response.Proto)
 	case response.StatusCode < http.StatusOK || response.StatusCode > maxStatus:
--- a/framing/transport_test.go
+++ b/framing/transport_test.go
@@ -177,13 +177,14 @@
 // TestChunksOfAnOldVersionAreTakenForABody guards against a body that holds the lines of its
 // chunks. HTTP/1.0 has no chunks, so that the framing of such an answer is faulty.
 func TestChunksOfAnOldVersionAreTakenForABody(t *testing.T) {
-	for _, fields := range []string{"", withSize} {
+	long := "X-A: " + strings.Repeat("b", 20_000) + "\r\n"
+	for _, fields := range []string{"", withSize, long, long + withSize} {
 		address := serve(t, func(conn *net.TCPConn, request *http.Request) {
 			_, _ = io.Copy(io.Discard, request.Body)
-			_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"+fields+"\r\nb\r\n"+body+"\r\n0\r\n\r\n")
+			_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n"+fields+"transfer-Encoding: chunked\r\n\r\nb\r\n"+body+"\r\n0\r\n\r\n")
 		})
 		if diff := cmp.Diff(received{Failed: true}, post(address, 1)); diff != "" {
-			t.Errorf("with %q: %s", fields, diff)
+			t.Errorf("with %.30q: %s", fields, diff)
 		}
 	}
 }
--- a/front/odd_head_test.go
+++ b/front/odd_head_test.go
@@ -69,6 +69,8 @@
 		oddHead{name: "a framing with a blank before the colon", status: ok, fields: "Transfer-Encoding : chunked\r\n", body: chunks(oddBody)},
 		oddHead{name: "a second length with a blank before the colon", status: ok, fields: length(oddBody) + "Content-Length : 2\r\n", body: oddBody},
 		oddHead{name: "a status without digits", status: "HTTP/1.1 2x0 OK", fields: length(oddBody), body: oddBody},
+		oddHead{name: "chunks in HTTP/1.0", status: "HTTP/1.0 200 OK", fields: chunked, body: chunks(oddBody)},
+		oddHead{name: "chunks in HTTP/1.0, beside a length", status: "HTTP/1.0 200 OK", fields: length(oddBody) + chunked, body: chunks(oddBody)},
 		oddHead{name: "another version of HTTP", status: "HTTP/2.0 200 OK", fields: length(oddBody), body: oddBody},
 		oddHead{name: "an old version of HTTP", status: "HTTP/0.9 200 OK", fields: length(oddBody), body: oddBody},
 		oddHead{name: "a change of the protocol", status: "HTTP/1.1 101 Switching Protocols", fields: "Connection: Upgrade\r\nUpgrade: x\r\n", body: oddBody},
