Let answers end before the test of replaced records does

Trace: the server's goroutine was in the pause of 20 ms that the test puts behind each part of an answer (record_fetcher_test.go:76), and the others waited for it. synctest.Wait takes a goroutine that sleeps for settled, and the clock stops when the test returns. The test now sleeps for a second first.

--- a/coordination/record_fetcher_test.go
+++ b/coordination/record_fetcher_test.go
@@ -112,6 +112,8 @@
 			}
 			cancel()
 			_ = peers.Close()
+			// An answer may still be in its pause, and the clock stops with the test.
+			time.Sleep(time.Second)
 			synctest.Wait()
 		})
 	}
