--- a/review/fleet3/fleet.go
+++ b/review/fleet3/fleet.go
@@ -26,9 +26,10 @@
 var Zones = []string{"plant-north", "ops-center", "substation-east"}
 
 const (
-	// Host is the host of all routes, and Key the key of the one tenant.
+	// Host is the host of all routes.
 	Host = "calls.example"
-	Key  = "key-one"
+	// Key is the key of the one tenant.
+	Key = "key-one"
 
 	program        = "target/pomelospringd"
 	readyPatience  = 20 * time.Second
