--- a/review/case3/limit.go
+++ b/review/case3/limit.go
@@ -42,8 +42,10 @@
 
 // limitedServers has the arrivals at each server.
 type limitedServers struct {
-	mu       sync.Mutex
-	arrivals map[string][]arrival
+	// perSecond is the limit that each server names.
+	perSecond int
+	mu        sync.Mutex
+	arrivals  map[string][]arrival
 }
 
 func (l *limitedServers) run(f *fleet3.Fleet, w *fleet3.Worker, out http.ResponseWriter, r *http.Request) {
@@ -55,7 +57,7 @@
 	})
 	l.mu.Unlock()
 	time.Sleep(limitedPrefill)
-	out.Header().Set(standin.HeaderLimit, strconv.Itoa(limitPerSecond))
+	out.Header().Set(standin.HeaderLimit, strconv.Itoa(l.perSecond))
 	out.Header().Set(standin.HeaderStamp, w.ID)
 	out.Header().Set("Content-Type", "text/event-stream")
 	for n := range events {
@@ -73,17 +75,10 @@
 	return configuration
 }
 
-// playLimit restarts the machine that leads the first zone while servers name a limit and
-// callers ask for more.
-func playLimit(record *fleet3.Record) (broken bool, verdict string, err error) {
-	f, err := fleet3.New(record)
-	if err != nil {
-		return false, "", err
-	}
-	defer f.Close()
-	l := &limitedServers{arrivals: map[string][]arrival{}}
-	if err = f.Configure(historyConfiguration()); err != nil {
-		return false, "", err
+// startLimited starts a model worker in each zone, which names a limit, and machines in each.
+func startLimited(f *fleet3.Fleet, l *limitedServers, machines int) error {
+	if err := f.Configure(historyConfiguration()); err != nil {
+		return err
 	}
 	for n, zone := range fleet3.Zones {
 		w := &fleet3.Worker{ID: fmt.Sprintf("i-%d", n+1), Service: "llm-pool", Zone: zone, Slots: limitedSlots, Model: modelName, LoadTime: diskLoadTime}
@@ -91,23 +86,38 @@
 			l.run(f, w, out, r)
 			return true
 		}
-		if err = w.Begin(f); err != nil {
-			return false, "", err
+		if err := w.Begin(f); err != nil {
+			return err
 		}
 	}
-	for n := range machinesPerZone * len(fleet3.Zones) {
-		if _, err = f.Add(fleet3.Zones[n%len(fleet3.Zones)]); err != nil {
-			return false, "", err
+	for n := range machines * len(fleet3.Zones) {
+		if _, err := f.Add(fleet3.Zones[n%len(fleet3.Zones)]); err != nil {
+			return err
 		}
 	}
 	for _, i := range f.Instances {
-		if err = i.AwaitReady(); err != nil {
-			return false, "", err
+		if err := i.AwaitReady(); err != nil {
+			return err
 		}
 	}
 	time.Sleep(2 * touchTime)
+	return nil
+}
+
+// playLimit restarts the machine that leads the first zone while servers name a limit and
+// callers ask for more.
+func playLimit(record *fleet3.Record) (broken bool, verdict string, err error) {
+	f, err := fleet3.New(record)
+	if err != nil {
+		return false, "", err
+	}
+	defer f.Close()
+	l := &limitedServers{arrivals: map[string][]arrival{}, perSecond: limitPerSecond}
+	if err = startLimited(f, l, machinesPerZone); err != nil {
+		return false, "", err
+	}
 	stop := make(chan struct{})
-	go sendHistories(f, stop)
+	go sendHistories(f, callInterval, stop)
 	began := record.Age()
 	time.Sleep(beforeKill)
 	killed := ""
@@ -145,12 +155,12 @@
 }
 
 // sendHistories sends calls to one machine after the other.
-func sendHistories(f *fleet3.Fleet, stop chan struct{}) {
+func sendHistories(f *fleet3.Fleet, interval time.Duration, stop chan struct{}) {
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
 			return
-		case <-time.After(callInterval):
+		case <-time.After(interval):
 		}
 		i := f.Instances[n%len(f.Instances)]
 		go func() {
@@ -167,7 +177,7 @@
 func (l *limitedServers) judge(killed string, from time.Duration) (broken bool, verdict string, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	allowed := limitFactor*limitPerSecond*limitWindow.Seconds() + limitSlack
+	allowed := limitFactor*float64(l.perSecond)*limitWindow.Seconds() + limitSlack
 	most, where, when := 0, "", time.Duration(0)
 	for server, all := range l.arrivals {
 		counted := slices.DeleteFunc(slices.Clone(all), func(a arrival) bool { return a.at < from || a.machine == killed })
@@ -181,5 +191,5 @@
 		}
 	}
 	return float64(most) > allowed, fmt.Sprintf("LIMIT: server %s names a limit of %d requests a second and got %d in the %s from %.1f s on, without those of the machine that was restarted (%s), where %.0f are allowed",
-		where, limitPerSecond, most, limitWindow, when.Seconds(), killed, allowed), nil
+		where, l.perSecond, most, limitWindow, when.Seconds(), killed, allowed), nil
 }
--- a/review/case3/main.go
+++ b/review/case3/main.go
@@ -24,6 +24,7 @@
 	"12": playCrashingRequest,
 	"13": playCrashingPart,
 	"14": playLimit,
+	"15": playUnreadableEntry,
 }
 
 func main() { os.Exit(run()) }
